Add the model, the ports and the event core

Cause: the modules are written in parallel and meet at these interfaces. Before and after: no code before; every message survives the wire in a property test now. Conclusion: base for the subsystems.

--- /dev/null
+++ b/citronrail/errors.py
@@ -0,0 +1,120 @@
+"""The tree of exceptions raised by citronrail."""
+
+from citronrail.model import outcome as outcomes
+
+
+class CitronrailError(Exception):
+    """Root of all errors of this package.
+
+    :param message: what went wrong and what the reader can do.
+    :param step: the operation during which it arose, such as ``store.txn``.
+    :param peer: the other side, a node id or address, or ''.
+    """
+
+    outcome = outcomes.Outcome.UNKNOWN
+
+    def __init__(self, message: str, *, step: str, peer: str = '') -> None:
+        super().__init__(message)
+        self.message = message
+        self.step = step
+        self.peer = peer
+
+    def __str__(self) -> str:
+        peer = f' with {self.peer}' if self.peer else ''
+        return f'{self.message} (at {self.step}{peer})'
+
+
+class ConfigError(CitronrailError):
+    """Process settings or a command have a wrong form."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class CommandRefused(CitronrailError):
+    """A command was checked and refused; nothing changed."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class CommandSyntaxError(CommandRefused):
+    """A command could not be parsed.
+
+    :param line: line of the error, from 1.
+    :param column: column of the error, from 1.
+    :param expected: descriptions of what could stand there.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str = '',
+        line: int = 1,
+        column: int = 1,
+        expected: tuple[str, ...] = (),
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.line = line
+        self.column = column
+        self.expected = expected
+
+
+class StoreError(CitronrailError):
+    """A call to the key-value store failed."""
+
+
+class StoreUnavailable(StoreError):
+    """The call did not reach the store; it had no effect."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class StoreOutcomeUnknown(StoreError):
+    """The call may have taken effect; read back to find out."""
+
+
+class StoreBudgetExceeded(StoreError):
+    """The call was held back because the call budget is spent."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class LeaseLost(CitronrailError):
+    """A lease lapsed or belongs to another holder."""
+
+
+class Fenced(CitronrailError):
+    """A newer owner exists; the write was rejected."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class PeerUnreachable(CitronrailError):
+    """The message was not handed to any socket."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class PeerTimeout(CitronrailError):
+    """No answer came before the deadline."""
+
+
+class WorkerRefused(CitronrailError):
+    """The worker confirmed that it did not start or change the task."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class WorkerOutcomeUnknown(CitronrailError):
+    """The worker may have carried out the call."""
+
+
+class BackendNotReached(CitronrailError):
+    """No byte of the request reached the backend server."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class BackendFailed(CitronrailError):
+    """The backend server failed after the request was sent."""
--- /dev/null
+++ b/citronrail/model/settings.py
@@ -0,0 +1,72 @@
+"""The operators' configuration document, kept in the key-value store."""
+
+import dataclasses
+import typing
+
+from citronrail.model import identifiers
+from citronrail.model import resources
+from citronrail.model import specs
+
+
+@dataclasses.dataclass(frozen=True)
+class DataCentreSettings:
+    """Whether a data centre may be given work.
+
+    ``changed_in`` is the settings version of the last change.
+    """
+
+    in_service: bool = True
+    changed_in: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class TeamSettings:
+    """Guaranteed share of a team; an idle share is lent to other teams."""
+
+    quota: resources.Resources
+    may_borrow: bool = True
+
+
+@dataclasses.dataclass(frozen=True)
+class PolicySettings:
+    """Name of a policy and its parameters, as checked by the policy."""
+
+    name: str
+    parameters: dict[str, typing.Any] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class AppliedCommand:
+    """A command that took effect, kept so that retries are recognised."""
+
+    command_id: identifiers.CommandId
+    version: int
+    message: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Settings:
+    """The whole configuration; ``version`` rises by one with each write."""
+
+    version: int = 0
+    data_centres: dict[str, DataCentreSettings] = dataclasses.field(
+        default_factory=dict
+    )
+    teams: dict[str, TeamSettings] = dataclasses.field(default_factory=dict)
+    services: dict[str, specs.ServiceSpec] = dataclasses.field(
+        default_factory=dict
+    )
+    drained_workers: tuple[identifiers.NodeId, ...] = ()
+    placement: PolicySettings = PolicySettings('learned')
+    balancing: PolicySettings = PolicySettings('two_choices')
+    recent_commands: tuple[AppliedCommand, ...] = ()
+
+    def data_centre_in_service(self, name: str) -> bool:
+        """Tell whether work may start in a data centre.
+
+        :param name: name of the data centre; one never mentioned by an
+            operator is in service.
+        :returns: False only after operators have taken it out.
+        """
+        state = self.data_centres.get(name)
+        return state is None or state.in_service
--- /dev/null
+++ b/citronrail/model/tests/test_messages.py
@@ -0,0 +1,64 @@
+"""Guards the wire format of messages between processes."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from citronrail.model import messages
+from citronrail.model import outcome
+from citronrail.model import resources
+from citronrail.model import settings
+from citronrail.model import specs
+
+
+_ANY_PARAMETERS = st.dictionaries(st.text(), st.integers(0, 9))
+st.register_type_strategy(
+    settings.PolicySettings,
+    st.builds(
+        settings.PolicySettings, name=st.text(), parameters=_ANY_PARAMETERS
+    ),
+)
+st.register_type_strategy(float, st.floats(allow_nan=False))
+st.register_type_strategy(int, st.integers(-(2**63), 2**63 - 1))
+
+
+@pytest.mark.parametrize('name', sorted(messages.kinds()))
+def test_every_message_survives_the_wire(name):
+    """Guards against a field that the codec can't carry."""
+    kind = messages.kinds()[name]
+
+    @hypothesis.given(st.builds(kind))
+    @hypothesis.settings(max_examples=15)
+    def check(message):
+        assert messages.unpack(messages.pack(message)) == message
+
+    check()
+
+
+@hypothesis.given(st.binary(max_size=200))
+def test_arbitrary_bytes_are_refused(data):
+    """Guards against a crash on bytes that are no message."""
+    try:
+        messages.unpack(data)
+    except messages.UnknownMessage:
+        return
+
+
+def test_truncated_message_is_refused():
+    """Guards against acting on a message that was cut off."""
+    reply = messages.StartReply(
+        specs.AttemptId(specs.TaskId('plan', 3), 1), outcome.Outcome.DONE
+    )
+    data = messages.pack(reply)
+    for length in range(len(data)):
+        with pytest.raises(messages.UnknownMessage):
+            messages.unpack(data[:length])
+
+
+@hypothesis.given(
+    st.builds(resources.Resources), st.builds(resources.Resources)
+)
+def test_maximum_holds_both(left, right):
+    """Guards the reservation of the larger of two sizes."""
+    assert left.fits_in(left.maximum(right))
+    assert right.fits_in(left.maximum(right))
--- /dev/null
+++ b/citronrail/observability/catalogue/__init__.py
@@ -0,0 +1,1 @@
+"""Event kinds, one module for each subsystem."""
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A run of the whole system on one machine."""
--- /dev/null
+++ b/drills/__init__.py
@@ -0,0 +1,1 @@
+"""Drills: real processes under failure."""
--- /dev/null
+++ b/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Load generators and experiments."""
