Add the shard state and the agent side of running tasks

The shard state is a frozen msgspec structure with plain functions for each change; the agent side keeps attempts, leases and reports. Not wired yet.

--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -22,6 +22,7 @@
 _KINDS: dict[str, type] = {}
 
 
+@typing.dataclass_transform(frozen_default=True)
 def _message(cls: type[M]) -> type[M]:
     """Make a class a frozen data class and register it as a message."""
     frozen = dataclasses.dataclass(frozen=True)(cls)
@@ -83,7 +84,8 @@
     """An attempt that the agent's worker holds.
 
     ``state`` is one of ``starting``, ``running``, ``throttled``,
-    ``checkpointing``.
+    ``checkpointing``, or ``ended`` for an attempt whose report is not yet
+    acknowledged.
     """
 
     attempt: specs.AttemptId
@@ -203,6 +205,14 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class TeamReservation:
+    """What the running tasks of a team reserve on the sender's host."""
+
+    team: identifiers.TeamName
+    reserved: resources.Resources
+
+
 @_message
 class UsageReport:
     """Agent to entry, every few seconds; usage lags behind the work."""
@@ -210,6 +220,7 @@
     boot_id: identifiers.BootId
     clock: float  # the sender's monotonic clock
     usage: tuple[TaskUsage, ...] = ()
+    reserved: tuple[TeamReservation, ...] = ()
 
 
 @_message
@@ -248,6 +259,33 @@
     reason: str = ''
 
 
+@_message
+class TaskQuery:
+    """Owner to agent: what became of these attempts.
+
+    Answered by a :class:`TaskQueryReply` from a list that the agent asked
+    its worker for after the query arrived.
+    """
+
+    attempts: tuple[specs.AttemptId, ...]
+    range_id: identifiers.RangeId
+    fencing: identifiers.FencingToken
+
+
+@_message
+class TaskQueryReply:
+    """Agent to owner: what became of the attempts that were asked for.
+
+    An attempt in ``absent`` doesn't run, and a late :class:`StartTask` for it
+    is refused. One in neither list is being started or has ended; a
+    :class:`StartReply` or :class:`TaskReport` follows.
+    """
+
+    range_id: identifiers.RangeId
+    running: tuple[specs.AttemptId, ...] = ()
+    absent: tuple[specs.AttemptId, ...] = ()
+
+
 @_message
 class ThrottleTask:
     """Owner to agent: limit an attempt to a share of its processors."""
--- /dev/null
+++ b/citronrail/scheduling/_attempt_changes.py
@@ -0,0 +1,383 @@
+"""Changes of a job shard that concern attempts, as plain functions.
+
+A task has at most one live attempt. The next attempt is created only by
+:func:`assign`, from a task that has none; :func:`end_attempt` is the only way
+in which an attempt leaves ``live``.
+"""
+
+import collections.abc
+import dataclasses
+
+import msgspec
+
+from citronrail.model import identifiers
+from citronrail.model import specs
+from citronrail.scheduling import _index_runs
+from citronrail.scheduling import _job_changes
+from citronrail.scheduling import _shard_state
+
+structs = msgspec.structs
+
+FIRST_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 300.0
+PARK_AFTER_WORKERS = 3  # distinct healthy workers that failed the same task
+MAX_FAILURES = 12  # a task that fails this often is parked in any case
+
+
+@dataclasses.dataclass(frozen=True)
+class Assignment:
+    """A task and the node on which its next attempt shall run."""
+
+    task: specs.TaskId
+    node: identifiers.NodeId
+
+
+@dataclasses.dataclass(frozen=True)
+class AttemptEnd:
+    """How an attempt ended.
+
+    ``state`` is one of those of a
+    :class:`citronrail.model.messages.TaskReport`, or ``refused`` for an
+    attempt that was never run. ``healthy`` tells whether the worker is
+    healthy, so that the failure speaks against the task.
+    """
+
+    attempt: specs.AttemptId
+    state: str
+    result: str = ''
+    checkpoint: str = ''
+    reason: str = ''
+    healthy: bool = True
+
+
+def find_live(
+    state: _shard_state.ShardState, attempt: specs.AttemptId
+) -> _shard_state.Live | None:
+    """Return the live attempt of exactly this number, or None."""
+    group = state.groups.get(attempt.task.owner)
+    if group is None:
+        return None
+    live = group.live.get(attempt.task.index)
+    if live is None or live.number != attempt.number:
+        return None
+    return live
+
+
+def assign(
+    state: _shard_state.ShardState,
+    assignments: collections.abc.Iterable[Assignment],
+    now: float,
+) -> _shard_state.ShardState:
+    """Create attempts; tasks that may not start any more are left out.
+
+    :param state: the shard.
+    :param assignments: tasks and their nodes.
+    :param now: Unix time in seconds.
+    :returns: the shard with the new attempts as ``ASSIGNED``.
+    """
+    by_owner: dict[str, list[Assignment]] = {}
+    for item in assignments:
+        by_owner.setdefault(item.task.owner, []).append(item)
+    groups = dict(state.groups)
+    room = _shard_state.MAX_LIVE - _shard_state.live_count(state)
+    for owner, items in by_owner.items():
+        group = groups.get(owner)
+        if group is None or group.phase is not _shard_state.Phase.ACTIVE:
+            continue
+        changed = _assign_in_group(group, items[: max(0, room)], now)
+        room -= len(changed.live) - len(group.live)
+        groups[owner] = changed
+    return structs.replace(state, groups=groups)
+
+
+def _assign_in_group(
+    group: _shard_state.Group, items: list[Assignment], now: float
+) -> _shard_state.Group:
+    waiting = dict(group.waiting)
+    live = dict(group.live)
+    started: set[int] = set()
+    exclusive = group.job is not None and group.job.exclusive
+    for item in items:
+        index = item.task.index
+        if index in live or (exclusive and live):
+            continue
+        entry = waiting.pop(index, None)
+        if entry is None:
+            if index in started or not _index_runs.contains(
+                group.pending, index
+            ):
+                continue
+            started.add(index)
+            entry = _shard_state.Waiting(index, 0)
+        live[index] = _shard_state.Live(
+            number=entry.number + 1,
+            node=item.node,
+            state=_shard_state.LiveState.ASSIGNED,
+            since=now,
+            checkpoint=entry.checkpoint,
+            failures=entry.failures,
+            avoid=entry.avoid,
+            replaces=entry.replaces,
+        )
+    return structs.replace(
+        group,
+        pending=_index_runs.difference(group.pending, started),
+        waiting=waiting,
+        live=live,
+    )
+
+
+def confirm_started(
+    state: _shard_state.ShardState, attempt: specs.AttemptId, now: float
+) -> _shard_state.ShardState:
+    """Note that the agent confirmed the start of an attempt.
+
+    :param state: the shard.
+    :param attempt: the attempt; nothing changes if it isn't live.
+    :param now: Unix time in seconds.
+    :returns: the changed shard.
+    """
+    live = find_live(state, attempt)
+    if live is None or live.confirmed:
+        return state
+    group = state.groups[attempt.task.owner]
+    if live.state is _shard_state.LiveState.ASSIGNED:
+        changed = structs.replace(
+            live,
+            state=_shard_state.LiveState.RUNNING,
+            since=now,
+            confirmed=True,
+        )
+    else:
+        changed = structs.replace(live, confirmed=True)
+    return _put_live(state, group, attempt.task.index, changed)
+
+
+def _put_live(
+    state: _shard_state.ShardState,
+    group: _shard_state.Group,
+    index: int,
+    live: _shard_state.Live,
+) -> _shard_state.ShardState:
+    return _job_changes.put_group(
+        state, structs.replace(group, live={**group.live, index: live})
+    )
+
+
+def move_attempts(
+    state: _shard_state.ShardState,
+    attempts: collections.abc.Iterable[specs.AttemptId],
+    reason: str,
+    now: float,
+) -> _shard_state.ShardState:
+    """Mark running attempts to be checkpointed and run elsewhere.
+
+    :param state: the shard.
+    :param attempts: attempts; those that don't run are left alone.
+    :param reason: kept with the attempts.
+    :param now: Unix time in seconds.
+    :returns: the changed shard.
+    """
+    for attempt in attempts:
+        live = find_live(state, attempt)
+        if live is None or live.state is not _shard_state.LiveState.RUNNING:
+            continue
+        changed = structs.replace(
+            live,
+            state=_shard_state.LiveState.MOVING,
+            since=now,
+            reason=_shard_state.cut(reason),
+        )
+        group = state.groups[attempt.task.owner]
+        state = _put_live(state, group, attempt.task.index, changed)
+    return state
+
+
+def end_attempt(
+    state: _shard_state.ShardState, end: AttemptEnd, now: float
+) -> _shard_state.ShardState:
+    """Take in the end of an attempt.
+
+    :param state: the shard.
+    :param end: how it ended; refused if the attempt isn't the live one.
+    :param now: Unix time in seconds.
+    :returns: the changed shard.
+    """
+    live = find_live(state, end.attempt)
+    if live is None:
+        return structs.replace(
+            state, refused_reports=state.refused_reports + 1
+        )
+    group = state.groups[end.attempt.task.owner]
+    index = end.attempt.task.index
+    group = structs.replace(
+        group, live={k: v for k, v in group.live.items() if k != index}
+    )
+    if group.service is not None:
+        return _job_changes.put_group(
+            state, _replica_ended(group, index, live, end, now)
+        )
+    if end.state == 'finished':
+        state = structs.replace(state, finished_total=state.finished_total + 1)
+        group = _finished(group, index, end)
+    elif live.state is _shard_state.LiveState.STOPPING:
+        group = structs.replace(
+            group, cancelled=_index_runs.add(group.cancelled, index)
+        )
+    elif end.state == 'failed':
+        group = _failed(group, index, live, end, now)
+    else:
+        group = _requeue(group, _next_try(index, live, end, now))
+    return _job_changes.retire_jobs(_job_changes.put_group(state, group), now)
+
+
+def _finished(
+    group: _shard_state.Group, index: int, end: AttemptEnd
+) -> _shard_state.Group:
+    result = _shard_state.Result(
+        index, end.attempt.number, _shard_state.cut(end.result)
+    )
+    return structs.replace(
+        group,
+        finished=_index_runs.add(group.finished, index),
+        failed_on=(),
+        results=(*group.results, result)[-_shard_state.MAX_RESULTS :],
+    )
+
+
+def _next_try(
+    index: int, live: _shard_state.Live, end: AttemptEnd, now: float
+) -> _shard_state.Waiting:
+    """Return the waiting task; a checkpoint replaces the one before it."""
+    return _shard_state.Waiting(
+        index=index,
+        number=live.number,
+        not_before=now,
+        checkpoint=end.checkpoint or live.checkpoint,
+        failures=live.failures,
+        avoid=live.avoid,
+        replaces=live.replaces,
+    )
+
+
+def _requeue(
+    group: _shard_state.Group, entry: _shard_state.Waiting
+) -> _shard_state.Group:
+    return structs.replace(
+        group, waiting={**group.waiting, entry.index: entry}
+    )
+
+
+def _after_failure(
+    entry: _shard_state.Waiting, node: identifiers.NodeId, now: float
+) -> _shard_state.Waiting:
+    avoid = tuple(n for n in entry.avoid if n != node) + (node,)
+    return structs.replace(
+        entry,
+        failures=entry.failures + 1,
+        avoid=avoid[-_shard_state.MAX_AVOIDED :],
+        not_before=now + backoff_s(entry.failures + 1),
+    )
+
+
+def backoff_s(failures: int) -> float:
+    """Return the wait in seconds after the given number of failures."""
+    doublings = min(max(0, failures - 1), 16)
+    return min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2.0**doublings)
+
+
+def _failed(
+    group: _shard_state.Group,
+    index: int,
+    live: _shard_state.Live,
+    end: AttemptEnd,
+    now: float,
+) -> _shard_state.Group:
+    entry = _after_failure(_next_try(index, live, end, now), live.node, now)
+    if not end.healthy:
+        # A sick worker says nothing about the task.
+        entry = structs.replace(
+            entry, failures=live.failures, not_before=now + FIRST_BACKOFF_S
+        )
+        return structs.replace(
+            _requeue(group, entry), failures=group.failures + 1
+        )
+    failed_on = group.failed_on
+    if live.node not in failed_on:
+        failed_on = (*failed_on, live.node)[-_shard_state.MAX_AVOIDED :]
+    group = structs.replace(
+        group, failures=group.failures + 1, failed_on=failed_on
+    )
+    exhausted = (
+        entry.failures >= PARK_AFTER_WORKERS
+        and len(entry.avoid) >= PARK_AFTER_WORKERS
+    ) or entry.failures >= MAX_FAILURES
+    if not exhausted:
+        return _requeue(group, entry)
+    return _park_task(group, entry, end)
+
+
+def _park_task(
+    group: _shard_state.Group, entry: _shard_state.Waiting, end: AttemptEnd
+) -> _shard_state.Group:
+    """Park a task, and the job if nothing of it ever finished."""
+    reason = (
+        f'task {entry.index} failed on {len(entry.avoid)} workers: '
+        f'{end.reason or "no reason given"}'
+    )
+    group = structs.replace(
+        group,
+        parked=_index_runs.add(group.parked, entry.index),
+        parked_numbers={**group.parked_numbers, entry.index: entry.number},
+        reason=_shard_state.cut(reason),
+    )
+    unhopeful = not group.finished and (
+        len(group.failed_on) >= PARK_AFTER_WORKERS
+    )
+    idle = not (group.pending or group.waiting or group.live)
+    if unhopeful or idle:
+        return structs.replace(group, phase=_shard_state.Phase.PARKED)
+    return group
+
+
+def _replica_ended(
+    group: _shard_state.Group,
+    index: int,
+    live: _shard_state.Live,
+    end: AttemptEnd,
+    now: float,
+) -> _shard_state.Group:
+    """Bring a replica back unless it was stopped or has been replaced."""
+    if live.state is _shard_state.LiveState.STOPPING:
+        return group
+    successor = replacement_of(group, index)
+    if successor is not None:
+        return without_replaces(group, successor)
+    entry = _next_try(index, live, end, now)
+    if end.state in ('failed', 'finished'):
+        entry = _after_failure(entry, live.node, now)
+        group = structs.replace(group, failures=group.failures + 1)
+    return _requeue(group, entry)
+
+
+def replacement_of(group: _shard_state.Group, index: int) -> int | None:
+    """Return the index of the replica that shall replace another one."""
+    for entry in group.waiting.values():
+        if entry.replaces == index:
+            return entry.index
+    stopping = _shard_state.LiveState.STOPPING
+    for other, live in group.live.items():
+        if live.replaces == index and live.state is not stopping:
+            return other
+    return None
+
+
+def without_replaces(
+    group: _shard_state.Group, index: int
+) -> _shard_state.Group:
+    """Make a replacement an ordinary replica."""
+    if index in group.waiting:
+        entry = structs.replace(group.waiting[index], replaces=-1)
+        return structs.replace(group, waiting={**group.waiting, index: entry})
+    live = structs.replace(group.live[index], replaces=-1)
+    return structs.replace(group, live={**group.live, index: live})
--- /dev/null
+++ b/citronrail/scheduling/_job_changes.py
@@ -0,0 +1,291 @@
+"""Changes of a job shard that concern whole jobs, as plain functions."""
+
+import collections.abc
+
+import msgspec
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import specs
+from citronrail.scheduling import _index_runs
+from citronrail.scheduling import _shard_state
+
+structs = msgspec.structs
+
+JobPredicate = collections.abc.Callable[[specs.JobSpec], bool]
+
+
+def put_group(
+    state: _shard_state.ShardState, group: _shard_state.Group
+) -> _shard_state.ShardState:
+    """Return the shard with one group added or replaced."""
+    return structs.replace(state, groups={**state.groups, group.owner: group})
+
+
+def submit_job(
+    state: _shard_state.ShardState,
+    spec: specs.JobSpec,
+    command_id: identifiers.CommandId,
+    now: float,
+) -> _shard_state.ShardState:
+    """Add a job; repeating the command changes nothing.
+
+    :param state: the shard.
+    :param spec: the job.
+    :param command_id: identity of the command that submits it.
+    :param now: Unix time in seconds.
+    :returns: the shard with the job.
+    :raises citronrail.errors.CommandRefused: if the job can't be taken.
+    """
+    if _submitted_by(state, spec.job_id) == command_id:
+        return state
+    _check_submission(state, spec)
+    group = _shard_state.Group(
+        owner=spec.job_id,
+        job=spec,
+        service=None,
+        command_id=command_id,
+        submitted_at=now,
+        pending=_index_runs.first(spec.task_count),
+    )
+    changed = put_group(state, group)
+    if len(_shard_state.encode(changed)) > _shard_state.MAX_ENCODED_BYTES:
+        raise _refused('the shard of this job is full; retry later')
+    return changed
+
+
+def _submitted_by(
+    state: _shard_state.ShardState, job_id: identifiers.JobId
+) -> identifiers.CommandId | None:
+    group = state.groups.get(job_id)
+    if group is not None:
+        return group.command_id
+    for ended in state.ended:
+        if ended.job_id == job_id:
+            return ended.command_id
+    return None
+
+
+def _check_submission(
+    state: _shard_state.ShardState, spec: specs.JobSpec
+) -> None:
+    if _submitted_by(state, spec.job_id) is not None:
+        raise _refused(f'job {spec.job_id} exists already')
+    if spec.job_id.startswith(_shard_state.SERVICE_PREFIX) or not spec.job_id:
+        raise _refused(f'{spec.job_id!r} is no valid job id')
+    if spec.task_count < 1:
+        raise _refused('a job needs at least one task')
+    amounts = spec.resources
+    if min(amounts.millicores, amounts.memory_mb, amounts.accelerators) < 0:
+        raise _refused('a task cannot need a negative amount')
+    if len(spec.argument.encode()) > _shard_state.MAX_ARGUMENT_BYTES:
+        raise _refused(
+            f'the argument exceeds {_shard_state.MAX_ARGUMENT_BYTES} bytes'
+        )
+    if len(state.groups) >= _shard_state.MAX_GROUPS:
+        raise _refused('the shard of this job is full; retry later')
+
+
+def _refused(message: str) -> errors.CommandRefused:
+    return errors.CommandRefused(message, step='scheduling.submit')
+
+
+def cancel_jobs(
+    state: _shard_state.ShardState,
+    predicate: JobPredicate,
+    command_id: identifiers.CommandId,
+    reason: str,
+    now: float,
+) -> _shard_state.ShardState:
+    """Cancel every task of the matching jobs that has not ended.
+
+    Tasks without an attempt end at once; attempts are stopped, and one that
+    finishes before it is stopped counts as finished.
+
+    :param state: the shard.
+    :param predicate: which jobs to cancel.
+    :param command_id: identity of the command; repeating it changes nothing.
+    :param reason: shown with the job.
+    :param now: Unix time in seconds.
+    :returns: the changed shard.
+    """
+    if affected_by(state, command_id) is not None:
+        return state
+    groups = dict(state.groups)
+    affected = 0
+    for group in state.groups.values():
+        if group.job is None or not predicate(group.job):
+            continue
+        affected += _unfinished(group)
+        groups[group.owner] = cancel_group(group, reason, now)
+    command = _shard_state.ShardCommand(command_id, affected)
+    return retire_jobs(
+        structs.replace(
+            state,
+            groups=groups,
+            commands=(*state.commands, command)[-_shard_state.MAX_COMMANDS :],
+        ),
+        now,
+    )
+
+
+def affected_by(
+    state: _shard_state.ShardState, command_id: identifiers.CommandId
+) -> int | None:
+    """Return how many tasks a command changed; None if it is unknown."""
+    for command in state.commands:
+        if command.command_id == command_id:
+            return command.affected
+    return None
+
+
+def _unfinished(group: _shard_state.Group) -> int:
+    stopping = _shard_state.LiveState.STOPPING
+    running = sum(1 for a in group.live.values() if a.state is not stopping)
+    runs = _index_runs.size(group.pending) + _index_runs.size(group.parked)
+    return runs + len(group.waiting) + running
+
+
+def cancel_group(
+    group: _shard_state.Group, reason: str, now: float
+) -> _shard_state.Group:
+    """Cancel what has no attempt and mark attempts as stopping.
+
+    :param group: the group.
+    :param reason: kept with the group.
+    :param now: Unix time in seconds.
+    :returns: the changed group.
+    """
+    ended = [*group.pending, *group.parked]
+    ended.extend((index, index + 1) for index in group.waiting)
+    return structs.replace(
+        group,
+        phase=_shard_state.Phase.CANCELLED,
+        reason=_shard_state.cut(reason),
+        pending=(),
+        parked=(),
+        waiting={},
+        cancelled=_index_runs.union(group.cancelled, ended),
+        live={
+            index: stopping(live, reason, now)
+            for index, live in group.live.items()
+        },
+    )
+
+
+def stopping(
+    live: _shard_state.Live, reason: str, now: float
+) -> _shard_state.Live:
+    """Return the attempt as one that ends for good."""
+    if live.state is _shard_state.LiveState.STOPPING:
+        return live
+    return structs.replace(
+        live,
+        state=_shard_state.LiveState.STOPPING,
+        since=now,
+        reason=_shard_state.cut(reason),
+    )
+
+
+def park_job(
+    state: _shard_state.ShardState, owner: str, reason: str
+) -> _shard_state.ShardState:
+    """Start no more tasks of a job until an operator decides.
+
+    :param state: the shard.
+    :param owner: job id.
+    :param reason: shown with the job.
+    :returns: the changed shard.
+    """
+    group = state.groups.get(owner)
+    if group is None or group.phase is not _shard_state.Phase.ACTIVE:
+        return state
+    return put_group(
+        state,
+        structs.replace(
+            group,
+            phase=_shard_state.Phase.PARKED,
+            reason=_shard_state.cut(reason),
+        ),
+    )
+
+
+def resume_job(
+    state: _shard_state.ShardState, owner: str
+) -> _shard_state.ShardState:
+    """Let a parked job and its parked tasks start again.
+
+    :param state: the shard.
+    :param owner: job id.
+    :returns: the changed shard.
+    """
+    group = state.groups.get(owner)
+    if group is None or group.phase is _shard_state.Phase.CANCELLED:
+        return state
+    waiting = dict(group.waiting)
+    for index, entry in waiting.items():
+        waiting[index] = structs.replace(entry, failures=0, avoid=())
+    return put_group(
+        state,
+        structs.replace(
+            group,
+            phase=_shard_state.Phase.ACTIVE,
+            reason='',
+            failed_on=(),
+            parked=(),
+            waiting={
+                **waiting,
+                **{
+                    index: _shard_state.Waiting(
+                        index, group.parked_numbers.get(index, 0)
+                    )
+                    for index in _index_runs.indexes(group.parked)
+                },
+            },
+            parked_numbers={},
+        ),
+    )
+
+
+def retire_jobs(
+    state: _shard_state.ShardState, now: float
+) -> _shard_state.ShardState:
+    """Reduce jobs whose tasks all ended to counts and a few results.
+
+    :param state: the shard.
+    :param now: Unix time in seconds.
+    :returns: the changed shard, or the same one if nothing was to retire.
+    """
+    done = [group for group in state.groups.values() if has_ended(group)]
+    if not done:
+        return state
+    ended = (*state.ended, *(_ended(group, now) for group in done))
+    gone = {group.owner for group in done}
+    return structs.replace(
+        state,
+        groups={k: v for k, v in state.groups.items() if k not in gone},
+        ended=ended[-_shard_state.MAX_ENDED_JOBS :],
+    )
+
+
+def has_ended(group: _shard_state.Group) -> bool:
+    """Tell whether no task of a job is left that could run."""
+    if group.job is None:
+        return False
+    return not (group.pending or group.waiting or group.live or group.parked)
+
+
+def _ended(group: _shard_state.Group, now: float) -> _shard_state.EndedJob:
+    cancelled = _index_runs.size(group.cancelled)
+    return _shard_state.EndedJob(
+        job_id=identifiers.JobId(group.owner),
+        team=group.team,
+        command_id=group.command_id,
+        outcome='cancelled' if cancelled else 'finished',
+        reason=group.reason,
+        finished=_index_runs.size(group.finished),
+        cancelled=cancelled,
+        failures=group.failures,
+        ended_at=now,
+        results=group.results[-_shard_state.MAX_RESULTS_ENDED :],
+    )
--- /dev/null
+++ b/citronrail/scheduling/_least_loaded.py
@@ -0,0 +1,183 @@
+"""Placement on the least loaded worker, and other simple policies."""
+
+import collections.abc
+
+from citronrail.model import identifiers
+from citronrail.model import resources
+from citronrail.model import settings
+from citronrail.model import specs
+from citronrail.model import views
+from citronrail.scheduling import _policies
+
+_PRIORITY_ORDER = {
+    specs.Priority.URGENT: 0,
+    specs.Priority.NORMAL: 2,
+    specs.Priority.LOW: 3,
+}
+
+
+class LeastLoadedPlacement:
+    """Chooses the worker with the largest free share.
+
+    Replicas go first to data centres and racks that hold the fewest replicas
+    of the same service. Workers on which the task failed come last.
+    """
+
+    def choose(
+        self,
+        request: _policies.PlacementRequest,
+        candidates: tuple[views.AgentView, ...],
+        now: float,
+    ) -> identifiers.NodeId | _policies.Refusal | None:
+        """Choose among candidates, as the protocol says."""
+        del now
+        if not candidates:
+            return None
+        by_node = {view.node_id: view for view in candidates}
+        siblings = [by_node[n] for n in request.siblings if n in by_node]
+        best = min(candidates, key=lambda view: _cost(request, view, siblings))
+        return best.node_id
+
+
+def _cost(
+    request: _policies.PlacementRequest,
+    view: views.AgentView,
+    siblings: list[views.AgentView],
+) -> tuple[int, int, int, float]:
+    return (
+        1 if view.node_id in request.avoid else 0,
+        sum(1 for s in siblings if s.data_centre == view.data_centre),
+        sum(1 for s in siblings if s.rack == view.rack),
+        _used_share(view),
+    )
+
+
+def _used_share(view: views.AgentView) -> float:
+    """Return the largest used share of any resource, from 0.0 to 1.0."""
+    pairs = (
+        (view.free.millicores, view.capacity.millicores),
+        (view.free.memory_mb, view.capacity.memory_mb),
+        (view.free.accelerators, view.capacity.accelerators),
+    )
+    return max(
+        (1.0 - free / total for free, total in pairs if total), default=1.0
+    )
+
+
+class PriorityOrder:
+    """Urgent work first, then deadlines, then the rest; no quotas."""
+
+    def order(
+        self,
+        pending: tuple[_policies.PendingGroup, ...],
+        usage: collections.abc.Mapping[
+            identifiers.TeamName, resources.Resources
+        ],
+        capacity: resources.Resources,
+        teams: collections.abc.Mapping[str, settings.TeamSettings],
+        now: float,
+    ) -> tuple[_policies.Allowance, ...]:
+        """Order pending groups, as the protocol says."""
+        del usage, capacity, teams, now
+        return tuple(
+            _policies.Allowance(group.owner, group.count)
+            for group in sorted(pending, key=starting_order)
+        )
+
+
+def starting_order(
+    group: _policies.PendingGroup,
+) -> tuple[int, float, float, str]:
+    """Return the sort key of pending work: urgent, deadlines, the rest.
+
+    Replicas of services come with urgent work.
+    """
+    rank = _PRIORITY_ORDER[group.priority]
+    deadline = float('inf')
+    if group.service is not None:
+        rank = 0
+    elif group.finish_before is not None:
+        rank = min(rank, 1)
+        deadline = group.finish_before - group.expected_run_s
+    return (rank, deadline, group.pending_since, group.owner)
+
+
+class TrustingHealth:
+    """Takes every worker for healthy."""
+
+    def record(
+        self,
+        worker: identifiers.NodeId,
+        attempt: specs.AttemptId,
+        failed: bool,
+        now: float,
+    ) -> None:
+        """Ignore how an attempt ended."""
+
+    def healthy(self, worker: identifiers.NodeId, now: float) -> bool:
+        """Return True."""
+        del worker, now
+        return True
+
+    def may_start(self, worker: identifiers.NodeId, now: float) -> bool:
+        """Return True."""
+        del worker, now
+        return True
+
+    def started(
+        self,
+        worker: identifiers.NodeId,
+        attempt: specs.AttemptId,
+        now: float,
+    ) -> None:
+        """Ignore the start of an attempt."""
+
+
+class NoRelief:
+    """Never throttles or evicts."""
+
+    def relieve(
+        self,
+        running: tuple[_policies.RunningView, ...],
+        agents: tuple[views.AgentView, ...],
+        waiting: tuple[_policies.PlacementRequest, ...],
+        now: float,
+    ) -> tuple[_policies.Relief, ...]:
+        """Return no reliefs."""
+        del running, agents, waiting, now
+        return ()
+
+
+class DeclaredValues:
+    """Believes what teams declare."""
+
+    def run_s(
+        self,
+        team: identifiers.TeamName,
+        work_class: identifiers.WorkClass,
+        declared_run_s: float,
+    ) -> float:
+        """Return the declared run time in seconds."""
+        del team, work_class
+        return declared_run_s
+
+    def reservation(
+        self,
+        team: identifiers.TeamName,
+        work_class: identifiers.WorkClass,
+        declared: resources.Resources,
+    ) -> resources.Resources:
+        """Return the declared amount."""
+        del team, work_class
+        return declared
+
+
+def default_policies() -> _policies.Policies:
+    """Return policies that need no learning, for tests and as baseline."""
+    return _policies.Policies(
+        placement=LeastLoadedPlacement(),
+        quotas=PriorityOrder(),
+        health=TrustingHealth(),
+        pressure=NoRelief(),
+        estimator=DeclaredValues(),
+    )
--- /dev/null
+++ b/citronrail/scheduling/_local_tasks.py
@@ -0,0 +1,142 @@
+"""What an agent knows of the attempts on its host, and what it concludes."""
+
+import dataclasses
+import enum
+
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import specs
+from citronrail.ports import worker as workers
+
+
+class LocalState(enum.Enum):
+    """Where an attempt stands on this host.
+
+    ``UNKNOWN`` is an attempt whose start call was not answered; it keeps its
+    reservation until the worker's list tells.
+    """
+
+    STARTING = 'starting'
+    UNKNOWN = 'unknown'
+    RUNNING = 'running'
+
+
+@dataclasses.dataclass(frozen=True)
+class LocalTask:
+    """An attempt that holds a reservation on this host.
+
+    ``start_before`` is on the worker's clock, the other times are local.
+    ``owner`` is the entry that gets the reply to its start, or ''.
+    """
+
+    attempt: specs.AttemptId
+    range_id: identifiers.RangeId
+    spec: specs.TaskSpec
+    state: LocalState
+    since: float
+    start_before: float = 0.0
+    owner: identifiers.NodeId = identifiers.NodeId('')
+    worker_state: str = ''
+
+    def as_running(self) -> messages.RunningTask:
+        """Return the form in which it is told to entries."""
+        state = self.worker_state or 'running'
+        if self.state is not LocalState.RUNNING:
+            state = 'starting'
+        return messages.RunningTask(
+            self.attempt, self.range_id, self.spec, state, self.since
+        )
+
+
+@dataclasses.dataclass(frozen=True)
+class Runs:
+    """The worker runs an attempt; it was not known to run before."""
+
+    task: messages.RunningTask
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """The worker says that an attempt ended."""
+
+    task: workers.EndedTask
+
+
+@dataclasses.dataclass(frozen=True)
+class NeverRan:
+    """A start whose outcome was unknown did not happen and can't any more."""
+
+    task: LocalTask
+
+
+@dataclasses.dataclass(frozen=True)
+class Lost:
+    """The worker no longer knows an attempt that ran."""
+
+    task: LocalTask
+
+
+Finding = Runs | Ended | NeverRan | Lost
+
+
+def compare(
+    known: dict[specs.AttemptId, LocalTask],
+    listing: workers.WorkerTasks,
+    requested_at: float,
+) -> tuple[Finding, ...]:
+    """Compare what is known with the worker's list.
+
+    :param known: attempts that hold a reservation.
+    :param listing: the worker's list.
+    :param requested_at: local time at which the list was asked for.
+    :returns: what changed; ended attempts are named until forgotten.
+    """
+    findings: list[Finding] = []
+    listed = set()
+    for running in listing.running:
+        listed.add(running.attempt)
+        task = known.get(running.attempt)
+        if task is None or task.state is not LocalState.RUNNING:
+            findings.append(Runs(running))
+    for ended in listing.ended:
+        listed.add(ended.attempt)
+        findings.append(Ended(ended))
+    for task in known.values():
+        if task.attempt not in listed:
+            findings.extend(_missing(task, listing.clock, requested_at))
+    return tuple(findings)
+
+
+def _missing(
+    task: LocalTask, worker_clock: float, requested_at: float
+) -> tuple[Finding, ...]:
+    match task.state:
+        case LocalState.RUNNING if task.since < requested_at:
+            return (Lost(task),)
+        case LocalState.UNKNOWN if (
+            worker_clock > task.start_before and task.since < requested_at
+        ):
+            return (NeverRan(task),)
+        case _:
+            return ()
+
+
+def ended_report(task: workers.EndedTask) -> messages.TaskReport:
+    """Return the report of an attempt that ended on the worker."""
+    return messages.TaskReport(
+        attempt=task.attempt,
+        range_id=task.range_id,
+        state=task.state,
+        result=task.result,
+        checkpoint=task.checkpoint,
+        run_s=task.run_s,
+        usage=task.usage,
+        reason=task.reason,
+    )
+
+
+def lost_report(
+    attempt: specs.AttemptId, range_id: identifiers.RangeId, reason: str
+) -> messages.TaskReport:
+    """Return the report of an attempt that the worker doesn't know."""
+    return messages.TaskReport(attempt, range_id, 'lost', reason=reason)
--- /dev/null
+++ b/citronrail/scheduling/_replica_changes.py
@@ -0,0 +1,165 @@
+"""Changes of a job shard that concern services, as plain functions."""
+
+import msgspec
+
+from citronrail.model import identifiers
+from citronrail.model import specs
+from citronrail.scheduling import _attempt_changes
+from citronrail.scheduling import _job_changes
+from citronrail.scheduling import _shard_state
+
+structs = msgspec.structs
+
+
+def owner_name(service: identifiers.ServiceName) -> str:
+    """Return the owner in the task ids of a service's replicas."""
+    return f'{_shard_state.SERVICE_PREFIX}{service}'
+
+
+def adjust_service(
+    state: _shard_state.ShardState,
+    spec: specs.ServiceSpec,
+    wanted: int,
+    now: float,
+) -> _shard_state.ShardState:
+    """Bring the replicas of a service to the wanted number.
+
+    Replacements of replicas that still run don't count.
+
+    :param state: the shard.
+    :param spec: the service as configured.
+    :param wanted: number of replicas; 0 for a removed service.
+    :param now: Unix time in seconds.
+    :returns: the changed shard, or the same one.
+    """
+    owner = owner_name(spec.name)
+    group = state.groups.get(owner)
+    if group is None:
+        if wanted == 0:
+            return state
+        group = _shard_state.Group(
+            owner=owner,
+            job=None,
+            service=spec,
+            command_id=identifiers.CommandId(''),
+            submitted_at=now,
+        )
+    target = structs.replace(group, service=spec)
+    members = _members(target)
+    if len(members) < wanted:
+        target = _add(target, wanted - len(members))
+    elif len(members) > wanted:
+        target = _remove(target, members[wanted:], now)
+    if not target.live and not target.waiting and wanted == 0:
+        groups = {k: v for k, v in state.groups.items() if k != owner}
+        return structs.replace(state, groups=groups)
+    if target == state.groups.get(owner):
+        return state
+    return _job_changes.put_group(state, target)
+
+
+def _members(group: _shard_state.Group) -> list[int]:
+    """Return replicas in order of worth: confirmed ones first."""
+    stopping = _shard_state.LiveState.STOPPING
+    live = [
+        index
+        for index, attempt in group.live.items()
+        if attempt.state is not stopping and attempt.replaces < 0
+    ]
+    live.sort(key=lambda index: (not group.live[index].confirmed, index))
+    waiting = sorted(
+        index for index, entry in group.waiting.items() if entry.replaces < 0
+    )
+    return live + waiting
+
+
+def _add(group: _shard_state.Group, count: int) -> _shard_state.Group:
+    new = range(group.next_index, group.next_index + count)
+    return structs.replace(
+        group,
+        next_index=group.next_index + count,
+        waiting={
+            **group.waiting,
+            **{index: _shard_state.Waiting(index, 0) for index in new},
+        },
+    )
+
+
+def _remove(
+    group: _shard_state.Group, surplus: list[int], now: float
+) -> _shard_state.Group:
+    for index in surplus:
+        successor = _attempt_changes.replacement_of(group, index)
+        if successor is not None:
+            group = _drop(group, successor, 'no longer wanted', now)
+        group = _drop(group, index, 'no longer wanted', now)
+    return group
+
+
+def _drop(
+    group: _shard_state.Group, index: int, reason: str, now: float
+) -> _shard_state.Group:
+    waiting = {k: v for k, v in group.waiting.items() if k != index}
+    live = dict(group.live)
+    if index in live:
+        live[index] = _job_changes.stopping(live[index], reason, now)
+    return structs.replace(group, waiting=waiting, live=live)
+
+
+def replace_replica(
+    state: _shard_state.ShardState, owner: str, index: int, reason: str
+) -> _shard_state.ShardState:
+    """Ask for a replica that takes the place of a running one.
+
+    The running one is stopped by :func:`retire_replaced` only once the new
+    one answers.
+
+    :param state: the shard.
+    :param owner: group of the service.
+    :param index: the running replica.
+    :param reason: kept with the replica that is replaced.
+    :returns: the changed shard, or the same one if it is being replaced.
+    """
+    group = state.groups.get(owner)
+    if group is None or index not in group.live:
+        return state
+    live = group.live[index]
+    if live.state is _shard_state.LiveState.STOPPING or live.replaces >= 0:
+        return state
+    if _attempt_changes.replacement_of(group, index) is not None:
+        return state
+    new = group.next_index
+    entry = _shard_state.Waiting(new, 0, avoid=(live.node,), replaces=index)
+    marked = structs.replace(live, reason=_shard_state.cut(reason))
+    return _job_changes.put_group(
+        state,
+        structs.replace(
+            group,
+            next_index=new + 1,
+            waiting={**group.waiting, new: entry},
+            live={**group.live, index: marked},
+        ),
+    )
+
+
+def retire_replaced(
+    state: _shard_state.ShardState, owner: str, index: int, now: float
+) -> _shard_state.ShardState:
+    """Stop the replica that a running replacement took the place of.
+
+    :param state: the shard.
+    :param owner: group of the service.
+    :param index: the replacement.
+    :param now: Unix time in seconds.
+    :returns: the changed shard, or the same one.
+    """
+    group = state.groups.get(owner)
+    live = group.live.get(index) if group is not None else None
+    if group is None or live is None or live.replaces < 0:
+        return state
+    if live.state is not _shard_state.LiveState.RUNNING:
+        return state
+    group = _drop(group, live.replaces, 'replaced', now)
+    return _job_changes.put_group(
+        state, _attempt_changes.without_replaces(group, index)
+    )
--- /dev/null
+++ b/citronrail/scheduling/_start_guard.py
@@ -0,0 +1,95 @@
+"""Which starts an agent must refuse, whatever the owner says."""
+
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import specs
+from citronrail.scheduling import _interfaces
+
+MAX_START_AHEAD_S = 30.0  # a start_before further ahead is refused
+REMEMBER_S = 60.0  # twice as long as any copy of a start can be valid
+
+
+class StartGuard:
+    """Fencing tokens and attempt numbers seen by an agent.
+
+    Kept in memory only: a start sent to an earlier boot of the agent can't
+    reach this one, since routing ids name the boot.
+
+    :param node_id: node id of the agent.
+    :param data_centre: where the host stands.
+    """
+
+    def __init__(
+        self,
+        node_id: identifiers.NodeId,
+        data_centre: identifiers.DataCentreName,
+    ) -> None:
+        self._node_id = node_id
+        self._data_centre = data_centre
+        self._fences: dict[identifiers.RangeId, int] = {}
+        self._numbers: dict[specs.TaskId, tuple[int, float]] = {}
+
+    def fenced(
+        self,
+        range_id: identifiers.RangeId,
+        fencing: identifiers.FencingToken,
+    ) -> bool:
+        """Take in a fencing token.
+
+        :param range_id: range that the message is about.
+        :param fencing: token of the sender.
+        :returns: True if a later owner was seen, so the message is void.
+        """
+        highest = max(self._fences.get(range_id, 0), fencing)
+        self._fences[range_id] = highest
+        return fencing < highest
+
+    def seen(self, attempt: specs.AttemptId) -> bool:
+        """Tell whether this attempt or a later one was seen."""
+        number, _ = self._numbers.get(attempt.task, (0, 0.0))
+        return attempt.number <= number
+
+    def note(self, attempt: specs.AttemptId, now: float) -> None:
+        """Refuse this attempt and earlier ones from now on."""
+        number, _ = self._numbers.get(attempt.task, (0, 0.0))
+        self._numbers[attempt.task] = (max(number, attempt.number), now)
+
+    def forget_old(self, now: float, kept: set[specs.TaskId]) -> None:
+        """Drop numbers that no valid message can refer to any more.
+
+        :param now: local time.
+        :param kept: tasks that still run or are reported.
+        """
+        self._numbers = {
+            task: (number, at)
+            for task, (number, at) in self._numbers.items()
+            if task in kept or at + REMEMBER_S > now
+        }
+
+    def refusal(
+        self,
+        start: messages.StartTask,
+        permits: _interfaces.PermitView,
+        now: float,
+    ) -> str:
+        """Check a start that is neither fenced nor seen.
+
+        :param start: the message.
+        :param permits: what entries have told this agent.
+        :param now: local time.
+        :returns: why it is refused, or ''.
+        """
+        settings = permits.settings
+        if now >= start.start_before:
+            return 'start came too late'
+        if start.start_before > now + MAX_START_AHEAD_S:
+            return 'start deadline is too far ahead'
+        if now >= permits.permit_until:
+            return 'no permit to start tasks'
+        if settings.version < start.settings_version:
+            return 'settings have not arrived yet'
+        if not settings.data_centre_in_service(self._data_centre):
+            return 'data centre is out of service'
+        if self._node_id in settings.drained_workers:
+            return 'worker is drained'
+        return ''
--- /dev/null
+++ b/citronrail/scheduling/_worker_link.py
@@ -0,0 +1,118 @@
+"""Calls to the worker with deadlines, and what is known of its clock."""
+
+import collections.abc
+import contextlib
+import typing
+
+import trio
+
+from citronrail import errors
+from citronrail.observability import _events as events
+from citronrail.observability.catalogue import scheduling as catalogue
+from citronrail.ports import worker as workers
+from citronrail.scheduling import _metrics
+from citronrail.scheduling import _worker_clock
+
+T = typing.TypeVar('T')
+
+CALL_TIMEOUT_S = 2.0
+SILENT_AFTER_S = 5.0  # without a list for so long, no task is started
+
+
+class WorkerLink:
+    """The worker beside this agent.
+
+    :param worker: port to the worker.
+    """
+
+    def __init__(self, worker: workers.Worker) -> None:
+        self.port = worker
+        self._clock: _worker_clock.WorkerClock | None = None
+        self._boot_id = ''
+        self._answered_at = -SILENT_AFTER_S
+        self._silent = False
+
+    @property
+    def clock(self) -> _worker_clock.WorkerClock | None:
+        """Latest reading of the worker's clock, None before the first."""
+        return self._clock
+
+    def answers(self, now: float) -> bool:
+        """Tell whether the worker gave its list lately."""
+        return self._clock is not None and (
+            now - self._answered_at < SILENT_AFTER_S
+        )
+
+    async def tasks(self) -> workers.WorkerTasks | None:
+        """Ask for the list; None if the worker doesn't answer in time."""
+        try:
+            with _call('tasks'):
+                listing = await self.port.tasks()
+        except errors.CitronrailError as exc:
+            self._note_silence('tasks', exc)
+            return None
+        now = trio.current_time()
+        self._clock = _worker_clock.WorkerClock(listing.clock, now)
+        self._answered_at = now
+        self._note_boot(listing.boot_id)
+        if self._silent:
+            self._silent = False
+            events.emit(catalogue.WORKER_BACK)
+        return listing
+
+    async def attempt(
+        self, step: str, call: collections.abc.Callable[[], typing.Any]
+    ) -> bool:
+        """Make a call that is repeated later if it fails.
+
+        :param step: name of the call.
+        :param call: returns the awaitable.
+        :returns: True if it succeeded.
+        """
+        try:
+            with _call(step):
+                await call()
+        except errors.CitronrailError as exc:
+            self._note_silence(step, exc)
+            return False
+        return True
+
+    async def start(
+        self, call: collections.abc.Callable[[], typing.Any]
+    ) -> None:
+        """Make a start call.
+
+        :param call: returns the awaitable.
+        :raises citronrail.errors.WorkerRefused: it was not started.
+        :raises citronrail.errors.WorkerOutcomeUnknown: it may have been.
+        """
+        with _call('start'):
+            await call()
+
+    def _note_silence(self, step: str, exc: errors.CitronrailError) -> None:
+        if not self._silent:
+            self._silent = True
+            events.emit(
+                catalogue.WORKER_UNREACHABLE, step=step, reason=exc.message
+            )
+
+    def _note_boot(self, boot_id: str) -> None:
+        if self._boot_id and boot_id != self._boot_id:
+            events.emit(catalogue.WORKER_RESTARTED, boot=boot_id)
+        self._boot_id = boot_id
+
+
+@contextlib.contextmanager
+def _call(step: str) -> collections.abc.Iterator[None]:
+    begun = trio.current_time()
+    try:
+        with trio.fail_after(CALL_TIMEOUT_S):
+            yield
+    except trio.TooSlowError as exc:
+        raise errors.WorkerOutcomeUnknown(
+            f'no answer within {CALL_TIMEOUT_S} s', step=f'worker.{step}'
+        ) from exc
+    finally:
+        _metrics.WORKER_CALL_SECONDS.labels(step).observe(
+            trio.current_time() - begun
+        )
