Add membership: heartbeats, permits and entry news

Cause: starts need a permit that ends by itself, and lost agents need the latest acknowledgement of any entry. Conclusion: ready to be wired.

--- /dev/null
+++ b/citronrail/membership/_entry_mesh.py
@@ -0,0 +1,214 @@
+"""Heartbeats between entries."""
+
+import collections.abc
+import dataclasses
+import typing
+
+import trio
+
+from citronrail import errors
+from citronrail.membership import _agent_directory
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import membership as events
+from citronrail import ports
+
+HEARTBEAT_INTERVAL_S = 1.0
+SENT_TIMES_KEPT = 64
+
+
+class SettingsNews(_agent_directory.SettingsSource, typing.Protocol):
+    """A settings follower that takes news from other entries."""
+
+    def observe(self, version: int, fresh_at: float) -> None:
+        """Take note that ``version`` was the latest at ``fresh_at``."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class EntryView:
+    """Last heartbeat of another entry, with ages turned into local times.
+
+    ``last_acks`` holds, for each agent that the entry reported as silent,
+    the latest local time at which it can have acknowledged the agent.
+    """
+
+    node_id: identifiers.NodeId
+    boot_id: identifiers.BootId
+    heard_at: float
+    settings_version: int
+    ranges: tuple[messages.RangeClaim, ...]
+    last_acks: dict[identifiers.NodeId, float]
+    draining: bool
+
+
+def fresh_at_least(
+    sent_at: float | None, echo_age_s: float, fresh_age_s: float
+) -> float | None:
+    """Bound from below, on the local clock, when a peer's news were fresh.
+
+    The peer got our heartbeat, sent at ``sent_at``, ``echo_age_s`` before it
+    sent its own. Its confirmation ``fresh_age_s`` before that sending thus
+    came no earlier than ``sent_at + echo_age_s - fresh_age_s``. A delay on
+    the way only makes the bound earlier.
+
+    :param sent_at: local time of our echoed heartbeat, None if unknown.
+    :param echo_age_s: time since the peer received it.
+    :param fresh_age_s: time since the peer's confirmation.
+    :returns: a local time, or None when nothing bounds it.
+    """
+    if sent_at is None:
+        return None
+    margin_s = 0.01 * abs(echo_age_s - fresh_age_s)
+    return sent_at + echo_age_s - fresh_age_s - margin_s
+
+
+class EntryMesh:
+    """Exchanges heartbeats with the other entries.
+
+    :param hub: connections to the peers.
+    :param settings: follower that takes news of other entries.
+    :param directory: the agents that this entry knows.
+    :param ranges: gives the ranges that this entry owns at the moment.
+    """
+
+    def __init__(
+        self,
+        hub: ports.PeerHub,
+        settings: SettingsNews,
+        directory: _agent_directory.AgentDirectory,
+        ranges: _agent_directory.Ranges,
+    ) -> None:
+        self._hub = hub
+        self._settings = settings
+        self._directory = directory
+        self._ranges = ranges
+        self._views: dict[identifiers.NodeId, EntryView] = {}
+        self._sent_at: dict[int, float] = {}
+        self._received: dict[identifiers.NodeId, tuple[int, float]] = {}
+        self._seq = 0
+        self.draining = False
+        hub.subscribe(messages.EntryHeartbeat, self._on_heartbeat)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Send a heartbeat to every entry each second."""
+        task_status.started()
+        while True:
+            await self.announce()
+            await trio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def announce(self) -> None:
+        """Send a heartbeat to every connected entry now."""
+        self._seq += 1
+        self._sent_at[self._seq] = trio.current_time()
+        self._sent_at.pop(self._seq - SENT_TIMES_KEPT, None)
+        silent = self._directory.silent(also=self._reported_silent())
+        for peer in self._hub.peers('entry'):
+            try:
+                await self._hub.send(
+                    peer.node_id, self._heartbeat(peer.node_id, silent)
+                )
+            except errors.PeerUnreachable:
+                continue
+
+    def entries(self) -> tuple[EntryView, ...]:
+        """Return the last heartbeat of every other entry."""
+        return tuple(self._views.values())
+
+    def owner_of(
+        self, range_id: identifiers.RangeId
+    ) -> identifiers.NodeId | None:
+        """Return the other entry that claims a range, or None.
+
+        :param range_id: the range.
+        :returns: the claimant with the highest fencing token.
+        """
+        best: tuple[int, identifiers.NodeId] | None = None
+        for view in self._views.values():
+            for claim in view.ranges:
+                candidate = (int(claim.fencing), view.node_id)
+                if claim.range_id == range_id and (
+                    best is None or candidate > best
+                ):
+                    best = candidate
+        return best[1] if best else None
+
+    def last_ack_by(
+        self, entry: identifiers.NodeId, agent: identifiers.NodeId
+    ) -> float | None:
+        """Bound when another entry last acknowledged an agent.
+
+        :param entry: the other entry.
+        :param agent: the agent in question.
+        :returns: the latest possible local time, or None when the entry did
+            not report the agent as silent in its last heartbeat.
+        """
+        view = self._views.get(entry)
+        return view.last_acks.get(agent) if view else None
+
+    def _heartbeat(
+        self,
+        node_id: identifiers.NodeId,
+        silent: tuple[messages.SilentAgent, ...],
+    ) -> messages.EntryHeartbeat:
+        now = trio.current_time()
+        echo_seq, received_at = self._received.get(node_id, (0, now))
+        return messages.EntryHeartbeat(
+            boot_id=self._hub.boot_id,
+            seq=self._seq,
+            clock=now,
+            settings_version=self._settings.settings.version,
+            fresh_age_s=now - self._settings.fresh_at,
+            ranges=self._ranges(),
+            silent=silent,
+            draining=self.draining,
+            echo_seq=echo_seq,
+            echo_age_s=now - received_at,
+        )
+
+    async def _on_heartbeat(
+        self, peer: ports.Peer, msg: messages.EntryHeartbeat, _payload: bytes
+    ) -> None:
+        if msg.boot_id != peer.boot_id:
+            observability.emit(events.WRONG_BOOT, peer=peer.node_id)
+            return
+        now = trio.current_time()
+        self._received[peer.node_id] = (msg.seq, now)
+        self._views[peer.node_id] = EntryView(
+            node_id=peer.node_id,
+            boot_id=peer.boot_id,
+            heard_at=now,
+            settings_version=msg.settings_version,
+            ranges=msg.ranges,
+            last_acks={
+                agent.node_id: now - agent.last_ack_age_s
+                for agent in msg.silent
+            },
+            draining=msg.draining,
+        )
+        fresh_at = fresh_at_least(
+            self._sent_at.get(msg.echo_seq), msg.echo_age_s, msg.fresh_age_s
+        )
+        if fresh_at is not None:
+            self._settings.observe(msg.settings_version, fresh_at)
+
+    def _reported_silent(
+        self,
+    ) -> collections.abc.Iterator[identifiers.NodeId]:
+        for view in self._views.values():
+            yield from view.last_acks
+
+    def forget(self, live: collections.abc.Collection[str]) -> None:
+        """Drop the entries that are no longer members.
+
+        :param live: node ids of the present members.
+        """
+        for node_id in list(self._views):
+            if node_id not in live:
+                del self._views[node_id]
+                self._received.pop(node_id, None)
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -22,6 +22,7 @@
 _KINDS: dict[str, type] = {}
 
 
+@typing.dataclass_transform(frozen_default=True)
 def _message(cls: type[M]) -> type[M]:
     """Make a class a frozen data class and register it as a message."""
     frozen = dataclasses.dataclass(frozen=True)(cls)
@@ -138,6 +139,7 @@
     settings_version: int = 0
     leaving: bool = False
     ready: bool = True
+    entries_known: int = 0  # checksum of the entries that the agent knows
 
 
 @_message
@@ -145,7 +147,7 @@
     """Entry to agent; extends the permit to start tasks.
 
     ``permit_until`` is 0 when the entry can't vouch for fresh settings.
-    ``entries`` is empty unless it changed since the last acknowledgement.
+    ``entries`` is empty unless the agent's list differs from the entry's.
     """
 
     boot_id: identifiers.BootId
@@ -175,6 +177,8 @@
 
     ``fresh_age_s`` is the time since the settings of ``settings_version``
     were last confirmed to be the latest, counted back from the sending.
+    ``echo_seq`` is the last heartbeat received from the addressee and
+    ``echo_age_s`` the time since then; 0 if there was none.
     """
 
     boot_id: identifiers.BootId
@@ -185,6 +189,8 @@
     ranges: tuple[RangeClaim, ...] = ()
     silent: tuple[SilentAgent, ...] = ()
     draining: bool = False
+    echo_seq: int = 0
+    echo_age_s: float = 0.0
 
 
 @_message
