--- /dev/null
+++ b/citronrail/daemon/_application.py
@@ -0,0 +1,147 @@
+"""The application object: starts, drains and stops components."""
+
+import collections.abc
+import dataclasses
+import signal
+import typing
+
+import trio
+
+from citronrail import observability
+from citronrail.observability.catalogue import daemon as events
+
+Hook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
+
+class Component(typing.Protocol):
+    """A part of the daemon that runs until it is cancelled."""
+
+    async def run(self, *, task_status: trio.TaskStatus[None] = ...) -> None:
+        """Run until cancelled; report started once it is usable."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class LifeCycle:
+    """A named component with the hooks that the application calls.
+
+    ``drain`` finishes or hands over work that the component has accepted.
+    """
+
+    name: str
+    run: collections.abc.Callable[..., collections.abc.Awaitable[None]]
+    drain: Hook | None = None
+
+
+class Application:
+    """Owns every component of a process.
+
+    Components start in the order in which they were added, drain in the
+    reverse order, and are cancelled together at the end.
+
+    :param node_id: name of the process.
+    :param drain_limit_s: longest time that draining may take, in seconds.
+    """
+
+    def __init__(self, node_id: str, drain_limit_s: float = 30.0) -> None:
+        self._node_id = node_id
+        self._drain_limit_s = drain_limit_s
+        self._components: list[LifeCycle] = []
+        self._on_started: list[Hook] = []
+        self._stop = trio.Event()
+        self._stop_reason = 'none'
+        self.ready = False
+        self.draining = False
+
+    def add(
+        self,
+        name: str,
+        run: collections.abc.Callable[..., collections.abc.Awaitable[None]],
+        drain: Hook | None = None,
+    ) -> None:
+        """Add a component.
+
+        :param name: name for events.
+        :param run: coroutine function that takes ``task_status``.
+        :param drain: coroutine function awaited at a planned stop.
+        """
+        self._components.append(LifeCycle(name, run, drain))
+
+    def on_started(self, hook: Hook) -> None:
+        """Await ``hook`` once every component has started."""
+        self._on_started.append(hook)
+
+    def stop(self, reason: str = 'request') -> None:
+        """Begin a planned stop."""
+        self._stop_reason = reason
+        self._stop.set()
+
+    async def run(self, handle_signals: bool = True) -> None:
+        """Run all components until a planned stop is complete.
+
+        :param handle_signals: treat SIGTERM and SIGINT as a planned stop,
+            and a second one as a stop at once.
+        """
+        async with trio.open_nursery() as nursery:
+            if handle_signals:
+                await nursery.start(self._watch_signals, nursery.cancel_scope)
+            for component in self._components:
+                await self._start(nursery, component)
+            self.ready = True
+            for hook in self._on_started:
+                await hook()
+            await self._stop.wait()
+            await self._drain()
+            nursery.cancel_scope.cancel()
+        observability.emit(events.STOPPED, node=self._node_id)
+
+    async def _start(
+        self, nursery: trio.Nursery, component: LifeCycle
+    ) -> None:
+        try:
+            await nursery.start(component.run)
+        except Exception as exc:
+            observability.emit(
+                events.COMPONENT_FAILED, component=component.name, reason=exc
+            )
+            raise
+        observability.emit(events.COMPONENT_STARTED, component=component.name)
+
+    async def _drain(self) -> None:
+        self.ready = False
+        self.draining = True
+        observability.emit(events.DRAIN_STARTED, signal=self._stop_reason)
+        deadline = trio.current_time() + self._drain_limit_s
+        for component in reversed(self._components):
+            if component.drain is None:
+                continue
+            began = trio.current_time()
+            with trio.move_on_at(deadline) as scope:
+                await component.drain()
+            if scope.cancelled_caught:
+                observability.emit(
+                    events.DRAIN_TIMED_OUT, component=component.name
+                )
+                continue
+            observability.emit(
+                events.COMPONENT_DRAINED,
+                component=component.name,
+                seconds=round(trio.current_time() - began, 3),
+            )
+
+    async def _watch_signals(
+        self,
+        scope: trio.CancelScope,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        with trio.open_signal_receiver(*STOP_SIGNALS) as received:
+            task_status.started()
+            async for number in received:
+                name = signal.Signals(number).name
+                if self._stop.is_set():
+                    observability.emit(events.KILLED, signal=name)
+                    scope.cancel()
+                    return
+                self.stop(name)
--- /dev/null
+++ b/citronrail/observability/catalogue/daemon.py
@@ -0,0 +1,24 @@
+"""Events of the daemon's life cycle (1000 to 1099)."""
+
+from citronrail.observability import _events
+
+STARTED = _events.EventKind(
+    1001, 'INFO', 'process {node} started as {role} with boot id {boot}'
+)
+COMPONENT_STARTED = _events.EventKind(1002, 'DEBUG', '{component} started')
+DRAIN_STARTED = _events.EventKind(
+    1003, 'INFO', 'draining after signal {signal}'
+)
+COMPONENT_DRAINED = _events.EventKind(
+    1004, 'INFO', '{component} drained in {seconds} s'
+)
+DRAIN_TIMED_OUT = _events.EventKind(
+    1005, 'WARNING', '{component} did not drain before the deadline'
+)
+STOPPED = _events.EventKind(1006, 'INFO', 'process {node} stopped')
+KILLED = _events.EventKind(
+    1007, 'WARNING', 'second signal {signal}; stopping at once'
+)
+COMPONENT_FAILED = _events.EventKind(
+    1008, 'ERROR', '{component} failed: {reason}'
+)
