--- a/citronrail/observability/catalogue/scheduling.py
+++ b/citronrail/observability/catalogue/scheduling.py
@@ -1,79 +1,85 @@
 """Events of the scheduler and of running tasks, 1400 to 1499."""
 
-from citronrail.observability import _events
+from citronrail import observability
 
-JOB_SUBMITTED = _events.EventKind(
+JOB_SUBMITTED = observability.EventKind(
     1400, 'INFO', 'job {job} of team {team} submitted with {tasks} tasks'
 )
-JOB_REFUSED = _events.EventKind(1401, 'INFO', 'job {job} refused: {reason}')
-JOBS_CANCELLED = _events.EventKind(
+JOB_REFUSED = observability.EventKind(
+    1401, 'INFO', 'job {job} refused: {reason}'
+)
+JOBS_CANCELLED = observability.EventKind(
     1402, 'INFO', 'command {command} cancelled {tasks} tasks in range {range}'
 )
-JOB_PARKED = _events.EventKind(1403, 'WARNING', 'job {job} parked: {reason}')
-JOB_ENDED = _events.EventKind(1404, 'INFO', 'job {job} {outcome}')
-JOB_RESUMED = _events.EventKind(1405, 'INFO', 'job {job} resumed')
-ATTEMPT_ASSIGNED = _events.EventKind(
+JOB_PARKED = observability.EventKind(
+    1403, 'WARNING', 'job {job} parked: {reason}'
+)
+JOB_ENDED = observability.EventKind(1404, 'INFO', 'job {job} {outcome}')
+JOB_RESUMED = observability.EventKind(1405, 'INFO', 'job {job} resumed')
+ATTEMPT_ASSIGNED = observability.EventKind(
     1410, 'DEBUG', 'attempt {attempt} assigned to {node}'
 )
-ATTEMPT_SENT = _events.EventKind(
+ATTEMPT_SENT = observability.EventKind(
     1411, 'DEBUG', 'start of attempt {attempt} sent to {node}'
 )
-ATTEMPT_STARTED = _events.EventKind(
+ATTEMPT_STARTED = observability.EventKind(
     1412, 'DEBUG', 'attempt {attempt} runs on {node}'
 )
-ATTEMPT_REFUSED = _events.EventKind(
+ATTEMPT_REFUSED = observability.EventKind(
     1413, 'INFO', 'attempt {attempt} was not started on {node}: {reason}'
 )
-ATTEMPT_ENDED = _events.EventKind(
+ATTEMPT_ENDED = observability.EventKind(
     1414, 'DEBUG', 'attempt {attempt} on {node} {state}: {reason}'
 )
-ATTEMPT_MOVED = _events.EventKind(
+ATTEMPT_MOVED = observability.EventKind(
     1415, 'INFO', 'attempt {attempt} leaves {node}: {reason}'
 )
-ATTEMPT_LOST = _events.EventKind(
+ATTEMPT_LOST = observability.EventKind(
     1416, 'WARNING', 'attempt {attempt} on {node} counts as ended: {reason}'
 )
-STALE_REPORT = _events.EventKind(
+STALE_REPORT = observability.EventKind(
     1417, 'INFO', 'report of attempt {attempt} refused: not the live attempt'
 )
-UNKNOWN_ATTEMPT = _events.EventKind(
+UNKNOWN_ATTEMPT = observability.EventKind(
     1418, 'WARNING', 'attempt {attempt} on {node} is not in the shard; stopped'
 )
-REPLICA_REPLACED = _events.EventKind(
+REPLICA_REPLACED = observability.EventKind(
     1420, 'INFO', 'replica {replica} of {owner} replaces {replaced}'
 )
-SHARD_LOADED = _events.EventKind(
+SHARD_LOADED = observability.EventKind(
     1430, 'INFO', 'shard {range} loaded with {groups} groups, {live} attempts'
 )
-SHARD_LEFT = _events.EventKind(1431, 'INFO', 'shard {range} left: {reason}')
-COMMIT_FAILED = _events.EventKind(
+SHARD_LEFT = observability.EventKind(
+    1431, 'INFO', 'shard {range} left: {reason}'
+)
+COMMIT_FAILED = observability.EventKind(
     1432, 'WARNING', 'commit to shard {range} failed: {reason}'
 )
-TASK_STARTED = _events.EventKind(
+TASK_STARTED = observability.EventKind(
     1440, 'DEBUG', 'worker started attempt {attempt}'
 )
-TASK_REFUSED = _events.EventKind(
+TASK_REFUSED = observability.EventKind(
     1441, 'INFO', 'start of attempt {attempt} refused: {reason}'
 )
-TASK_START_UNKNOWN = _events.EventKind(
+TASK_START_UNKNOWN = observability.EventKind(
     1442, 'WARNING', 'start of attempt {attempt} was not answered: {reason}'
 )
-TASK_ADOPTED = _events.EventKind(
+TASK_ADOPTED = observability.EventKind(
     1443, 'INFO', 'attempt {attempt} found running on the worker'
 )
-TASK_ENDED = _events.EventKind(
+TASK_ENDED = observability.EventKind(
     1444, 'DEBUG', 'attempt {attempt} ended as {state}'
 )
-LEDGER_REBUILT = _events.EventKind(
+LEDGER_REBUILT = observability.EventKind(
     1445, 'INFO', 'capacity ledger rebuilt from {tasks} running tasks'
 )
-WORKER_UNREACHABLE = _events.EventKind(
+WORKER_UNREACHABLE = observability.EventKind(
     1446, 'WARNING', 'worker does not answer at {step}: {reason}'
 )
-WORKER_BACK = _events.EventKind(1447, 'INFO', 'worker answers again')
-WORKER_RESTARTED = _events.EventKind(
+WORKER_BACK = observability.EventKind(1447, 'INFO', 'worker answers again')
+WORKER_RESTARTED = observability.EventKind(
     1448, 'WARNING', 'worker restarted as {boot}'
 )
-LEASES_HELD_BACK = _events.EventKind(
+LEASES_HELD_BACK = observability.EventKind(
     1449, 'WARNING', 'no entry acknowledges; worker leases are not renewed'
 )
--- /dev/null
+++ b/citronrail/scheduling/_context.py
@@ -0,0 +1,85 @@
+"""What all shards of one scheduler share."""
+
+import collections.abc
+import dataclasses
+import random
+
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import resources
+from citronrail.model import views
+from citronrail.ports import peers
+from citronrail.scheduling import _interfaces
+from citronrail.scheduling import _policies
+from citronrail.scheduling import _reservations
+
+
+@dataclasses.dataclass(frozen=True)
+class Limits:
+    """Limits of a scheduler; times in seconds.
+
+    ``starts_a_round`` bounds how long a round takes and how many starts
+    share a commit; ``moves_a_round`` how many checkpoints are asked for at
+    once. A service's replacement counts as answering when its backend server
+    is announced, or after ``replica_ready_s``. Tasks that can't be
+    checkpointed may finish within ``drain_grace_s`` when their data centre or
+    worker is taken out.
+    """
+
+    round_s: float = 0.1
+    upkeep_s: float = 1.0
+    starts_a_round: int = 200
+    moves_a_round: int = 16
+    start_window_s: float = 2.0
+    permit_s: float = 2.5
+    replica_ready_s: float = 15.0
+    drain_grace_s: float = 60.0
+    ramp_s: float = 30.0
+    ramp_first_share: float = 0.1
+
+
+@dataclasses.dataclass
+class FleetUsage:
+    """Reservations by team, from the agents' usage reports."""
+
+    by_node: dict[identifiers.NodeId, tuple[messages.TeamReservation, ...]] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+    def by_team(self) -> dict[identifiers.TeamName, resources.Resources]:
+        """Return the sum over all agents."""
+        total: dict[identifiers.TeamName, resources.Resources] = {}
+        for reserved in self.by_node.values():
+            for item in reserved:
+                before = total.get(item.team, resources.Resources())
+                total[item.team] = before + item.reserved
+        return total
+
+
+@dataclasses.dataclass(frozen=True)
+class Context:
+    """Dependencies of the shards.
+
+    ``wall_clock`` returns Unix time in seconds. ``ramps`` is the share of its
+    agents that each returned data centre may use now.
+    """
+
+    hub: peers.PeerHub
+    settings: _interfaces.SettingsView
+    agents: _interfaces.AgentsView
+    policies: _policies.Policies
+    range_of: collections.abc.Callable[[str], identifiers.RangeId]
+    rng: random.Random
+    wall_clock: collections.abc.Callable[[], float]
+    limits: Limits
+    reservations: _reservations.Reservations
+    usage: FleetUsage
+    ramps: dict[str, float]
+
+    def views(self) -> dict[identifiers.NodeId, views.AgentView]:
+        """Return the agents by node id."""
+        return {view.node_id: view for view in self.agents.agents()}
+
+    def settings_fresh_until(self) -> float:
+        """Return the local time until which starts may be sent."""
+        return self.settings.fresh_at + self.limits.permit_s
--- a/citronrail/scheduling/_interfaces.py
+++ b/citronrail/scheduling/_interfaces.py
@@ -3,6 +3,8 @@
 import collections.abc
 import typing
 
+import trio
+
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import resources
@@ -38,6 +40,14 @@
         """
         ...
 
+    async def run(self, *, task_status: trio.TaskStatus[None] = ...) -> None:
+        """Load the shard, then commit; returns when the ownership ended."""
+        ...
+
+    async def drain(self) -> None:
+        """Wait until every change so far is committed or has failed."""
+        ...
+
 
 class OwnedRange(typing.Protocol):
     """A range that this process owns."""
@@ -54,7 +64,20 @@
 
     @property
     def deadline(self) -> float:
-        """Local time until which the range is certainly owned; it moves."""
+        """Local time until which the range is certainly owned."""
+        ...
+
+    @property
+    def commits_allowed(self) -> bool:
+        """Whether the store lease holds, so that shards may be written."""
+        ...
+
+
+class RangeLookup(typing.Protocol):
+    """Tells which ranges are owned at this moment."""
+
+    def find(self, range_id: identifiers.RangeId) -> OwnedRange | None:
+        """Return a range with its present deadline, None if not owned."""
         ...
 
 
@@ -124,7 +147,7 @@
     """Answer of the capacity ledger."""
 
     @property
-    def admitted(self) -> bool:
+    def accepted(self) -> bool:
         """Whether the resources are reserved now."""
         ...
 
--- /dev/null
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -0,0 +1,407 @@
+"""Owner side of job shards."""
+
+import collections.abc
+import dataclasses
+import random
+import time
+import typing
+
+import trio
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import specs
+from citronrail import observability
+from citronrail.observability.catalogue import scheduling as catalogue
+from citronrail.ports import peers
+from citronrail.scheduling import _candidates
+from citronrail.scheduling import _context
+from citronrail.scheduling import _inbox
+from citronrail.scheduling import _interfaces
+from citronrail.scheduling import _job_changes
+from citronrail.scheduling import _ownership
+from citronrail.scheduling import _policies
+from citronrail.scheduling import _ramps
+from citronrail.scheduling import _reservations
+from citronrail.scheduling import _rows
+from citronrail.scheduling import _shard_runner
+from citronrail.scheduling import _shard_state
+
+_NOBODY = identifiers.NodeId('')
+REOPEN_S = 0.5
+RAMP_UPDATE_S = 0.5
+
+# Takes the range as the ownership component hands it out.
+DocumentFactory = collections.abc.Callable[
+    [typing.Any], _interfaces.ShardDocument
+]
+
+
+@dataclasses.dataclass(frozen=True)
+class CancelResult:
+    """How many tasks were cancelled.
+
+    In the ``failed`` ranges the outcome is unknown or nothing changed; the
+    command may be repeated with the same id.
+    """
+
+    tasks: int
+    failed: tuple[identifiers.RangeId, ...] = ()
+
+
+class JobScheduler:
+    """Schedules the job shards of the ranges that this entry owns.
+
+    It is a listener of range ownership: register it with
+    ``RangeOwnership.add_listener``.
+
+    :param hub: connections to agents and entries.
+    :param settings: the latest settings and when they were confirmed.
+    :param agents: what is known of agents.
+    :param ranges: tells which ranges are owned now.
+    :param make_document: makes the shard document of an owned range.
+    :param policies: placement, quotas, health, pressure and estimates.
+    :param range_of: range of a job id or service name.
+    :param rng: order in which workers are looked at.
+    :param wall_clock: Unix time in seconds.
+    :param limits: limits of a round.
+    """
+
+    def __init__(
+        self,
+        hub: peers.PeerHub,
+        settings: _interfaces.SettingsView,
+        agents: _interfaces.AgentsView,
+        ranges: _interfaces.RangeLookup,
+        make_document: DocumentFactory,
+        policies: _policies.Policies,
+        range_of: collections.abc.Callable[[str], identifiers.RangeId],
+        rng: random.Random,
+        wall_clock: collections.abc.Callable[[], float] = time.time,
+        limits: _context.Limits | None = None,
+    ) -> None:
+        limits = limits or _context.Limits()
+        self._ranges = ranges
+        self._make_document = make_document
+        self._ramps = _ramps.Ramps(limits)
+        self._context = _context.Context(
+            hub,
+            settings,
+            agents,
+            policies,
+            range_of,
+            rng,
+            wall_clock,
+            limits,
+            _reservations.Reservations(),
+            _context.FleetUsage(),
+            {},
+        )
+        self._runners: dict[
+            identifiers.RangeId, _shard_runner.ShardRunner
+        ] = {}
+        self._scopes: dict[identifiers.RangeId, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._early: list[typing.Any] = []
+        for kind in (
+            messages.StartReply,
+            messages.TaskReport,
+            messages.TaskQueryReply,
+        ):
+            hub.subscribe(kind, self._on_task_message)
+        hub.subscribe(messages.Hello, self._on_hello)
+        hub.subscribe(messages.UsageReport, self._on_usage)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            for owned in self._early:
+                nursery.start_soon(self._own, owned)
+            self._early.clear()
+            task_status.started()
+            while True:
+                self._update_ramps()
+                await trio.sleep(RAMP_UPDATE_S)
+
+    async def drain(self) -> None:
+        """Commit what was reported; no task starts any more."""
+        async with trio.open_nursery() as nursery:
+            for runner in self._runners.values():
+                nursery.start_soon(runner.drain)
+
+    # Listener of range ownership
+
+    async def acquired(self, owned: typing.Any) -> None:
+        """Take up the shard of a range."""
+        if self._nursery is None:
+            self._early.append(owned)
+        else:
+            self._nursery.start_soon(self._own, owned)
+
+    async def releasing(
+        self, owned: typing.Any, successor: identifiers.NodeId = _NOBODY
+    ) -> None:
+        """Commit what was reported and leave the shard to the successor."""
+        del successor
+        runner = self._runners.get(owned.range_id)
+        if runner is not None:
+            await runner.drain()
+        await self.lost(owned.range_id)
+
+    async def commits_lost(self, owned: typing.Any) -> None:
+        """Stop; without a store lease nothing can be committed."""
+        await self.lost(owned.range_id)
+
+    async def lost(self, range_id: identifiers.RangeId) -> None:
+        """Stop work on a range."""
+        scope = self._scopes.get(range_id)
+        if scope is not None:
+            scope.cancel()
+
+    async def _own(self, owned: typing.Any) -> None:
+        """Work on a shard until the ownership ends; reload when needed."""
+        ownership = _ownership.Ownership(
+            owned.range_id, owned.fencing, self._ranges
+        )
+        previous = self._scopes.get(owned.range_id)
+        if previous is not None:
+            previous.cancel()
+        with trio.CancelScope() as scope:
+            self._scopes[owned.range_id] = scope
+            while ownership.deadline > trio.current_time():
+                reason = await self._work(owned, ownership)
+                observability.emit(
+                    catalogue.SHARD_LEFT, range=owned.range_id, reason=reason
+                )
+                await trio.sleep(REOPEN_S)
+        if self._scopes.get(owned.range_id) is scope:
+            del self._scopes[owned.range_id]
+
+    async def _work(
+        self, owned: typing.Any, ownership: _ownership.Ownership
+    ) -> str:
+        """Load the shard and work on it.
+
+        :returns: why it has to be loaded again, if it is still owned.
+        """
+        document = self._make_document(owned)
+        runner = None
+        reason = 'the ownership ended'
+        try:
+            async with trio.open_nursery() as nursery:
+                loaded = trio.Event()
+                nursery.start_soon(
+                    _run_document, document, loaded, nursery.cancel_scope
+                )
+                await loaded.wait()
+                runner = _shard_runner.ShardRunner(
+                    ownership, document, self._context
+                )
+                self._runners[owned.range_id] = runner
+                await runner.run()
+                await trio.sleep_forever()  # drained; wait for the release
+        except* errors.CitronrailError as group:
+            reason = str(group.exceptions[0])
+        finally:
+            if runner and self._runners.get(owned.range_id) is runner:
+                del self._runners[owned.range_id]
+        return reason
+
+    # Commands
+
+    async def submit(
+        self, spec: specs.JobSpec, command_id: identifiers.CommandId
+    ) -> identifiers.RangeId:
+        """Add a job; it is durable when this returns.
+
+        :param spec: the job.
+        :param command_id: identity of the command; repeating it is harmless.
+        :returns: the range that owns the job.
+        :raises citronrail.errors.CommandRefused: if the job can't be taken
+            or the range isn't owned here.
+        :raises citronrail.errors.StoreError: if the commit failed.
+        """
+        refusal = _candidates.refusal_for(
+            spec.resources, spec.data_centres, self._context.agents.agents()
+        )
+        if refusal is not None:
+            observability.emit(
+                catalogue.JOB_REFUSED, job=spec.job_id, reason=refusal.reason
+            )
+            raise errors.CommandRefused(
+                refusal.reason, step='scheduling.submit'
+            )
+        runner = self._runner_of(spec.job_id)
+        await runner.submit(spec, command_id)
+        observability.emit(
+            catalogue.JOB_SUBMITTED,
+            cause=command_id,
+            job=spec.job_id,
+            team=spec.team,
+            tasks=spec.task_count,
+        )
+        return runner.owned.range_id
+
+    async def cancel(
+        self,
+        predicate: _job_changes.JobPredicate,
+        command_id: identifiers.CommandId,
+        reason: str = 'cancelled by command',
+    ) -> CancelResult:
+        """Cancel the matching jobs of all owned ranges.
+
+        :param predicate: which jobs to cancel.
+        :param command_id: identity of the command; repeating it is harmless.
+        :param reason: shown with the jobs.
+        :returns: how many tasks had not ended, and where it failed.
+        """
+        counts: list[int] = []
+        failed: list[identifiers.RangeId] = []
+
+        async def cancel_one(runner: _shard_runner.ShardRunner) -> None:
+            try:
+                count = await runner.cancel(predicate, command_id, reason)
+            except errors.CitronrailError:
+                failed.append(runner.owned.range_id)
+                return
+            counts.append(count)
+            observability.emit(
+                catalogue.JOBS_CANCELLED,
+                cause=command_id,
+                command=command_id,
+                tasks=count,
+                range=runner.owned.range_id,
+            )
+
+        async with trio.open_nursery() as nursery:
+            for runner in tuple(self._runners.values()):
+                nursery.start_soon(cancel_one, runner)
+        return CancelResult(sum(counts), tuple(failed))
+
+    async def resume(self, job_id: identifiers.JobId) -> None:
+        """Let a parked job start again.
+
+        :raises citronrail.errors.CommandRefused: if it isn't known here.
+        :raises citronrail.errors.StoreError: if the commit failed.
+        """
+        runner = self._runner_of(job_id)
+        if job_id not in runner.state.groups:
+            raise errors.CommandRefused(
+                f'job {job_id} is not known', step='scheduling.resume'
+            )
+        await runner.resume(job_id)
+        observability.emit(catalogue.JOB_RESUMED, job=job_id)
+
+    def rows(self, kind: str) -> tuple[_rows.Row, ...]:
+        """Return a table of the owned shards.
+
+        :param kind: ``jobs``, ``tasks`` or ``services``.
+        :returns: rows, see :class:`JobRow`, :class:`TaskRow` and
+            :class:`ServiceRow`.
+        :raises ValueError: if there is no such table.
+        """
+        return tuple(
+            row
+            for _, runner in sorted(self._runners.items())
+            for row in _rows.rows(runner.state, kind, runner.blocked)
+        )
+
+    def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
+        """Return the ranges whose shards are loaded."""
+        return tuple(sorted(self._runners))
+
+    def _runner_of(self, owner: str) -> _shard_runner.ShardRunner:
+        range_id = self._range_of_owner(owner)
+        runner = self._runners.get(range_id)
+        if runner is None:
+            raise errors.CommandRefused(
+                f'range {range_id} is not owned by this entry',
+                step='scheduling',
+            )
+        return runner
+
+    def _range_of_owner(self, owner: str) -> identifiers.RangeId:
+        return self._context.range_of(
+            owner.removeprefix(_shard_state.SERVICE_PREFIX)
+        )
+
+    # Messages of agents
+
+    async def _on_task_message(
+        self, peer: peers.Peer, message: typing.Any, _: bytes
+    ) -> None:
+        match message:
+            case messages.StartReply():
+                range_id = self._range_of_owner(message.attempt.task.owner)
+            case _:
+                range_id = message.range_id
+        runner = self._runners.get(range_id)
+        if runner is not None:
+            runner.deliver(_inbox.FromAgent(peer.node_id, message))
+
+    async def _on_hello(
+        self, peer: peers.Peer, hello: messages.Hello, _: bytes
+    ) -> None:
+        if peer.role != 'agent':
+            return
+        for range_id, runner in self._runners.items():
+            mine = tuple(t for t in hello.tasks if t.range_id == range_id)
+            runner.deliver(
+                _inbox.FromAgent(
+                    peer.node_id, dataclasses.replace(hello, tasks=mine)
+                )
+            )
+
+    async def _on_usage(
+        self, peer: peers.Peer, report: messages.UsageReport, _: bytes
+    ) -> None:
+        now = trio.current_time()
+        self._context.usage.by_node[peer.node_id] = report.reserved
+        usage = tuple(
+            dataclasses.replace(
+                item, measured_at=now - (report.clock - item.measured_at)
+            )
+            for item in report.usage
+        )
+        for observer in self._context.policies.observers:
+            observer.observe_usage(peer.node_id, usage, now)
+
+    def _update_ramps(self) -> None:
+        shares = self._ramps.update(
+            self._context.settings.settings, trio.current_time()
+        )
+        self._context.ramps.clear()
+        self._context.ramps.update(shares)
+        known = {view.node_id for view in self._context.agents.agents()}
+        by_node = self._context.usage.by_node
+        for node in [node for node in by_node if node not in known]:
+            del by_node[node]
+
+
+async def _run_document(
+    document: _interfaces.ShardDocument,
+    loaded: trio.Event,
+    scope: trio.CancelScope,
+) -> None:
+    """Run a document; when it ends, so does the work on the shard."""
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_start_document, nursery, document, loaded)
+    scope.cancel()
+
+
+async def _start_document(
+    nursery: trio.Nursery,
+    document: _interfaces.ShardDocument,
+    loaded: trio.Event,
+) -> None:
+    try:
+        await nursery.start(document.run)
+    except RuntimeError:
+        return  # the ownership ended before the shard was loaded
+    loaded.set()
--- a/citronrail/scheduling/_least_loaded.py
+++ b/citronrail/scheduling/_least_loaded.py
@@ -33,21 +33,21 @@
         del now
         if not candidates:
             return None
-        by_node = {view.node_id: view for view in candidates}
-        siblings = [by_node[n] for n in request.siblings if n in by_node]
-        best = min(candidates, key=lambda view: _cost(request, view, siblings))
+        best = min(candidates, key=lambda view: _cost(request, view))
         return best.node_id
 
 
 def _cost(
-    request: _policies.PlacementRequest,
-    view: views.AgentView,
-    siblings: list[views.AgentView],
-) -> tuple[int, int, int, float]:
+    request: _policies.PlacementRequest, view: views.AgentView
+) -> tuple[int, int, int, int, float]:
+    if not request.sibling_places and not request.avoid:
+        return (0, 0, 0, 0, _used_share(view))
+    place = (view.data_centre, view.rack)
     return (
         1 if view.node_id in request.avoid else 0,
-        sum(1 for s in siblings if s.data_centre == view.data_centre),
-        sum(1 for s in siblings if s.rack == view.rack),
+        sum(1 for dc, _ in request.sibling_places if dc == place[0]),
+        sum(1 for other in request.sibling_places if other == place),
+        1 if view.node_id in request.siblings else 0,
         _used_share(view),
     )
 
--- /dev/null
+++ b/citronrail/scheduling/_pending.py
@@ -0,0 +1,192 @@
+"""Pending work of a shard in the form that policies see."""
+
+import collections.abc
+
+from citronrail.model import identifiers
+from citronrail.model import resources
+from citronrail.model import specs
+from citronrail.model import views
+from citronrail.scheduling import _index_runs
+from citronrail.scheduling import _policies
+from citronrail.scheduling import _shard_state
+
+# A job with this many tasks to repeat starts no new ones, which bounds the
+# size of the shard when everything fails.
+MAX_REPEATS = 500
+
+
+def ready_count(group: _shard_state.Group, now: float) -> int:
+    """Return how many tasks of a group could start.
+
+    :param group: the group.
+    :param now: Unix time in seconds.
+    :returns: number of tasks, at most one for an exclusive job.
+    """
+    if group.phase is not _shard_state.Phase.ACTIVE:
+        return 0
+    count = sum(1 for w in group.waiting.values() if w.not_before <= now)
+    if len(group.waiting) < MAX_REPEATS:
+        count += _index_runs.size(group.pending)
+    if group.job is not None and group.job.exclusive:
+        return 0 if group.live else min(1, count)
+    return count
+
+
+def ready_tasks(
+    group: _shard_state.Group, count: int, now: float
+) -> tuple[_shard_state.Waiting, ...]:
+    """Return the next tasks of a group, repeated ones first.
+
+    :param group: the group.
+    :param count: how many at most.
+    :param now: Unix time in seconds.
+    :returns: tasks; fresh ones have attempt number 0.
+    """
+    ready = [w for w in group.waiting.values() if w.not_before <= now]
+    ready.sort(key=lambda entry: entry.index)
+    fresh = max(0, count - len(ready))
+    if len(group.waiting) >= MAX_REPEATS:
+        fresh = 0
+    return tuple(ready[:count]) + tuple(
+        _shard_state.Waiting(index, 0)
+        for index in _index_runs.take(group.pending, fresh)
+    )
+
+
+def priority(group: _shard_state.Group) -> specs.Priority:
+    """Return the priority of a group's tasks."""
+    return group.job.priority if group.job else specs.Priority.NORMAL
+
+
+def declared_run_s(group: _shard_state.Group) -> float:
+    """Return the declared run time in seconds; replicas run on."""
+    return group.job.declared_run_s if group.job else float('inf')
+
+
+def expected_run_s(
+    group: _shard_state.Group, estimator: _policies.Estimator
+) -> float:
+    """Return the estimated run time of a task in seconds."""
+    if group.job is None:
+        return float('inf')
+    return estimator.run_s(
+        group.team, group.work_class, group.job.declared_run_s
+    )
+
+
+def reservation(
+    group: _shard_state.Group, estimator: _policies.Estimator
+) -> resources.Resources:
+    """Return what one task of a group reserves."""
+    return estimator.reservation(group.team, group.work_class, group.resources)
+
+
+def pending_groups(
+    state: _shard_state.ShardState,
+    estimator: _policies.Estimator,
+    now: float,
+) -> tuple[_policies.PendingGroup, ...]:
+    """Return the groups with tasks that could start.
+
+    :param state: the shard.
+    :param estimator: estimates size and run time.
+    :param now: Unix time in seconds.
+    :returns: one item for each group.
+    """
+    found = []
+    for group in state.groups.values():
+        count = ready_count(group, now)
+        if not count:
+            continue
+        found.append(
+            _policies.PendingGroup(
+                owner=group.owner,
+                team=group.team,
+                work_class=group.work_class,
+                priority=priority(group),
+                resources=reservation(group, estimator),
+                count=count,
+                pending_since=group.submitted_at,
+                expected_run_s=expected_run_s(group, estimator),
+                finish_before=group.job.finish_before if group.job else None,
+                service=group.service.name if group.service else None,
+            )
+        )
+    return tuple(found)
+
+
+def placement_request(
+    group: _shard_state.Group,
+    task: _shard_state.Waiting,
+    item: _policies.PendingGroup,
+    agents: collections.abc.Mapping[identifiers.NodeId, views.AgentView],
+    placed: collections.abc.Sequence[identifiers.NodeId],
+) -> _policies.PlacementRequest:
+    """Describe one task to the placement policy.
+
+    :param group: its group.
+    :param task: the task.
+    :param item: the group as the quota policy saw it.
+    :param agents: agents by node id.
+    :param placed: nodes chosen for the same group in this round.
+    :returns: the request.
+    """
+    siblings: tuple[identifiers.NodeId, ...] = ()
+    if group.service is not None:
+        siblings = (*placed, *_replica_nodes(group))
+    places = tuple(
+        (agents[node].data_centre, agents[node].rack)
+        for node in siblings
+        if node in agents
+    )
+    return _policies.PlacementRequest(
+        task=specs.TaskId(group.owner, task.index),
+        team=group.team,
+        work_class=group.work_class,
+        resources=item.resources,
+        expected_run_s=item.expected_run_s,
+        priority=item.priority,
+        service=item.service,
+        exclusive=group.job is not None and group.job.exclusive,
+        checkpointable=group.job is not None and group.job.checkpointable,
+        deadline=item.finish_before,
+        avoid=task.avoid,
+        siblings=siblings,
+        sibling_places=places,
+    )
+
+
+def _replica_nodes(
+    group: _shard_state.Group,
+) -> tuple[identifiers.NodeId, ...]:
+    stopping = _shard_state.LiveState.STOPPING
+    return tuple(
+        live.node for live in group.live.values() if live.state is not stopping
+    )
+
+
+def task_spec(
+    group: _shard_state.Group,
+    live: _shard_state.Live,
+    amount: resources.Resources,
+) -> specs.TaskSpec:
+    """Return what the worker needs to run an attempt.
+
+    :param group: the group of the task.
+    :param live: the attempt.
+    :param amount: what it reserves.
+    :returns: the specification.
+    """
+    job = group.job
+    return specs.TaskSpec(
+        team=group.team,
+        work_class=group.work_class,
+        resources=amount,
+        declared_run_s=job.declared_run_s if job else 0.0,
+        priority=priority(group),
+        service=group.service.name if group.service else None,
+        exclusive=job is not None and job.exclusive,
+        checkpointable=job is not None and job.checkpointable,
+        checkpoint=live.checkpoint,
+        argument=job.argument if job else '',
+    )
--- a/citronrail/scheduling/_policies.py
+++ b/citronrail/scheduling/_policies.py
@@ -18,7 +18,8 @@
 
     ``resources`` is the amount to reserve. ``avoid`` names workers on which
     the task failed before. ``siblings`` are the nodes that already hold
-    replicas of the same service. ``deadline`` is Unix time in seconds.
+    replicas of the same service, ``sibling_places`` their data centres and
+    racks. ``deadline`` is Unix time in seconds.
     """
 
     task: specs.TaskId
@@ -33,6 +34,7 @@
     deadline: float | None = None
     avoid: tuple[identifiers.NodeId, ...] = ()
     siblings: tuple[identifiers.NodeId, ...] = ()
+    sibling_places: tuple[tuple[identifiers.DataCentreName, str], ...] = ()
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/scheduling/_task_runner.py
+++ b/citronrail/scheduling/_task_runner.py
@@ -11,7 +11,7 @@
 from citronrail.model import outcome as outcomes
 from citronrail.model import resources
 from citronrail.model import specs
-from citronrail.observability import _events as events
+from citronrail import observability
 from citronrail.observability.catalogue import scheduling as catalogue
 from citronrail.ports import peers
 from citronrail.ports import worker as workers
@@ -156,7 +156,7 @@
             self._take_in(listing, asked_at)
         self._rebuild_ledger()
         self._rebuilt = True
-        events.emit(catalogue.LEDGER_REBUILT, tasks=len(self._tasks))
+        observability.emit(catalogue.LEDGER_REBUILT, tasks=len(self._tasks))
 
     async def _first_listing(self) -> workers.WorkerTasks:
         while True:
@@ -209,7 +209,7 @@
         if reason:
             return reason
         admission = self._ledger.admit(start.attempt, start.spec.resources)
-        return '' if admission.admitted else admission.reason
+        return '' if admission.accepted else admission.reason
 
     async def _start(self, start: messages.StartTask) -> None:
         task = self._tasks[start.attempt]
@@ -237,7 +237,7 @@
             if self._is_starting(start.attempt):
                 await self._never_ran(task, exc.message)
         except errors.CitronrailError as exc:
-            events.emit(
+            observability.emit(
                 catalogue.TASK_START_UNKNOWN,
                 attempt=start.attempt,
                 reason=exc.message,
@@ -264,7 +264,7 @@
     async def _confirm(self, task: _local_tasks.LocalTask) -> None:
         self._set_state(task, LocalState.RUNNING)
         _metrics.STARTS.labels('started').inc()
-        events.emit(catalogue.TASK_STARTED, attempt=task.attempt)
+        observability.emit(catalogue.TASK_STARTED, attempt=task.attempt)
         await self._reply(task.owner, task.attempt, outcomes.Outcome.DONE, '')
 
     async def _never_ran(
@@ -278,7 +278,9 @@
         self, owner: identifiers.NodeId, attempt: specs.AttemptId, reason: str
     ) -> None:
         _metrics.STARTS.labels('refused').inc()
-        events.emit(catalogue.TASK_REFUSED, attempt=attempt, reason=reason)
+        observability.emit(
+            catalogue.TASK_REFUSED, attempt=attempt, reason=reason
+        )
         await self._reply(owner, attempt, outcomes.Outcome.NOT_RUN, reason)
 
     async def _reply(
@@ -409,7 +411,7 @@
             now,
             worker_state=running.state,
         )
-        events.emit(catalogue.TASK_ADOPTED, attempt=running.attempt)
+        observability.emit(catalogue.TASK_ADOPTED, attempt=running.attempt)
 
     def _ended(self, report: messages.TaskReport) -> None:
         now = trio.current_time()
@@ -419,7 +421,7 @@
         self._tasks.pop(report.attempt, None)
         self._requests.drop(report.attempt)
         self._ledger.release(report.attempt)
-        events.emit(
+        observability.emit(
             catalogue.TASK_ENDED, attempt=report.attempt, state=report.state
         )
         self._report_now.set()
@@ -506,7 +508,7 @@
             now = trio.current_time()
             acknowledged = now - self._permits.last_ack_at < ACK_VALID_S
             if not acknowledged and not held_back:
-                events.emit(catalogue.LEASES_HELD_BACK)
+                observability.emit(catalogue.LEASES_HELD_BACK)
             held_back = not acknowledged
             if acknowledged and self._tasks:
                 await self._renew(now)
--- a/citronrail/scheduling/_worker_link.py
+++ b/citronrail/scheduling/_worker_link.py
@@ -7,7 +7,7 @@
 import trio
 
 from citronrail import errors
-from citronrail.observability import _events as events
+from citronrail import observability
 from citronrail.observability.catalogue import scheduling as catalogue
 from citronrail.ports import worker as workers
 from citronrail.scheduling import _metrics
@@ -57,7 +57,7 @@
         self._note_boot(listing.boot_id)
         if self._silent:
             self._silent = False
-            events.emit(catalogue.WORKER_BACK)
+            observability.emit(catalogue.WORKER_BACK)
         return listing
 
     async def attempt(
@@ -92,13 +92,13 @@
     def _note_silence(self, step: str, exc: errors.CitronrailError) -> None:
         if not self._silent:
             self._silent = True
-            events.emit(
+            observability.emit(
                 catalogue.WORKER_UNREACHABLE, step=step, reason=exc.message
             )
 
     def _note_boot(self, boot_id: str) -> None:
         if self._boot_id and boot_id != self._boot_id:
-            events.emit(catalogue.WORKER_RESTARTED, boot=boot_id)
+            observability.emit(catalogue.WORKER_RESTARTED, boot=boot_id)
         self._boot_id = boot_id
 
 
