Exchange whole settings between entries; bound sending times

Cause: an entry that lost the store needs the document itself, not only its version, and lost agents need bounds for when a report was sent. Change: entries send the document to a peer that is behind; EntryView holds the bounds.

--- a/citronrail/membership/_entry_mesh.py
+++ b/citronrail/membership/_entry_mesh.py
@@ -10,6 +10,7 @@
 from citronrail.membership import _agent_directory
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail.model import settings as settings_model
 from citronrail import observability
 from citronrail.observability.catalogue import membership as events
 from citronrail import ports
@@ -19,13 +20,17 @@
 # add up to the 2.5 s of a permit.
 HEARTBEAT_INTERVAL_S = 0.5
 SENT_TIMES_KEPT = 64
+CLOCK_RATE_MARGIN = 0.01
+NEVER = float('-inf')
 
 
 class SettingsNews(_agent_directory.SettingsSource, typing.Protocol):
     """A settings follower that takes news from other entries."""
 
-    def observe(self, version: int, fresh_at: float) -> None:
-        """Take note that ``version`` was the latest at ``fresh_at``."""
+    def observe(
+        self, settings: settings_model.Settings, fresh_at: float
+    ) -> None:
+        """Take note that ``settings`` were the latest at ``fresh_at``."""
         ...
 
 
@@ -33,13 +38,18 @@
 class EntryView:
     """Last heartbeat of another entry, with ages turned into local times.
 
-    ``last_acks`` holds, for each agent that the entry reported as silent,
-    the latest local time at which it can have acknowledged the agent.
+    The heartbeat was sent between ``sent_after`` and ``heard_at``.
+    ``knows_us_at`` is the sending time of our latest heartbeat that the entry
+    certainly received; minus infinity if there was none. ``last_acks`` holds,
+    for each agent that the entry reported as silent, the latest local time at
+    which it can have acknowledged the agent.
     """
 
     node_id: identifiers.NodeId
     boot_id: identifiers.BootId
     heard_at: float
+    sent_after: float
+    knows_us_at: float
     settings_version: int
     ranges: tuple[messages.RangeClaim, ...]
     last_acks: dict[identifiers.NodeId, float]
@@ -63,7 +73,7 @@
     """
     if sent_at is None:
         return None
-    margin_s = 0.01 * abs(echo_age_s - fresh_age_s)
+    margin_s = CLOCK_RATE_MARGIN * abs(echo_age_s - fresh_age_s)
     return sent_at + echo_age_s - fresh_age_s - margin_s
 
 
@@ -93,6 +103,7 @@
         self._seq = 0
         self.draining = False
         hub.subscribe(messages.EntryHeartbeat, self._on_heartbeat)
+        hub.subscribe(messages.SettingsUpdate, self._on_settings)
 
     async def run(
         self,
@@ -182,10 +193,13 @@
             return
         now = trio.current_time()
         self._received[peer.node_id] = (msg.seq, now)
+        echoed_at = self._echoed_at(peer, msg)
         self._views[peer.node_id] = EntryView(
             node_id=peer.node_id,
             boot_id=peer.boot_id,
             heard_at=now,
+            sent_after=echoed_at + msg.echo_age_s * (1.0 - CLOCK_RATE_MARGIN),
+            knows_us_at=echoed_at,
             settings_version=msg.settings_version,
             ranges=msg.ranges,
             last_acks={
@@ -194,11 +208,45 @@
             },
             draining=msg.draining,
         )
-        fresh_at = fresh_at_least(
-            self._sent_at.get(msg.echo_seq), msg.echo_age_s, msg.fresh_age_s
-        )
-        if fresh_at is not None:
-            self._settings.observe(msg.settings_version, fresh_at)
+        await self._exchange_settings(peer, msg)
+
+    def _echoed_at(
+        self, peer: ports.Peer, msg: messages.EntryHeartbeat
+    ) -> float:
+        """Return when we sent the heartbeat that the peer echoes."""
+        known = self._views.get(peer.node_id)
+        if known is not None and known.boot_id == peer.boot_id:
+            earlier = known.knows_us_at
+        else:
+            earlier = NEVER
+        return max(earlier, self._sent_at.get(msg.echo_seq, NEVER))
+
+    async def _exchange_settings(
+        self,
+        peer: ports.Peer,
+        msg: messages.EntryHeartbeat,
+    ) -> None:
+        local = self._settings.settings
+        if msg.settings_version == local.version:
+            sent_at = self._sent_at.get(msg.echo_seq)
+            fresh_at = fresh_at_least(sent_at, msg.echo_age_s, msg.fresh_age_s)
+            if fresh_at is not None:
+                self._settings.observe(local, fresh_at)
+        elif msg.settings_version < local.version:
+            await self._send_settings(peer)
+
+    async def _send_settings(self, peer: ports.Peer) -> None:
+        update = messages.SettingsUpdate(self._settings.settings)
+        try:
+            await self._hub.send(peer.node_id, update)
+        except errors.PeerUnreachable:
+            return
+
+    async def _on_settings(
+        self, _peer: ports.Peer, msg: messages.SettingsUpdate, _payload: bytes
+    ) -> None:
+        # The message may be late, so it proves no freshness.
+        self._settings.observe(msg.settings, NEVER)
 
     def _reported_silent(
         self,
--- a/citronrail/membership/tests/test_membership.py
+++ b/citronrail/membership/tests/test_membership.py
@@ -47,8 +47,9 @@
                 self.settings = self.store.settings
             await trio.sleep(0.5)
 
-    def observe(self, version, fresh_at):
-        if version == self.settings.version:
+    def observe(self, settings, fresh_at):
+        if settings.version >= self.settings.version:
+            self.settings = settings
             self.fresh_at = max(self.fresh_at, fresh_at)
 
 
