Add the in-memory store, clocks, ledger, settings and key records

Cause: scheduling, routing and the daemon need the coordination interfaces. Change: MemoryStore with fault switches and call counts; PeerClock, CapacityLedger, SettingsFollower, SettingsWriter, IdempotencyKeeper. Conclusion: the interfaces can be integrated against.

--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -22,6 +22,7 @@
 _KINDS: dict[str, type] = {}
 
 
+@typing.dataclass_transform(frozen_default=True)
 def _message(cls: type[M]) -> type[M]:
     """Make a class a frozen data class and register it as a message."""
     frozen = dataclasses.dataclass(frozen=True)(cls)
@@ -438,7 +439,12 @@
     """State of an idempotency or exclusive key.
 
     ``verdict`` is ``in progress``, ``done`` or ``unknown``. Ages count back
-    from the sending of the message; ``expires_in_s`` counts forward.
+    from the sending of the message; ``expires_in_s`` counts forward, as does
+    ``run_ends_in_s``, after which no granted run can be in progress. A record
+    of kind ``takeover`` passes on what the sender itself didn't know: keys
+    born before ``expires_in_s`` from the sending (mostly negative) may have
+    run unless there is a record of them, and exclusive keys may be held until
+    ``run_ends_in_s``.
     """
 
     key: str
@@ -450,6 +456,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b''
+    run_ends_in_s: float = 0.0
 
 
 @_message
@@ -487,8 +494,10 @@
 class ExtendOwnership:
     """Range owner to every other entry while it can't reach the store.
 
-    Asks the receiver to promise not to take the ranges over, and to help no
-    one else to, until ``promise_until``.
+    Asks the receiver not to take the ranges over, and to help no one else to,
+    for the fixed promise time from the receipt. The owner counts that time
+    from before it sent the message. A message received after
+    ``promise_until`` was held up and gets no promise.
     """
 
     seq: int
@@ -520,14 +529,17 @@
     """Entry to the one that wants a range.
 
     ``promised_until`` is the end of the receiver's last promise, on the
-    querying entry's clock; 0 if it gave none. ``still_owner`` is True when
-    the receiver itself owns the range.
+    querying entry's clock; 0 if it gave none. It is a lower bound, so the
+    querying entry waits ``promise_left_s`` from the receipt instead, which
+    counts from the sending. ``still_owner`` is True when the receiver itself
+    owns the range.
     """
 
     seq: int
     range_id: identifiers.RangeId
     promised_until: float
     still_owner: bool = False
+    promise_left_s: float = 0.0
 
 
 Cell = str | int | float | bool | None
--- /dev/null
+++ b/citronrail/observability/catalogue/coordination.py
@@ -0,0 +1,75 @@
+"""Events of leases, settings, shard documents, ranges and keys."""
+
+from citronrail.observability import _events
+
+LEASE_GRANTED = _events.EventKind(
+    1200, 'INFO', 'store lease {lease_id} granted for {ttl_s} s'
+)
+LEASE_LOST = _events.EventKind(
+    1201, 'WARNING', 'store lease {lease_id} lost: {reason}'
+)
+STORE_CALL_FAILED = _events.EventKind(
+    1202, 'WARNING', 'store call failed: {reason}'
+)
+SETTINGS_CHANGED = _events.EventKind(
+    1210, 'INFO', 'settings version {version} in force'
+)
+SETTINGS_STALE_READ = _events.EventKind(
+    1211,
+    'WARNING',
+    'ignored an old read of the settings: {seen} after {known}',
+)
+SETTINGS_WATCH_LOST = _events.EventKind(
+    1212, 'WARNING', 'settings watch lost: {reason}'
+)
+SETTINGS_UNREADABLE = _events.EventKind(
+    1213, 'ERROR', 'stored settings cannot be read: {reason}'
+)
+COMMAND_APPLIED = _events.EventKind(
+    1214, 'INFO', 'command {command_id} made settings version {version}'
+)
+COMMAND_CONFLICT = _events.EventKind(
+    1215, 'WARNING', 'command {command_id} lost to {winner}'
+)
+COMMAND_UNRESOLVED = _events.EventKind(
+    1216, 'ERROR', 'outcome of command {command_id} is unknown: {reason}'
+)
+COMMIT_LOST_ANSWER = _events.EventKind(
+    1220, 'WARNING', 'answer to a commit of {key} was lost, reading back'
+)
+COMMIT_FENCED = _events.EventKind(
+    1221, 'WARNING', 'commits of {key} end: {reason}'
+)
+DOCUMENT_LARGE = _events.EventKind(
+    1222, 'WARNING', '{key} has {size} bytes of at most {limit}'
+)
+RANGE_ACQUIRED = _events.EventKind(
+    1230, 'INFO', 'range {range_id} acquired with token {fencing}'
+)
+RANGE_RELEASING = _events.EventKind(
+    1231, 'INFO', 'range {range_id} is being handed to {successor}'
+)
+RANGE_RELEASED = _events.EventKind(1232, 'INFO', 'range {range_id} released')
+RANGE_LOST = _events.EventKind(
+    1233, 'WARNING', 'range {range_id} lost: {reason}'
+)
+RANGE_KEYS_ONLY = _events.EventKind(
+    1234,
+    'WARNING',
+    'range {range_id} is held for keys only, by promises of {members}',
+)
+TAKEOVER_WAITS = _events.EventKind(
+    1235, 'INFO', 'takeover of range {range_id} waits: {reason}'
+)
+PROMISE_REFUSED = _events.EventKind(
+    1236, 'INFO', 'range {range_id} of {owner} is promised no longer'
+)
+LISTENER_FAILED = _events.EventKind(
+    1237, 'ERROR', 'listener failed on range {range_id}: {reason}'
+)
+BUDGET_SPENT = _events.EventKind(
+    1240, 'WARNING', 'store budget spent, a {kind} for {use} was held back'
+)
+KEYS_FULL = _events.EventKind(
+    1250, 'WARNING', 'key table of range {range_id} is full'
+)
--- /dev/null
+++ b/standins/key_value/__init__.py
@@ -0,0 +1,8 @@
+"""Stand-in for the platform's key-value service, for tests and drills."""
+
+from standins.key_value._faults import Faults
+from standins.key_value._memory_store import MemoryStore
+from standins.key_value._state import MAX_VALUE_BYTES
+from standins.key_value._state import StoreState
+
+__all__ = ['MAX_VALUE_BYTES', 'Faults', 'MemoryStore', 'StoreState']
