--- a/citronrail/language/__init__.py
+++ b/citronrail/language/__init__.py
@@ -0,0 +1,75 @@
+"""The operators' query and command language."""
+
+from citronrail.language._format import format  # noqa: A004
+from citronrail.language._format import format_condition
+from citronrail.language._format import without_version
+from citronrail.language._nodes import And
+from citronrail.language._nodes import Cancel
+from citronrail.language._nodes import Change
+from citronrail.language._nodes import ChangePolicy
+from citronrail.language._nodes import ChangeService
+from citronrail.language._nodes import ChangeTeam
+from citronrail.language._nodes import Command
+from citronrail.language._nodes import Comparison
+from citronrail.language._nodes import Condition
+from citronrail.language._nodes import Drain
+from citronrail.language._nodes import Duration
+from citronrail.language._nodes import JobCommand
+from citronrail.language._nodes import Membership
+from citronrail.language._nodes import Memory
+from citronrail.language._nodes import Not
+from citronrail.language._nodes import Operator
+from citronrail.language._nodes import Or
+from citronrail.language._nodes import OrderKey
+from citronrail.language._nodes import Place
+from citronrail.language._nodes import PolicyKind
+from citronrail.language._nodes import Return
+from citronrail.language._nodes import SettingsCommand
+from citronrail.language._nodes import Show
+from citronrail.language._nodes import StartJob
+from citronrail.language._nodes import StartService
+from citronrail.language._nodes import StopJob
+from citronrail.language._nodes import StopService
+from citronrail.language._nodes import TableName
+from citronrail.language._nodes import Time
+from citronrail.language._parser import keywords
+from citronrail.language._parser import parse
+from citronrail.language._parser import parse_script
+
+__all__ = [
+    'And',
+    'Cancel',
+    'Change',
+    'ChangePolicy',
+    'ChangeService',
+    'ChangeTeam',
+    'Command',
+    'Comparison',
+    'Condition',
+    'Drain',
+    'Duration',
+    'JobCommand',
+    'Membership',
+    'Memory',
+    'Not',
+    'Operator',
+    'Or',
+    'OrderKey',
+    'Place',
+    'PolicyKind',
+    'Return',
+    'SettingsCommand',
+    'Show',
+    'StartJob',
+    'StartService',
+    'StopJob',
+    'StopService',
+    'TableName',
+    'Time',
+    'format',
+    'format_condition',
+    'keywords',
+    'parse',
+    'parse_script',
+    'without_version',
+]
