--- a/citronrail/daemon/_process_settings.py
+++ b/citronrail/daemon/_process_settings.py
@@ -5,15 +5,14 @@
 examples.
 """
 
-import ipaddress
 import re
 import typing
 
 import msgspec
 
+from citronrail.daemon import _setting_checks
+
 _NODE_ID = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.:-]{0,99}')
-_STORE_SCHEMES = ('http://', 'https://')
-MAX_PORT = 65_535
 # Requirement 4: no start in a data centre 3 s after it was taken out. The
 # permit runs from the last confirmation, which may be this much older than
 # the acceptance of the command.
@@ -43,7 +42,7 @@
             address = getattr(self, name)
             if not address:
                 continue
-            if check_address(address, name) == 0:
+            if _setting_checks.check_address(address, name) == 0:
                 continue
             if address in taken:
                 raise ValueError(
@@ -70,11 +69,15 @@
         if not self.endpoints:
             raise ValueError('"endpoints" needs at least one URL')
         for url in self.endpoints:
-            check_url(url, 'endpoints')
-        _check_above_zero(self, 'call_timeout_ms', 'reads_per_s')
-        _check_above_zero(self, 'writes_per_s')
+            _setting_checks.check_url(url, 'endpoints')
+        _setting_checks.check_above_zero(
+            self, 'call_timeout_ms', 'reads_per_s'
+        )
+        _setting_checks.check_above_zero(self, 'writes_per_s')
         if not self.prefix.startswith('/') or self.prefix.endswith('/'):
-            raise ValueError('"prefix" starts with "/" and has none at its end')
+            raise ValueError(
+                '"prefix" starts with "/" and has none at its end'
+            )
 
 
 class KeyFiles(_Part, frozen=True):
@@ -108,7 +111,7 @@
 
     def __post_init__(self) -> None:
         """Check that each bound is above zero."""
-        _check_above_zero(self, *self.__struct_fields__)
+        _setting_checks.check_above_zero(self, *self.__struct_fields__)
 
 
 class Times(_Part, frozen=True):
@@ -134,7 +137,7 @@
 
     def __post_init__(self) -> None:
         """Check the relations on which the guarantees rest."""
-        _check_above_zero(self, *self.__struct_fields__)
+        _setting_checks.check_above_zero(self, *self.__struct_fields__)
         if self.start_permit_s >= START_PERMIT_BOUND_S:
             raise ValueError(
                 f'"start_permit_s" must be below {START_PERMIT_BOUND_S}: no '
@@ -195,7 +198,7 @@
                     f'"{name}" has 1 to 100 letters, digits and _ . : -'
                 )
         for address in self.entries:
-            if check_address(address, 'entries') == 0:
+            if _setting_checks.check_address(address, 'entries') == 0:
                 raise ValueError('"entries" needs the real ports, not 0')
         if self.role == 'entry':
             self._check_entry()
@@ -219,7 +222,7 @@
             raise ValueError('an agent has no "store"')
         if not self.worker_url:
             raise ValueError('an agent needs "worker_url"')
-        check_url(self.worker_url, 'worker_url')
+        _setting_checks.check_url(self.worker_url, 'worker_url')
 
     def _require_addresses(self, *names: str) -> None:
         for name in names:
@@ -234,50 +237,3 @@
                 raise ValueError(
                     f'role "{self.role}" has no address for "{name}"'
                 )
-
-
-def check_address(address: str, name: str) -> int:
-    """Check an address of the form ``IP:PORT`` or ``[IPv6]:PORT``.
-
-    :param address: the address.
-    :param name: name of the setting, for the error.
-    :returns: the port.
-    :raises ValueError: if the form is wrong; host names are refused.
-    """
-    host, _, port = address.rpartition(':')
-    if not port.isascii() or not port.isdigit() or int(port) > MAX_PORT:
-        raise ValueError(
-            f'"{name}": {address!r} is not IP:PORT with a port up to '
-            f'{MAX_PORT}'
-        )
-    bare = host[1:-1] if host.startswith('[') else host
-    try:
-        version = ipaddress.ip_address(bare).version
-    except ValueError as exc:
-        raise ValueError(
-            f'"{name}": {address!r} is not IP:PORT; host names are not used'
-        ) from exc
-    if (version == 6) != host.startswith('['):
-        raise ValueError(f'"{name}": IPv6 is written as [IP]:PORT')
-    return int(port)
-
-
-def check_url(url: str, name: str) -> None:
-    """Check a URL of the form ``http://IP:PORT``.
-
-    :param url: the URL.
-    :param name: name of the setting, for the error.
-    :raises ValueError: if the form is wrong.
-    """
-    for scheme in _STORE_SCHEMES:
-        if url.startswith(scheme):
-            if check_address(url.removeprefix(scheme), name) == 0:
-                raise ValueError(f'"{name}" needs the real port, not 0')
-            return
-    raise ValueError(f'"{name}": {url!r} is not http://IP:PORT')
-
-
-def _check_above_zero(part: msgspec.Struct, *names: str) -> None:
-    for name in names:
-        if getattr(part, name) <= 0:
-            raise ValueError(f'"{name}" must be above zero')
--- a/citronrail/daemon/_settings_file.py
+++ b/citronrail/daemon/_settings_file.py
@@ -7,8 +7,8 @@
 
 import msgspec
 
-from citronrail import errors
 from citronrail.daemon import _process_settings
+from citronrail import errors
 
 MAX_FILE_BYTES = 1024 * 1024
 _STEP = 'settings.load'
@@ -101,9 +101,7 @@
     close = same or difflib.get_close_matches(name[:100], allowed, n=1)
     if not close:
         return ''
-    unit = next(
-        (_UNITS[end] for end in _UNITS if close[0].endswith(end)), ''
-    )
+    unit = next((_UNITS[end] for end in _UNITS if close[0].endswith(end)), '')
     return f'; did you mean `{close[0]}`{f" ({unit})" if unit else ""}?'
 
 
--- a/citronrail/language/_builder.py
+++ b/citronrail/language/_builder.py
@@ -23,10 +23,10 @@
     """Text with the right form but a wrong meaning.
 
     :param message: what is wrong.
-    :param token: where it stands.
+    :param token: where it stands; None for the start of the text.
     """
 
-    def __init__(self, message: str, token: lark.Token) -> None:
+    def __init__(self, message: str, token: lark.Token | None) -> None:
         super().__init__(message)
         self.message = message
         self.token = token
@@ -88,6 +88,15 @@
             raise Misplaced(f'"{words}" is missing', name.token)
 
 
+def _bounded(
+    condition: _nodes.Condition, token: lark.Token | None = None
+) -> _nodes.Condition:
+    """Refuse nesting on which recursive functions would fail."""
+    if _depth(condition) > MAX_CONDITION_DEPTH:
+        raise Misplaced('the condition is nested too deeply', token)
+    return condition
+
+
 def _depth(condition: _nodes.Condition) -> int:
     match condition:
         case _nodes.And(operands) | _nodes.Or(operands):
@@ -152,18 +161,16 @@
     def disjunction(self, children: Children) -> _nodes.Condition:
         if len(children) == 1:
             return typing.cast(_nodes.Condition, children[0])
-        return _nodes.Or(tuple(children))
+        return _bounded(_nodes.Or(tuple(children)))
 
     def conjunction(self, children: Children) -> _nodes.Condition:
         if len(children) == 1:
             return typing.cast(_nodes.Condition, children[0])
-        return _nodes.And(tuple(children))
+        return _bounded(_nodes.And(tuple(children)))
 
-    def negation(self, children: Children) -> _nodes.Not:
+    def negation(self, children: Children) -> _nodes.Condition:
         token, operand = children
-        if _depth(operand) >= MAX_CONDITION_DEPTH:
-            raise Misplaced('the condition is nested too deeply', token)
-        return _nodes.Not(operand)
+        return _bounded(_nodes.Not(operand), token)
 
     def comparison(self, children: Children) -> _nodes.Comparison:
         field, operator, value = children
--- a/citronrail/language/_changes.py
+++ b/citronrail/language/_changes.py
@@ -219,9 +219,7 @@
 ) -> settings_model.Settings:
     if settings.data_centre_in_service(name) == in_service:
         return settings
-    state = settings_model.DataCentreSettings(
-        in_service, settings.version + 1
-    )
+    state = settings_model.DataCentreSettings(in_service, settings.version + 1)
     data_centres = {**settings.data_centres, name: state}
     if len(data_centres) > _checks.MAX_DATA_CENTRES:
         raise _facts.refuse('too many data centres are named already')
@@ -278,9 +276,7 @@
                 f'A new team needs a quota'
             )
         if len(settings.teams) >= _checks.MAX_TEAMS:
-            raise _facts.refuse(
-                f'there are {_checks.MAX_TEAMS} teams already'
-            )
+            raise _facts.refuse(f'there are {_checks.MAX_TEAMS} teams already')
         old = settings_model.TeamSettings(command.quota)
     new = settings_model.TeamSettings(
         _given(command.quota, old.quota),
--- a/citronrail/language/_checks.py
+++ b/citronrail/language/_checks.py
@@ -25,7 +25,6 @@
 _NAME = re.compile(r'[A-Za-z0-9_][A-Za-z0-9_.:@-]*')
 
 
-
 def check_name(name: str, what: str) -> None:
     """Check that a new name is short and has usual characters only.
 
@@ -200,8 +199,7 @@
     if settings.teams[team].may_borrow:
         source = 'the quotas of all teams hold'
     raise _facts.refuse(
-        f'{what} would need {describe(amount)}, but {source} '
-        f'{describe(limit)}'
+        f'{what} would need {describe(amount)}, but {source} {describe(limit)}'
     )
 
 
--- a/citronrail/language/_parser.py
+++ b/citronrail/language/_parser.py
@@ -142,9 +142,9 @@
 def _misplaced(
     text: str, exc: _builder.Misplaced
 ) -> errors.CommandSyntaxError:
-    return _error(
-        text, exc.token.line or 1, exc.token.column or 1, exc.message
-    )
+    line = exc.token.line if exc.token else None
+    column = exc.token.column if exc.token else None
+    return _error(text, line or 1, column or 1, exc.message)
 
 
 def _error(
--- a/citronrail/model/ranges.py
+++ b/citronrail/model/ranges.py
@@ -17,6 +17,4 @@
     :returns: a number from 0 to ``RANGE_COUNT - 1``.
     """
     digest = hashlib.sha256(name.encode('utf-8', 'surrogatepass')).digest()
-    return identifiers.RangeId(
-        int.from_bytes(digest[:8], 'big') % RANGE_COUNT
-    )
+    return identifiers.RangeId(int.from_bytes(digest[:8], 'big') % RANGE_COUNT)
