--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -99,7 +99,9 @@
 
     ``slowdown`` is the measured time over the undisturbed time of the same
     work, at least 1.0. ``co_runners`` are the classes of the other tasks that
-    ran on the host when it was measured.
+    ran on the host when it was measured, ``co_runner_shares`` the share of
+    its processors that each of them was limited to (empty: none was
+    throttled), and ``host_load`` the share of the host's processors in use.
     """
 
     attempt: specs.AttemptId
@@ -108,6 +110,8 @@
     slowdown: float
     co_runners: tuple[identifiers.WorkClass, ...]
     measured_at: float  # on the sender's clock
+    co_runner_shares: tuple[float, ...] = ()
+    host_load: float = 0.5
 
 
 @_message
