--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -101,7 +101,9 @@
 
     ``slowdown`` is the measured time over the undisturbed time of the same
     work, at least 1.0. ``co_runners`` are the classes of the other tasks that
-    ran on the host when it was measured.
+    ran on the host when it was measured, ``co_runner_shares`` the share of
+    its processors that each of them was limited to (empty: none was
+    throttled), and ``host_load`` the share of the host's processors in use.
     """
 
     attempt: specs.AttemptId
@@ -110,6 +112,8 @@
     slowdown: float
     co_runners: tuple[identifiers.WorkClass, ...]
     measured_at: float  # on the sender's clock
+    co_runner_shares: tuple[float, ...] = ()
+    host_load: float = 0.5
 
 
 @_message
@@ -481,7 +485,12 @@
     """State of an idempotency or exclusive key.
 
     ``verdict`` is ``in progress``, ``done`` or ``unknown``. Ages count back
-    from the sending of the message; ``expires_in_s`` counts forward.
+    from the sending of the message; ``expires_in_s`` counts forward, as does
+    ``run_ends_in_s``, after which no granted run can be in progress. A record
+    of kind ``takeover`` passes on what the sender itself didn't know: keys
+    born before ``expires_in_s`` from the sending (mostly negative) may have
+    run unless there is a record of them, and exclusive keys may be held until
+    ``run_ends_in_s``.
     """
 
     key: str
@@ -493,6 +502,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b''
+    run_ends_in_s: float = 0.0
 
 
 @_message
@@ -530,8 +540,10 @@
 class ExtendOwnership:
     """Range owner to every other entry while it can't reach the store.
 
-    Asks the receiver to promise not to take the ranges over, and to help no
-    one else to, until ``promise_until``.
+    Asks the receiver not to take the ranges over, and to help no one else to,
+    for the fixed promise time from the receipt. The owner counts that time
+    from before it sent the message. A message received after
+    ``promise_until`` was held up and gets no promise.
     """
 
     seq: int
@@ -563,14 +575,17 @@
     """Entry to the one that wants a range.
 
     ``promised_until`` is the end of the receiver's last promise, on the
-    querying entry's clock; 0 if it gave none. ``still_owner`` is True when
-    the receiver itself owns the range.
+    querying entry's clock; 0 if it gave none. It is a lower bound, so the
+    querying entry waits ``promise_left_s`` from the receipt instead, which
+    counts from the sending. ``still_owner`` is True when the receiver itself
+    owns the range.
     """
 
     seq: int
     range_id: identifiers.RangeId
     promised_until: float
     still_owner: bool = False
+    promise_left_s: float = 0.0
 
 
 Cell = str | int | float | bool | None
