--- a/citronrail/scheduling/__init__.py
+++ b/citronrail/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from citronrail.scheduling._agent_loss import agent_tasks_ended_at
 from citronrail.scheduling._agent_loss import QuietSpan
 from citronrail.scheduling._context import Limits
+from citronrail.scheduling._fleet_view import FleetView
 from citronrail.scheduling._job_scheduler import CancelResult
 from citronrail.scheduling._job_scheduler import JobScheduler
 from citronrail.scheduling._least_loaded import default_policies
@@ -16,6 +17,7 @@
 
 __all__ = [
     'CancelResult',
+    'FleetView',
     'JobRow',
     'JobScheduler',
     'LeastLoadedPlacement',
--- /dev/null
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -0,0 +1,404 @@
+"""Entries, agents and workers in one process, with faults at the ports."""
+
+import dataclasses
+import random
+
+import trio
+
+from citronrail import coordination
+from citronrail import ports
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import resources
+from citronrail.model import settings as settings_model
+from citronrail.model import specs
+from citronrail.model import views
+from citronrail import scheduling
+from standins import key_value
+from standins import memory_peers
+from standins import worker as worker_standin
+
+CAPACITY = resources.Resources(4000, 8000, 0)
+DATA_CENTRES = ('Leicester', 'Birmingham', 'Wolverhampton')
+ACK_S = 1.0
+SHARD = identifiers.RangeId(0)
+
+
+class Permits:
+    """What an agent was told; set by the simulated entries."""
+
+    def __init__(self) -> None:
+        self.settings = settings_model.Settings()
+        self.permit_until = 0.0
+        self.last_ack_at = float('-inf')
+        self.owner: identifiers.NodeId | None = None
+
+    def owner_of(self, range_id):
+        return self.owner
+
+
+@dataclasses.dataclass
+class Agent:
+    """A host: its agent process may restart, its worker goes on."""
+
+    name: str
+    data_centre: str
+    worker: worker_standin.MemoryWorker
+    permits: Permits
+    hub: memory_peers.MemoryHub | None = None
+    runner: scheduling.TaskRunner | None = None
+    ledger: coordination.CapacityLedger | None = None
+    scope: trio.CancelScope | None = None
+    boots: int = 0
+    cut_off: bool = False
+
+
+@dataclasses.dataclass
+class Entry:
+    """An entry process with its scheduler."""
+
+    name: str
+    hub: memory_peers.MemoryHub
+    scheduler: scheduling.JobScheduler
+    scope: trio.CancelScope
+    fencing: int = 0
+    lease_until: float = 0.0
+    frozen: bool = False
+    last_acks: dict[str, float] = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True)
+class Owned:
+    """Stands for :class:`citronrail.coordination.OwnedRange`."""
+
+    range_id: identifiers.RangeId
+    fencing: identifiers.FencingToken
+    deadline: float
+    commits_allowed: bool
+    guard: ports.Compare
+
+
+class EntryPorts:
+    """Settings, agents and ranges as one entry sees them."""
+
+    def __init__(self, cluster, name: str) -> None:
+        self._cluster = cluster
+        self._name = name
+
+    @property
+    def settings(self):
+        return self._cluster.settings
+
+    @property
+    def fresh_at(self):
+        entry = self._cluster.entries[self._name]
+        if entry.frozen or self._cluster.store.faults.outage:
+            return float('-inf')
+        return trio.current_time()
+
+    def agents(self):
+        found = []
+        for agent in self._cluster.agents.values():
+            view = self._cluster.views.get(agent.name)
+            if view is not None:
+                found.append(view)
+        return tuple(found)
+
+    def quiet_spans(self, node_id):
+        now = trio.current_time()
+        last = max(
+            (
+                entry.last_acks.get(node_id, 0.0)
+                for entry in self._cluster.entries.values()
+            ),
+            default=0.0,
+        )
+        return (scheduling.QuietSpan(last, now),)
+
+    def find(self, range_id):
+        entry = self._cluster.entries.get(self._name)
+        now = trio.current_time()
+        if entry is None or entry.lease_until <= now or not entry.fencing:
+            return None
+        return Owned(
+            SHARD,
+            identifiers.FencingToken(entry.fencing),
+            entry.lease_until,
+            True,
+            self._cluster.guards[entry.fencing],
+        )
+
+
+class Cluster:
+    """Runs entries, agents and workers on a shared in-memory store.
+
+    Only range 0 is used; every job belongs to it.
+    """
+
+    def __init__(self, nursery, seed: int = 1, agents: int = 3) -> None:
+        self.nursery = nursery
+        self.rng = random.Random(seed)
+        self.store = key_value.MemoryStore()
+        self.network = memory_peers.MemoryNetwork(self.rng)
+        self.checkpoints = worker_standin.MemoryCheckpoints()
+        self.settings = settings_model.Settings(version=1)
+        self.entries: dict[str, Entry] = {}
+        self.agents: dict[str, Agent] = {}
+        self.views: dict[str, views.AgentView] = {}
+        self.guards: dict[int, ports.Compare] = {}
+        self.fencing = 0
+        self.policies = scheduling.default_policies
+        self.limits = scheduling.Limits(replica_ready_s=3.0)
+        self.agent_count = agents
+
+    async def start(self) -> None:
+        """Start the network, the agents and the loops between them."""
+        await self.nursery.start(self.network.run)
+        for number in range(self.agent_count):
+            await self.add_agent(f'agent{number}', number)
+        self.nursery.start_soon(self._heartbeat_loop)
+        self.nursery.start_soon(self._lease_loop)
+
+    async def add_agent(self, name: str, number: int) -> Agent:
+        cfg = worker_standin.WorkerSettings(
+            capacity=CAPACITY,
+            switches=worker_standin.Switches(admit_over_capacity=True),
+        )
+        agent = Agent(
+            name,
+            DATA_CENTRES[number % len(DATA_CENTRES)],
+            worker_standin.MemoryWorker(
+                cfg, identifiers.BootId(f'w{number}'), self.checkpoints
+            ),
+            Permits(),
+        )
+        self.agents[name] = agent
+        await self.boot_agent(agent)
+        return agent
+
+    async def boot_agent(self, agent: Agent) -> None:
+        """Start or restart the agent process beside its worker."""
+        self.kill_agent(agent)
+        agent.boots += 1
+        agent.permits = Permits()
+        agent.hub = memory_peers.MemoryHub(
+            self.network,
+            ports.Peer(
+                identifiers.NodeId(agent.name),
+                identifiers.BootId(f'{agent.name}-{agent.boots}'),
+                'agent',
+                identifiers.DataCentreName(agent.data_centre),
+                capacity=CAPACITY,
+            ),
+        )
+        agent.ledger = coordination.CapacityLedger(CAPACITY)
+        agent.runner = scheduling.TaskRunner(
+            agent.hub,
+            agent.worker,
+            agent.ledger,
+            agent.permits,
+            identifiers.DataCentreName(agent.data_centre),
+        )
+        agent.scope = trio.CancelScope()
+        self.nursery.start_soon(self._run_in, agent.scope, agent.runner.run)
+
+    def kill_agent(self, agent: Agent) -> None:
+        if agent.scope is not None:
+            agent.scope.cancel()
+            self.network.remove(agent.hub)
+            agent.scope = None
+
+    async def _run_in(self, scope, run) -> None:
+        with scope:
+            await run()
+
+    async def add_entry(self, name: str, own: bool = True) -> Entry:
+        """Start an entry; with ``own`` it takes over the shard."""
+        hub = memory_peers.MemoryHub(
+            self.network,
+            ports.Peer(
+                identifiers.NodeId(name),
+                identifiers.BootId(f'{name}-{self.rng.random()}'),
+                'entry',
+                identifiers.DataCentreName(DATA_CENTRES[0]),
+            ),
+        )
+        view = EntryPorts(self, name)
+        rng = random.Random(self.rng.random())
+
+        def make_document(owned):
+            return coordination.GroupCommitDocument(
+                self.store,
+                f'/citronrail/shards/{owned.range_id}',
+                scheduling.ShardState(),
+                coordination.CommitScope(
+                    owned.guard,
+                    owned.fencing,
+                    lambda: (
+                        (found := view.find(SHARD)) is not None
+                        and found.fencing == owned.fencing
+                    ),
+                ),
+                rng,
+            )
+
+        scheduler = scheduling.JobScheduler(
+            hub,
+            view,
+            view,
+            view,
+            make_document,
+            self.policies(),
+            lambda name: SHARD,
+            rng,
+            wall_clock=lambda: 1_000_000.0 + trio.current_time(),
+            limits=self.limits,
+        )
+        entry = Entry(name, hub, scheduler, trio.CancelScope())
+        self.entries[name] = entry
+        self.nursery.start_soon(self._run_in, entry.scope, scheduler.run)
+        await trio.sleep(0.01)
+        if own:
+            await self.take_over(entry)
+        return entry
+
+    async def take_over(self, entry: Entry) -> None:
+        """Give the shard to an entry, as range ownership does."""
+        self.fencing += 1
+        key = '/citronrail/ranges/0'
+        while True:
+            try:
+                await self.store.txn(
+                    [], [ports.Put(key, str(self.fencing).encode())]
+                )
+                item = await self.store.get(key)
+                break
+            except Exception:  # noqa: BLE001 - store faults of the test
+                await trio.sleep(0.2)
+        self.guards[self.fencing] = ports.Compare(key, item.revision)
+        entry.fencing = self.fencing
+        entry.lease_until = trio.current_time() + 5.0
+        await entry.scheduler.acquired(
+            EntryPorts(self, entry.name).find(SHARD)
+        )
+
+    def kill_entry(self, name: str) -> None:
+        entry = self.entries.pop(name)
+        entry.scope.cancel()
+        self.network.remove(entry.hub)
+
+    @property
+    def owner(self) -> Entry | None:
+        now = trio.current_time()
+        for entry in self.entries.values():
+            if entry.fencing == self.fencing and entry.lease_until > now:
+                return entry
+        return None
+
+    async def _lease_loop(self) -> None:
+        """Renew the lease of the owner; another takes over when it ends."""
+        while True:
+            await trio.sleep(0.5)
+            now = trio.current_time()
+            if self.store.faults.outage:
+                continue
+            owner = self.owner
+            if owner is not None:
+                if not owner.frozen:
+                    owner.lease_until = now + 5.0
+                continue
+            for entry in self.entries.values():
+                held = max(
+                    (e.lease_until for e in self.entries.values()),
+                    default=0.0,
+                )
+                if not entry.frozen and held + 2.0 < now:
+                    await self.take_over(entry)
+                    break
+
+    async def _heartbeat_loop(self) -> None:
+        """Let entries acknowledge agents each second, with permits."""
+        while True:
+            for agent in self.agents.values():
+                if agent.scope is None or agent.cut_off:
+                    continue
+                self._acknowledge(agent)
+            await trio.sleep(ACK_S)
+
+    def _acknowledge(self, agent: Agent) -> None:
+        now = trio.current_time()
+        for entry in self.entries.values():
+            if entry.frozen:
+                continue
+            entry.last_acks[agent.name] = now
+            agent.permits.last_ack_at = now
+            if not self.store.faults.outage:
+                agent.permits.permit_until = now + 2.5
+                agent.permits.settings = self.settings
+        agent.permits.owner = (
+            identifiers.NodeId(self.owner.name) if self.owner else None
+        )
+        self.views[agent.name] = views.AgentView(
+            identifiers.NodeId(agent.name),
+            agent.hub.boot_id,
+            identifiers.DataCentreName(agent.data_centre),
+            agent.name,
+            CAPACITY,
+            agent.ledger.free,
+            messages.AgentLoad(),
+            (),
+            now,
+            ready=agent.runner.ready,
+        )
+
+    def hello(self, agent: Agent, entry: Entry) -> None:
+        """Let an agent introduce itself, as after a reconnection."""
+        hello = messages.Hello(
+            identifiers.NodeId(agent.name),
+            agent.hub.boot_id,
+            'agent',
+            trio.current_time(),
+            identifiers.DataCentreName(agent.data_centre),
+            tasks=agent.runner.running_tasks(),
+        )
+        self.network.post(agent.hub, entry.name, messages.pack(hello), b'')
+
+    def set_data_centre(self, name: str, in_service: bool) -> None:
+        self.settings = dataclasses.replace(
+            self.settings,
+            version=self.settings.version + 1,
+            data_centres={
+                **self.settings.data_centres,
+                name: settings_model.DataCentreSettings(in_service),
+            },
+        )
+
+    def set_service(self, spec: specs.ServiceSpec) -> None:
+        self.settings = dataclasses.replace(
+            self.settings,
+            version=self.settings.version + 1,
+            services={**self.settings.services, spec.name: spec},
+        )
+
+    # Facts of the workers, which don't trust citronrail
+
+    def history(self) -> list[worker_standin.HistoryRecord]:
+        """Return all starts and ends in order of time."""
+        records = []
+        for agent in self.agents.values():
+            agent.worker.core.advance()
+            records.extend(agent.worker.core.history)
+        return sorted(records, key=lambda record: record.at)
+
+
+def job(name: str = 'rota', tasks: int = 3, **fields) -> specs.JobSpec:
+    """Return a small job."""
+    return specs.JobSpec(
+        identifiers.JobId(name),
+        identifiers.TeamName(fields.pop('team', 'harrowfield')),
+        identifiers.WorkClass(fields.pop('work_class', 'batch')),
+        tasks,
+        fields.pop('size', resources.Resources(1000, 1000)),
+        declared_run_s=fields.pop('run_s', 5.0),
+        **fields,
+    )
