--- a/citronrail/scheduling/tests/_cluster.py
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -6,13 +6,13 @@
 import trio
 
 from citronrail import coordination
-from citronrail import ports
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import resources
 from citronrail.model import settings as settings_model
 from citronrail.model import specs
 from citronrail.model import views
+from citronrail import ports
 from citronrail import scheduling
 from standins import key_value
 from standins import memory_peers
