Guard the job shard by property-based tests; never reuse replica indexes

The walk found that a service scaled to zero and up again reused replica 0 with attempt 1, which agents refuse as seen. Indexes now come from a counter of the shard.

--- a/citronrail/scheduling/_replica_changes.py
+++ b/citronrail/scheduling/_replica_changes.py
@@ -46,8 +46,11 @@
         )
     target = structs.replace(group, service=spec)
     members = _members(target)
+    next_replica = state.next_replica
     if len(members) < wanted:
-        target = _add(target, wanted - len(members))
+        added = range(next_replica, next_replica + wanted - len(members))
+        next_replica = added.stop
+        target = _add(target, added)
     elif len(members) > wanted:
         target = _remove(target, members[wanted:], now)
     if not target.live and not target.waiting and wanted == 0:
@@ -55,7 +58,9 @@
         return structs.replace(state, groups=groups)
     if target == state.groups.get(owner):
         return state
-    return _job_changes.put_group(state, target)
+    return structs.replace(
+        _job_changes.put_group(state, target), next_replica=next_replica
+    )
 
 
 def _members(group: _shard_state.Group) -> list[int]:
@@ -73,14 +78,12 @@
     return live + waiting
 
 
-def _add(group: _shard_state.Group, count: int) -> _shard_state.Group:
-    new = range(group.next_index, group.next_index + count)
+def _add(group: _shard_state.Group, added: range) -> _shard_state.Group:
     return structs.replace(
         group,
-        next_index=group.next_index + count,
         waiting={
             **group.waiting,
-            **{index: _shard_state.Waiting(index, 0) for index in new},
+            **{index: _shard_state.Waiting(index, 0) for index in added},
         },
     )
 
@@ -128,17 +131,16 @@
         return state
     if _attempt_changes.replacement_of(group, index) is not None:
         return state
-    new = group.next_index
+    new = state.next_replica
     entry = _shard_state.Waiting(new, 0, avoid=(live.node,), replaces=index)
     marked = structs.replace(live, reason=_shard_state.cut(reason))
-    return _job_changes.put_group(
-        state,
-        structs.replace(
-            group,
-            next_index=new + 1,
-            waiting={**group.waiting, new: entry},
-            live={**group.live, index: marked},
-        ),
+    changed = structs.replace(
+        group,
+        waiting={**group.waiting, new: entry},
+        live={**group.live, index: marked},
+    )
+    return structs.replace(
+        _job_changes.put_group(state, changed), next_replica=new + 1
     )
 
 
--- a/citronrail/scheduling/_shard_state.py
+++ b/citronrail/scheduling/_shard_state.py
@@ -117,7 +117,6 @@
     parked: _index_runs.Runs = ()
     parked_numbers: dict[int, int] = {}
     failed_on: tuple[identifiers.NodeId, ...] = ()
-    next_index: int = 0
     failures: int = 0
     results: tuple[Result, ...] = ()
 
@@ -172,7 +171,11 @@
 
 
 class ShardState(msgspec.Struct, frozen=True, array_like=True):
-    """Everything that must survive an owner of the shard."""
+    """Everything that must survive an owner of the shard.
+
+    ``next_replica`` is the next index of a replica of any service; indexes
+    are not used again, even after a service was removed.
+    """
 
     format: int = FORMAT
     groups: dict[str, Group] = {}
@@ -180,6 +183,7 @@
     commands: tuple[ShardCommand, ...] = ()
     finished_total: int = 0
     refused_reports: int = 0
+    next_replica: int = 0
 
 
 _ENCODER = msgspec.msgpack.Encoder()
--- /dev/null
+++ b/citronrail/scheduling/tests/test_shard_state.py
@@ -0,0 +1,374 @@
+"""Guards what must always hold in a job shard."""
+
+import random
+import time
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import resources
+from citronrail.model import specs
+from citronrail.scheduling import _attempt_changes as attempts
+from citronrail.scheduling import _batch
+from citronrail.scheduling import _followup
+from citronrail.scheduling import _index_runs as runs
+from citronrail.scheduling import _job_changes as jobs
+from citronrail.scheduling import _replica_changes as replicas
+from citronrail.scheduling import _shard_state as shards
+from citronrail.scheduling.tests import _cluster
+
+NODES = tuple(identifiers.NodeId(f'node{n}') for n in range(4))
+ENDS = ('refused', 'finished', 'failed', 'stopped', 'checkpointed', 'lost')
+
+
+def _service(replicas_wanted=2, **fields):
+    return specs.ServiceSpec(
+        identifiers.ServiceName('seats'),
+        identifiers.TeamName('cantabrico'),
+        identifiers.WorkClass('seats'),
+        replicas_wanted,
+        resources.Resources(500, 500),
+        **fields,
+    )
+
+
+class _Walk:
+    """A random walk over the changes that remembers every attempt."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.now = 0.0
+        self.state = shards.ShardState()
+        self.numbers = {}
+        self.finished = set()
+        self.tokens = {}
+        self.resumed = {}
+
+    def step(self):
+        """Apply one random change."""
+        self.now += self.rng.random() * 5.0
+        choice = self.rng.choice(
+            (
+                self.submit,
+                self.assign,
+                self.assign,
+                self.assign,
+                self.confirm,
+                self.confirm,
+                self.end,
+                self.end,
+                self.end,
+                self.stale_end,
+                self.move,
+                self.cancel,
+                self.services,
+                self.replace,
+                self.resume,
+            )
+        )
+        choice()
+        self.state = jobs.retire_jobs(self.state, self.now)
+        self.check()
+
+    def submit(self):
+        if len(self.state.groups) > 3:
+            return
+        number = self.rng.randrange(10**9)
+        spec = _cluster.job(
+            f'job{number}',
+            self.rng.randint(1, 6),
+            exclusive=self.rng.random() < 0.3,
+        )
+        for _ in range(self.rng.randint(1, 2)):
+            self.state = jobs.submit_job(
+                self.state, spec, f'c{number}', self.now
+            )
+
+    def live(self):
+        return list(_followup.live_attempts(self.state))
+
+    def assign(self):
+        wanted = [
+            attempts.Assignment(
+                specs.TaskId(owner, self.rng.randint(0, 6)),
+                self.rng.choice(NODES),
+            )
+            for owner in self.state.groups
+            for _ in range(3)
+        ]
+        before = {attempt for attempt, _ in self.live()}
+        self.state = attempts.assign(self.state, wanted, self.now)
+        for attempt, live in self.live():
+            if attempt in before:
+                continue
+            last = self.numbers.get(attempt.task, 0)
+            assert attempt.number > last, 'attempt numbers only go up'
+            self.numbers[attempt.task] = attempt.number
+            assert attempt.task not in self.finished, 'finished work runs on'
+            if live.checkpoint:
+                key = (attempt.task, live.checkpoint)
+                assert self.tokens[attempt.task] == live.checkpoint
+                self.resumed[key] = self.resumed.get(key, 0) + 1
+
+    def pick(self):
+        found = self.live()
+        return self.rng.choice(found) if found else (None, None)
+
+    def confirm(self):
+        attempt, _ = self.pick()
+        if attempt:
+            self.state = attempts.confirm_started(
+                self.state, attempt, self.now
+            )
+
+    def end(self):
+        attempt, live = self.pick()
+        if not attempt:
+            return
+        how = self.rng.choice(ENDS)
+        token = f'{attempt}' if how == 'checkpointed' else ''
+        group = self.state.groups[attempt.task.owner]
+        if how == 'finished' and group.job:
+            self.finished.add(attempt.task)
+        if token:
+            self.tokens[attempt.task] = token
+        self.state = attempts.end_attempt(
+            self.state,
+            attempts.AttemptEnd(
+                attempt, how, checkpoint=token, healthy=self.rng.random() < 0.7
+            ),
+            self.now,
+        )
+        assert attempts.find_live(self.state, attempt) is None
+        del live
+
+    def stale_end(self):
+        attempt, _ = self.pick()
+        if not attempt:
+            return
+        old = specs.AttemptId(attempt.task, attempt.number - 1)
+        before = self.state.groups
+        self.state = attempts.end_attempt(
+            self.state, attempts.AttemptEnd(old, 'finished'), self.now
+        )
+        assert self.state.groups == before, 'an older attempt was believed'
+
+    def move(self):
+        attempt, _ = self.pick()
+        if attempt:
+            self.state = attempts.move_attempts(
+                self.state, (attempt,), 'evicted', self.now
+            )
+
+    def cancel(self):
+        if self.rng.random() < 0.8 or not self.state.groups:
+            return
+        owner = self.rng.choice(list(self.state.groups))
+        command = f'x{self.rng.randrange(10**9)}'
+        for _ in range(2):
+            self.state = jobs.cancel_jobs(
+                self.state,
+                lambda job: job.job_id == owner,
+                command,
+                'cancelled',
+                self.now,
+            )
+
+    def services(self):
+        self.state = replicas.adjust_service(
+            self.state, _service(), self.rng.randint(0, 3), self.now
+        )
+
+    def replace(self):
+        attempt, _ = self.pick()
+        if not attempt or not attempt.task.owner.startswith('service:'):
+            return
+        owner = attempt.task.owner
+        self.state = replicas.replace_replica(
+            self.state, owner, attempt.task.index, 'moved'
+        )
+        self.state = replicas.retire_replaced(
+            self.state, owner, attempt.task.index, self.now
+        )
+
+    def resume(self):
+        for owner, group in self.state.groups.items():
+            if group.phase is shards.Phase.PARKED:
+                self.state = jobs.resume_job(self.state, owner)
+                return
+
+    def check(self):
+        """Check what must hold after every change."""
+        assert shards.decode(shards.encode(self.state)) == self.state
+        for group in self.state.groups.values():
+            if group.job is None:
+                continue
+            places = [
+                *runs.indexes(group.pending),
+                *group.waiting,
+                *group.live,
+                *runs.indexes(group.finished),
+                *runs.indexes(group.cancelled),
+                *runs.indexes(group.parked),
+            ]
+            assert sorted(places) == list(range(group.job.task_count))
+            assert not group.job.exclusive or len(group.live) <= 1
+        for job in self.state.ended:
+            assert job.finished + job.cancelled > 0
+            done = sum(1 for t in self.finished if t.owner == job.job_id)
+            assert job.finished == done
+
+
+@hypothesis.given(st.integers(0, 2**32))
+@hypothesis.settings(max_examples=120)
+def test_every_task_is_in_exactly_one_place(seed):
+    """Guards against tasks lost or doubled by any order of changes."""
+    walk = _Walk(random.Random(seed))
+    for _ in range(120):
+        walk.step()
+
+
+@hypothesis.given(
+    st.sets(st.integers(0, 40)), st.sets(st.integers(0, 40)), st.data()
+)
+def test_runs_behave_like_sets(first, second, data):
+    """Guards against indexes lost when runs are split or joined."""
+    left = runs.union((), ((i, i + 1) for i in first))
+    right = runs.union((), ((i, i + 1) for i in second))
+    assert set(runs.indexes(runs.union(left, right))) == first | second
+    assert set(runs.indexes(runs.difference(left, second))) == first - second
+    index = data.draw(st.integers(0, 41))
+    assert runs.contains(left, index) == (index in first)
+    assert runs.size(left) == len(first)
+    assert list(runs.take(left, 5)) == sorted(first)[:5]
+    assert all(a[1] < b[0] for a, b in zip(left, left[1:]))
+
+
+def _big_shard():
+    """Return a shard of the target size: 1,750 running, 15,000 pending."""
+    state = shards.ShardState()
+    for number in range(60):
+        spec = _cluster.job(
+            f'nightly-capacity-plan-{number}', 300, argument='x' * 200
+        )
+        state = jobs.submit_job(state, spec, f'command-{number}', 1.0)
+    for number in range(60):
+        wanted = [
+            attempts.Assignment(
+                specs.TaskId(f'nightly-capacity-plan-{number}', index),
+                identifiers.NodeId(f'wolverhampton-rack7-host{index}'),
+            )
+            for index in range(30)
+        ]
+        state = attempts.assign(state, wanted, 1_700_000_000.5)
+    return state
+
+
+def test_target_size_fits_the_store():
+    """Guards the 1 MB limit of the store at the target size."""
+    state = _big_shard()
+    assert shards.live_count(state) >= 1_750
+    assert len(shards.encode(state)) < 400_000
+
+
+def test_thousands_are_cancelled_in_one_change():
+    """Guards against one record or one change for each cancelled task."""
+    state = _big_shard()
+    begun = time.perf_counter()
+    changed = jobs.cancel_jobs(state, lambda job: True, 'c', 'burst', 2.0)
+    assert time.perf_counter() - begun < 5.0
+    assert jobs.affected_by(changed, 'c') == 18_000
+    assert shards.live_count(changed) == 1_800
+    assert len(shards.encode(changed)) < len(shards.encode(state)) * 1.2
+
+
+def test_task_that_fails_everywhere_is_parked_with_its_job():
+    """Guards against a job that fails for ever on healthy workers."""
+    state = jobs.submit_job(
+        shards.ShardState(), _cluster.job(tasks=1), 'c', 0.0
+    )
+    for number, node in enumerate(NODES[:3], 1):
+        task = specs.TaskId('rota', 0)
+        state = attempts.assign(
+            state, [attempts.Assignment(task, node)], float(number)
+        )
+        end = attempts.AttemptEnd(specs.AttemptId(task, number), 'failed')
+        state = _batch.Batch(ended=(end,)).apply(state, float(number))
+    group = state.groups['rota']
+    assert group.phase is shards.Phase.PARKED
+    assert 'failed on 3 workers' in group.reason
+    resumed = jobs.resume_job(state, 'rota').groups['rota']
+    assert resumed.waiting[0].number == 3
+
+
+def test_failures_on_a_sick_worker_do_not_park():
+    """Guards against good jobs parked by a worker that fails everything."""
+    state = jobs.submit_job(
+        shards.ShardState(), _cluster.job(tasks=1), 'c', 0.0
+    )
+    task = specs.TaskId('rota', 0)
+    for number in range(1, 30):
+        state = attempts.assign(
+            state, [attempts.Assignment(task, NODES[0])], float(number)
+        )
+        end = attempts.AttemptEnd(
+            specs.AttemptId(task, number), 'failed', healthy=False
+        )
+        state = attempts.end_attempt(state, end, float(number))
+    assert state.groups['rota'].phase is shards.Phase.ACTIVE
+
+
+def test_replica_stops_only_after_its_replacement_runs():
+    """Guards against a service that stops answering during a move."""
+    state = replicas.adjust_service(shards.ShardState(), _service(1), 1, 0.0)
+    owner = 'service:seats'
+
+    def run(state, index, number=1):
+        task = specs.TaskId(owner, index)
+        state = attempts.assign(
+            state, [attempts.Assignment(task, NODES[index])], 1.0
+        )
+        return attempts.confirm_started(
+            state, specs.AttemptId(task, number), 1.0
+        )
+
+    state = run(state, 0)
+    for _ in range(2):
+        state = replicas.replace_replica(state, owner, 0, 'drained')
+    state = replicas.adjust_service(state, _service(1), 1, 2.0)
+    group = state.groups[owner]
+    assert list(group.waiting) == [1]
+    assert group.live[0].state is shards.LiveState.RUNNING
+    state = replicas.retire_replaced(state, owner, 1, 2.0)
+    assert state.groups[owner].live[0].state is shards.LiveState.RUNNING
+    state = replicas.retire_replaced(run(state, 1), owner, 1, 3.0)
+    group = state.groups[owner]
+    assert group.live[0].state is shards.LiveState.STOPPING
+    assert group.live[1].state is shards.LiveState.RUNNING
+    assert replicas.adjust_service(state, _service(1), 1, 4.0) is state
+
+
+@pytest.mark.parametrize(
+    'spec',
+    [
+        _cluster.job(tasks=0),
+        _cluster.job('service:seats'),
+        _cluster.job(argument='x' * 5000),
+        _cluster.job(size=resources.Resources(-1, 0)),
+    ],
+)
+def test_malformed_jobs_are_refused(spec):
+    """Guards the shard against jobs that it can't hold or run."""
+    with pytest.raises(errors.CommandRefused):
+        jobs.submit_job(shards.ShardState(), spec, 'c', 0.0)
+
+
+def test_job_id_is_taken_once():
+    """Guards against a second job of the same name by another command."""
+    state = jobs.submit_job(shards.ShardState(), _cluster.job(), 'c1', 0.0)
+    assert jobs.submit_job(state, _cluster.job(), 'c1', 1.0) is state
+    with pytest.raises(errors.CommandRefused):
+        jobs.submit_job(state, _cluster.job(), 'c2', 1.0)
