--- a/citronrail/scheduling/tests/_cluster.py
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -24,6 +24,41 @@
 SHARD = identifiers.RangeId(0)
 
 
+class FreezableHub(memory_peers.MemoryHub):
+    """A hub of a process that can be stopped and continued.
+
+    What the process was about to send while stopped leaves after it
+    continued, unchanged.
+    """
+
+    stopped = False
+
+    async def send(self, peer, message, payload=None):
+        while self.stopped:
+            await trio.sleep(0.05)
+        await super().send(peer, message, payload)
+
+
+class FreezableStore:
+    """The store as one process reaches it."""
+
+    def __init__(self, store) -> None:
+        self._store = store
+        self.stopped = False
+
+    async def get(self, key):
+        await self._wait()
+        return await self._store.get(key)
+
+    async def txn(self, compares, writes):
+        await self._wait()
+        return await self._store.txn(compares, writes)
+
+    async def _wait(self):
+        while self.stopped:
+            await trio.sleep(0.05)
+
+
 class Permits:
     """What an agent was told; set by the simulated entries."""
 
@@ -58,7 +93,8 @@
     """An entry process with its scheduler."""
 
     name: str
-    hub: memory_peers.MemoryHub
+    hub: FreezableHub
+    store: FreezableStore
     scheduler: scheduling.JobScheduler
     scope: trio.CancelScope
     fencing: int = 0
@@ -150,6 +186,7 @@
         self.policies = scheduling.default_policies
         self.limits = scheduling.Limits(replica_ready_s=3.0)
         self.agent_count = agents
+        self.exclusive_jobs: set[str] = set()
 
     async def start(self) -> None:
         """Start the network, the agents and the loops between them."""
@@ -214,7 +251,8 @@
 
     async def add_entry(self, name: str, own: bool = True) -> Entry:
         """Start an entry; with ``own`` it takes over the shard."""
-        hub = memory_peers.MemoryHub(
+        store = FreezableStore(self.store)
+        hub = FreezableHub(
             self.network,
             ports.Peer(
                 identifiers.NodeId(name),
@@ -228,7 +266,7 @@
 
         def make_document(owned):
             return coordination.GroupCommitDocument(
-                self.store,
+                store,
                 f'/citronrail/shards/{owned.range_id}',
                 scheduling.ShardState(),
                 coordination.CommitScope(
@@ -254,7 +292,7 @@
             wall_clock=lambda: 1_000_000.0 + trio.current_time(),
             limits=self.limits,
         )
-        entry = Entry(name, hub, scheduler, trio.CancelScope())
+        entry = Entry(name, hub, store, scheduler, trio.CancelScope())
         self.entries[name] = entry
         self.nursery.start_soon(self._run_in, entry.scope, scheduler.run)
         await trio.sleep(0.01)
@@ -282,6 +320,45 @@
             EntryPorts(self, entry.name).find(SHARD)
         )
 
+    async def freeze_entry(self, entry: Entry, seconds: float) -> None:
+        """Stop an entry process for a while."""
+        entry.frozen = entry.hub.stopped = entry.store.stopped = True
+        entry.hub.freeze()
+        await trio.sleep(seconds)
+        entry.frozen = entry.hub.stopped = entry.store.stopped = False
+        await entry.hub.thaw()
+
+    async def cut_agent(self, agent: Agent, seconds: float) -> None:
+        """Cut an agent off from all entries for a while."""
+        self._cut(agent, True)
+        await trio.sleep(seconds)
+        self._cut(agent, False)
+        for entry in self.entries.values():
+            self.hello(agent, entry)
+
+    def _cut(self, agent: Agent, cut: bool) -> None:
+        agent.cut_off = cut
+        for name in ('entry1', 'entry2', 'entry3'):
+            self.network.faults(agent.name, name).cut = cut
+            self.network.faults(name, agent.name).cut = cut
+
+    async def restart_agent(self, agent: Agent) -> None:
+        """Restart an agent process; its worker goes on."""
+        await self.boot_agent(agent)
+        while not agent.runner.ready:
+            await trio.sleep(0.1)
+        for entry in self.entries.values():
+            self.hello(agent, entry)
+
+    def trouble_network(self, **faults) -> None:
+        """Set delays, drops and doubles on all links."""
+        for entry in ('entry1', 'entry2', 'entry3'):
+            for agent in self.agents:
+                for pair in ((entry, agent), (agent, entry)):
+                    link = self.network.faults(*pair)
+                    for name, value in faults.items():
+                        setattr(link, name, value)
+
     def kill_entry(self, name: str) -> None:
         entry = self.entries.pop(name)
         entry.scope.cancel()
