Show for each mechanism which promise breaks without it

Ten mechanisms, each with and without: the ledger, its rebuild, the agent loss time, lease renewal, commit before start, refusal of doubled starts, permits, checkpoints, replacement before stop, refusal of old reports.

--- a/citronrail/scheduling/_attempt_changes.py
+++ b/citronrail/scheduling/_attempt_changes.py
@@ -228,7 +228,7 @@
         group = _failed(group, index, live, end, now)
     else:
         group = _requeue(group, _next_try(index, live, end, now))
-    return _job_changes.retire_jobs(_job_changes.put_group(state, group), now)
+    return _job_changes.put_group(state, group)
 
 
 def _finished(
--- /dev/null
+++ b/citronrail/scheduling/tests/test_mechanisms.py
@@ -0,0 +1,359 @@
+"""Shows for each mechanism which promise breaks without it.
+
+Each scenario runs twice: with the mechanism the promise holds, without it
+the same scenario breaks the promise.
+"""
+
+import collections
+import dataclasses
+import math
+
+import pytest
+import trio
+
+from citronrail import coordination
+from citronrail.model import identifiers
+from citronrail.model import resources
+from citronrail.model import specs
+from citronrail.scheduling import _agent_loss
+from citronrail.scheduling import _attempt_changes
+from citronrail.scheduling import _moves
+from citronrail.scheduling import _start_guard
+from citronrail.scheduling import _task_runner
+from citronrail.scheduling.tests import _cluster
+from citronrail.scheduling.tests import _facts
+
+BOTH = pytest.mark.parametrize('kept', [True, False], ids=['kept', 'naive'])
+
+
+async def _run(scenario, agents=3, entries=1, prepare=None):
+    """Run a scenario in a cluster and return the cluster."""
+    async with trio.open_nursery() as nursery:
+        cluster = _cluster.Cluster(nursery, agents=agents)
+        if prepare is not None:
+            prepare(cluster)
+        await cluster.start()
+        for number in range(1, entries + 1):
+            await cluster.add_entry(f'entry{number}', own=number == 1)
+        await trio.sleep(4.0)
+        await scenario(cluster)
+        cluster.history()
+        nursery.cancel_scope.cancel()
+    return cluster
+
+
+def _doubled(cluster):
+    return _facts.overlaps(cluster.history(), lambda attempt: attempt.task)
+
+
+@BOTH
+async def test_ledger_keeps_hosts_within_capacity(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against trust in the owner's late view of free resources."""
+    if not kept:
+        monkeypatch.setattr(
+            coordination.CapacityLedger,
+            'admit',
+            lambda self, attempt, amount: coordination.Admission(True),
+        )
+    # The owner never learns what its starts have used up.
+    monkeypatch.setattr(
+        'citronrail.scheduling._reservations.Reservations.free',
+        lambda self, view, now: _cluster.CAPACITY,
+    )
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=30, run_s=20.0), 'c'
+        )
+        await trio.sleep(10.0)
+
+    cluster = await _run(scenario)
+    over = [a for a in cluster.agents.values() if a.worker.core.over_capacity]
+    assert bool(over) is not kept
+
+
+@BOTH
+async def test_ledger_is_rebuilt_after_a_restart(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against a restarted agent that takes its host for empty."""
+    if not kept:
+
+        def forget(self):
+            self._ledger.rebuild(())
+
+        monkeypatch.setattr(_task_runner.TaskRunner, '_rebuild_ledger', forget)
+
+    async def scenario(cluster):
+        scheduler = cluster.owner.scheduler
+        await scheduler.submit(_cluster.job(tasks=4, run_s=60.0), 'c1')
+        await trio.sleep(5.0)
+        await cluster.restart_agent(cluster.agents['agent0'])
+        await scheduler.submit(_cluster.job('late', tasks=4), 'c2')
+        await trio.sleep(5.0)
+
+    cluster = await _run(scenario, agents=1)
+    assert bool(cluster.agents['agent0'].worker.core.over_capacity) is not kept
+
+
+@BOTH
+async def test_lost_agent_keeps_its_tasks_until_leases_lapsed(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards exclusive work against a second run during a partition."""
+    if not kept:
+        monkeypatch.setattr(_agent_loss, 'TASKS_END_AFTER_S', 3.0)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=120.0, exclusive=True), 'c'
+        )
+        await trio.sleep(3.0)
+        host = next(
+            a for a in cluster.agents.values() if a.worker.core.tasks().running
+        )
+        await cluster.cut_agent(host, 40.0)
+        await trio.sleep(5.0)
+
+    cluster = await _run(scenario)
+    starts = sum(1 for r in cluster.history() if r.event == 'start')
+    assert starts == 2
+    assert bool(_doubled(cluster)) is not kept
+
+
+@BOTH
+async def test_leases_are_renewed_only_while_acknowledged(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against a cut-off agent that keeps its tasks alive."""
+    if not kept:
+        monkeypatch.setattr(_task_runner, 'ACK_VALID_S', math.inf)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=120.0, exclusive=True), 'c'
+        )
+        await trio.sleep(3.0)
+        host = next(
+            a for a in cluster.agents.values() if a.worker.core.tasks().running
+        )
+        await cluster.cut_agent(host, 40.0)
+
+    cluster = await _run(scenario)
+    assert bool(_doubled(cluster)) is not kept
+
+
+class _LaxDocument(coordination.GroupCommitDocument):
+    """Returns from a commit before the change is durable."""
+
+    async def commit(self, change):
+        self._value = change(self._value)
+        return self._value
+
+
+@BOTH
+async def test_start_is_sent_only_after_its_commit(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against an attempt that the next owner doesn't know of."""
+    if not kept:
+        monkeypatch.setattr(coordination, 'GroupCommitDocument', _LaxDocument)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=60.0, exclusive=True), 'c'
+        )
+        while not any(r.event == 'start' for r in cluster.history()):
+            await trio.sleep(0.01)
+        cluster.kill_entry('entry1')
+        await trio.sleep(10.0)
+        # The caller got no answer of the dead entry; it submits again.
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=60.0, exclusive=True), 'c'
+        )
+        await trio.sleep(5.0)
+
+    cluster = await _run(scenario, entries=2)
+    starts = sum(1 for r in cluster.history() if r.event == 'start')
+    assert (starts == 1) is kept
+
+
+@BOTH
+async def test_refused_start_stays_refused(kept, monkeypatch, autojump_clock):
+    """Guards against a doubled start that runs after it was refused."""
+    if not kept:
+        monkeypatch.setattr(
+            _start_guard.StartGuard, 'seen', lambda self, attempt: False
+        )
+
+    def prepare(cluster):
+        original = cluster.network.post
+
+        def post(sender, receiver, data, payload):
+            original(sender, receiver, data, payload)
+            if data.startswith(b'\x92\xa9StartTask'):
+                cluster.nursery.start_soon(
+                    later, original, sender, receiver, data, payload
+                )
+
+        async def later(original, *message):
+            await trio.sleep(1.0)
+            original(*message)
+
+        cluster.network.post = post
+
+    async def scenario(cluster):
+        # Agents hold back starts for a moment, then take them again.
+        cluster.pause_permits = True
+        await trio.sleep(3.0)
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=60.0), 'c'
+        )
+        await trio.sleep(0.6)
+        cluster.pause_permits = False
+        await trio.sleep(8.0)
+
+    cluster = await _run(scenario, prepare=prepare)
+    assert bool(_doubled(cluster)) is not kept
+
+
+@BOTH
+async def test_permit_keeps_starts_out_of_a_data_centre(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against an owner and an agent that missed a change."""
+    if not kept:
+        monkeypatch.setattr(
+            _cluster.Permits,
+            '__setattr__',
+            lambda self, name, value: object.__setattr__(
+                self, name, math.inf if name == 'permit_until' else value
+            ),
+        )
+
+    async def scenario(cluster):
+        # Permits and settings reach the agents no more, starts still do.
+        cluster.pause_permits = True
+        cluster.owner_settings = cluster.settings
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(3.0)
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=6, run_s=30.0), 'c'
+        )
+        await trio.sleep(5.0)
+
+    cluster = await _run(scenario, agents=1)
+    starts = [r for r in cluster.history() if r.event == 'start']
+    assert bool(starts) is not kept
+
+
+@BOTH
+async def test_evicted_work_resumes_from_its_checkpoint(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against work that is lost or done twice by a move."""
+    if not kept:
+        original = _attempt_changes._next_try
+
+        def without(index, live, end, now):
+            entry = original(index, live, end, now)
+            return _attempt_changes.structs.replace(entry, checkpoint='')
+
+        monkeypatch.setattr(_attempt_changes, '_next_try', without)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=6, run_s=20.0), 'c'
+        )
+        await trio.sleep(8.0)
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(40.0)
+
+    cluster = await _run(scenario)
+    history = cluster.history()
+    evicted = sum(1 for r in history if r.event == 'checkpointed')
+    resumed = _facts.resumes(history)
+    assert evicted > 0
+    assert set(_facts.finishes(history).values()) == {1}
+    worked = collections.Counter()
+    for span in _facts.spans(history):
+        worked[span.attempt.task] += span.end - span.begin
+    once = all(work < 20.0 + 1.0 for work in worked.values())
+    assert once is kept
+    if kept:
+        assert len(resumed) == evicted
+        assert set(resumed.values()) == {1}
+
+
+@BOTH
+async def test_service_answers_while_its_data_centre_leaves(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against a replica stopped before its replacement runs."""
+    if not kept:
+        original = _moves.plan_moves
+
+        def stop_first(*args):
+            plan = original(*args)
+            return dataclasses.replace(
+                plan, replaced=(), moves=(*plan.moves, *plan.replaced)
+            )
+
+        monkeypatch.setattr(_moves, 'plan_moves', stop_first)
+
+    async def scenario(cluster):
+        cluster.set_service(
+            specs.ServiceSpec(
+                identifiers.ServiceName('seats'),
+                identifiers.TeamName('cantabrico'),
+                identifiers.WorkClass('seats'),
+                1,
+                resources.Resources(1000, 1000),
+            )
+        )
+        await trio.sleep(4.0)
+        host = next(
+            a for a in cluster.agents.values() if a.worker.core.services()
+        )
+        cluster.set_data_centre(host.data_centre, False)
+        await trio.sleep(15.0)
+        assert not host.worker.core.services()
+
+    cluster = await _run(scenario)
+    runs = sorted(_facts.spans(cluster.history()), key=lambda span: span.begin)
+    assert len(runs) == 2
+    assert (runs[1].begin < runs[0].end) is kept
+
+
+@BOTH
+def test_report_of_an_older_attempt_is_refused(kept, monkeypatch):
+    """Guards against a task that counts as finished while it still runs."""
+    task = specs.TaskId('rota', 0)
+    state = _attempt_changes.assign(
+        _cluster_state(), [_attempt_changes.Assignment(task, 'a')], 1.0
+    )
+    lost = _attempt_changes.AttemptEnd(specs.AttemptId(task, 1), 'lost')
+    state = _attempt_changes.end_attempt(state, lost, 2.0)
+    state = _attempt_changes.assign(
+        state, [_attempt_changes.Assignment(task, 'b')], 3.0
+    )
+    if not kept:
+        monkeypatch.setattr(
+            _attempt_changes,
+            'find_live',
+            lambda state, attempt: state.groups['rota'].live[0],
+        )
+    late = _attempt_changes.AttemptEnd(specs.AttemptId(task, 1), 'finished')
+    state = _attempt_changes.end_attempt(state, late, 4.0)
+    assert bool(state.groups['rota'].live) is kept
+
+
+def _cluster_state():
+    return _attempt_changes._job_changes.submit_job(
+        _attempt_changes._shard_state.ShardState(),
+        _cluster.job(tasks=1),
+        'c',
+        0.0,
+    )
