--- a/citronrail/scheduling/_candidates.py
+++ b/citronrail/scheduling/_candidates.py
@@ -90,6 +90,10 @@
         rng.shuffle(self._slots)
         self._by_node = {slot.view.node_id: slot for slot in self._slots}
         self._cursor = 0
+        # No agent has more of any resource; rejects most sizes at once.
+        self._most = resources.Resources()
+        for slot in self._slots:
+            self._most = self._most.maximum(slot.free)
         # Sizes for which a whole pass found no room, by allowed data centres.
         self._too_big: dict[
             tuple[identifiers.DataCentreName, ...], list[resources.Resources]
@@ -107,7 +111,9 @@
         :returns: views with the free amounts of this round.
         """
         smallest = self._too_big.setdefault(data_centres, [])
-        if any(size.fits_in(amount) for size in smallest):
+        if not amount.fits_in(self._most) or any(
+            size.fits_in(amount) for size in smallest
+        ):
             return ()
         found: list[views.AgentView] = []
         count = len(self._slots)
@@ -155,31 +161,39 @@
     return kept
 
 
-def refusal_for(
-    amount: resources.Resources,
-    data_centres: tuple[identifiers.DataCentreName, ...],
-    agents: tuple[views.AgentView, ...],
-) -> _policies.Refusal | None:
-    """Tell why a task fits no worker, even an empty one.
+class FleetSizes:
+    """The distinct sizes of workers, by data centre.
 
-    :param amount: declared size of the task.
-    :param data_centres: allowed ones; all if empty.
     :param agents: all known agents, also those out of service.
-    :returns: None if some worker is large enough, or none is known yet.
     """
-    allowed = [
-        view
-        for view in agents
-        if not data_centres or view.data_centre in data_centres
-    ]
-    if not allowed or any(amount.fits_in(v.capacity) for v in allowed):
-        return None
-    largest = resources.Resources()
-    for view in allowed:
-        largest = largest.maximum(view.capacity)
-    return _policies.Refusal(
-        f'a task needs {amount.millicores} millicores, '
-        f'{amount.memory_mb} MB and {amount.accelerators} accelerators; '
-        f'no worker has that much (at most {largest.millicores}, '
-        f'{largest.memory_mb} MB and {largest.accelerators})'
-    )
+
+    def __init__(self, agents: tuple[views.AgentView, ...]) -> None:
+        self._sizes = {(view.data_centre, view.capacity) for view in agents}
+
+    def refusal(
+        self,
+        amount: resources.Resources,
+        data_centres: tuple[identifiers.DataCentreName, ...],
+    ) -> _policies.Refusal | None:
+        """Tell why a task fits no worker, even an empty one.
+
+        :param amount: declared size of the task.
+        :param data_centres: allowed ones; all if empty.
+        :returns: None if some worker is large enough, or none is known yet.
+        """
+        allowed = [
+            capacity
+            for name, capacity in self._sizes
+            if not data_centres or name in data_centres
+        ]
+        if not allowed or any(amount.fits_in(size) for size in allowed):
+            return None
+        largest = resources.Resources()
+        for size in allowed:
+            largest = largest.maximum(size)
+        return _policies.Refusal(
+            f'a task needs {amount.millicores} millicores, '
+            f'{amount.memory_mb} MB and {amount.accelerators} accelerators; '
+            f'no worker has that much (at most {largest.millicores}, '
+            f'{largest.memory_mb} MB and {largest.accelerators})'
+        )
--- a/citronrail/scheduling/_interfaces.py
+++ b/citronrail/scheduling/_interfaces.py
@@ -177,6 +177,12 @@
         """Reserve resources for an attempt if they are free."""
         ...
 
-    def release(self, attempt: specs.AttemptId) -> None:
+    def release(self, attempt: specs.AttemptId) -> bool:
         """Give up the reservation of an attempt, if there is one."""
         ...
+
+    def observe(
+        self, attempt: specs.AttemptId, usage: resources.Resources
+    ) -> None:
+        """Raise a reservation to the memory that was measured."""
+        ...
--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -227,9 +227,8 @@
             or the range isn't owned here.
         :raises citronrail.errors.StoreError: if the commit failed.
         """
-        refusal = _candidates.refusal_for(
-            spec.resources, spec.data_centres, self._context.agents.agents()
-        )
+        sizes = _candidates.FleetSizes(self._context.agents.agents())
+        refusal = sizes.refusal(spec.resources, spec.data_centres)
         if refusal is not None:
             observability.emit(
                 catalogue.JOB_REFUSED, job=spec.job_id, reason=refusal.reason
--- a/citronrail/scheduling/_round.py
+++ b/citronrail/scheduling/_round.py
@@ -16,9 +16,9 @@
 from citronrail.scheduling import _policies
 from citronrail.scheduling import _shard_state
 
-# Other tasks of the process get their turn after this many placements, so
+# Other tasks of the process get their turn after this many choices, so
 # that a round of hundreds does not delay callers' requests.
-PLACEMENTS_A_TURN = 4
+CHOICES_A_TURN = 4
 _NO_ROOM = _policies.Refusal('no worker has room now')
 MISSES_A_GROUP = 2  # a policy that declined twice is asked again next round
 
@@ -52,6 +52,8 @@
         self._candidates = candidates
         self._context = context
         self._agents = agents
+        self._sizes = _candidates.FleetSizes(tuple(agents.values()))
+        self._choices = 0
         self._now = trio.current_time()
         self._unix_now = context.wall_clock()
         self.assignments: list[_attempt_changes.Assignment] = []
@@ -77,6 +79,7 @@
                 group, task, item, self._agents, placed
             )
             choice = self._choose(request, group)
+            await self._give_turn()
             if choice is _NO_ROOM:
                 self._note_waiting(request)
                 self._note_blocked(group)
@@ -95,8 +98,11 @@
             self.assignments.append(
                 _attempt_changes.Assignment(request.task, choice)
             )
-            if len(self.assignments) % PLACEMENTS_A_TURN == 0:
-                await trio.lowlevel.checkpoint()
+
+    async def _give_turn(self) -> None:
+        self._choices += 1
+        if self._choices % CHOICES_A_TURN == 0:
+            await trio.lowlevel.checkpoint()
 
     def _choose(
         self, request: _policies.PlacementRequest, group: _shard_state.Group
@@ -109,9 +115,7 @@
         )
 
     def _note_blocked(self, group: _shard_state.Group) -> None:
-        refusal = _candidates.refusal_for(
-            group.resources, group.data_centres, tuple(self._agents.values())
-        )
+        refusal = self._sizes.refusal(group.resources, group.data_centres)
         if refusal is not None:
             self.blocked.append(_batch.Parking(group.owner, refusal.reason))
 
--- a/citronrail/scheduling/_shard_runner.py
+++ b/citronrail/scheduling/_shard_runner.py
@@ -25,6 +25,9 @@
 from citronrail.scheduling import _upkeep
 
 RETRY_S = 0.5  # pause after a commit that the store did not take
+# Rounds of a shard take at most this part of the process's time: a long queue
+# without free workers must not slow down callers' requests.
+ROUND_PAUSE = 5.0
 
 
 class ShardRunner:
@@ -55,6 +58,7 @@
         self._upkeep = _upkeep.Upkeep(owned, context)
         self._local_ends: list[_attempt_changes.AttemptEnd] = []
         self._waiting: _round.RoundPlan = _round.RoundPlan()
+        self._next_round_at = 0.0
         self._wake = trio.Event()
         self._stopping = False
         self._stopped = trio.Event()
@@ -201,8 +205,14 @@
         now = trio.current_time()
         if self._context.settings_fresh_until() <= now:
             return _round.RoundPlan()
+        if now < self._next_round_at:
+            return dataclasses.replace(
+                self._waiting, assignments=(), parked=()
+            )
         plan = await _round.plan_round(self.state, self._context)
-        _metrics.ROUND_SECONDS.observe(trio.current_time() - now)
+        took_s = trio.current_time() - now
+        self._next_round_at = now + took_s * ROUND_PAUSE
+        _metrics.ROUND_SECONDS.observe(took_s)
         return plan
 
     async def _commit(self, batch: _batch.Batch) -> bool:
--- /dev/null
+++ b/citronrail/scheduling/_task_starter.py
@@ -0,0 +1,204 @@
+"""Starting attempts at the worker, and telling owners the outcome."""
+
+import dataclasses
+
+import trio
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import outcome as outcomes
+from citronrail.model import specs
+from citronrail import observability
+from citronrail.observability.catalogue import scheduling as catalogue
+from citronrail.ports import peers
+from citronrail.scheduling import _interfaces
+from citronrail.scheduling import _local_tasks
+from citronrail.scheduling import _metrics
+from citronrail.scheduling import _start_guard
+from citronrail.scheduling import _task_table
+from citronrail.scheduling import _worker_link
+
+LocalState = _local_tasks.LocalState
+
+START_WINDOW_S = 2.0  # the worker gets at most this long to begin a start
+LEASE_S = 10.0
+
+
+class TaskStarter:
+    """Checks, admits and starts attempts.
+
+    :param hub: connections to the entries.
+    :param link: the worker.
+    :param table: attempts on this host.
+    :param guard: which starts to refuse.
+    :param permits: what entries have told this agent.
+    """
+
+    def __init__(
+        self,
+        hub: peers.PeerHub,
+        link: _worker_link.WorkerLink,
+        table: _task_table.TaskTable,
+        guard: _start_guard.StartGuard,
+        permits: _interfaces.PermitView,
+    ) -> None:
+        self._hub = hub
+        self._link = link
+        self._table = table
+        self._guard = guard
+        self._permits = permits
+        self.leaving = False
+
+    async def accept(
+        self, owner: identifiers.NodeId, start: messages.StartTask
+    ) -> bool:
+        """Decide on a start and reserve its resources.
+
+        :param owner: entry that gets the reply.
+        :param start: the message.
+        :returns: True if :meth:`start` shall be called.
+        """
+        now = trio.current_time()
+        if self._guard.fenced(start.range_id, start.fencing):
+            return False
+        if self._guard.seen(start.attempt):
+            # A doubled message. What the first one led to is told by its
+            # reply, by a report, or on a query.
+            return False
+        self._guard.note(start.attempt, now)
+        reason = self._refusal(start, now)
+        if reason:
+            await self._refuse(owner, start.attempt, reason)
+            return False
+        self._table.add(
+            _local_tasks.LocalTask(
+                start.attempt,
+                start.range_id,
+                start.spec,
+                LocalState.STARTING,
+                now,
+                owner=owner,
+            )
+        )
+        return True
+
+    def _refusal(self, start: messages.StartTask, now: float) -> str:
+        if self.leaving:
+            return 'agent is leaving'
+        if not self._table.rebuilt:
+            return 'agent is still reading the list of its worker'
+        if not self._link.answers(now):
+            return 'worker does not answer'
+        reason = self._guard.refusal(start, self._permits, now)
+        if reason:
+            return reason
+        return self._table.admit(start.attempt, start.spec.resources)
+
+    async def start(self, start: messages.StartTask) -> bool:
+        """Start an accepted attempt at the worker.
+
+        :param start: the message.
+        :returns: False if the outcome is open until a list settles it.
+        """
+        clock = self._link.clock
+        if clock is None:
+            raise RuntimeError('accepted a start before the first list')
+        now = trio.current_time()
+        latest = min(
+            start.start_before,
+            self._permits.permit_until,
+            now + START_WINDOW_S,
+        )
+        task = dataclasses.replace(
+            self._table.tasks[start.attempt],
+            start_before=clock.to_worker(latest),
+        )
+        self._table.add(task)
+        try:
+            await self._link.start(
+                lambda: self._link.port.start(
+                    start.attempt,
+                    start.range_id,
+                    start.spec,
+                    task.start_before,
+                    clock.to_worker(now + LEASE_S),
+                )
+            )
+        except errors.WorkerRefused as exc:
+            if self._table.is_starting(start.attempt):
+                await self.never_ran(task, exc.message)
+        except errors.CitronrailError as exc:
+            return not self._leave_open(task, exc.message)
+        else:
+            if self._table.is_starting(start.attempt):
+                await self.confirm(task)
+        return True
+
+    def _leave_open(self, task: _local_tasks.LocalTask, reason: str) -> bool:
+        observability.emit(
+            catalogue.TASK_START_UNKNOWN, attempt=task.attempt, reason=reason
+        )
+        if not self._table.is_starting(task.attempt):
+            return False
+        self._table.set_state(task.attempt, LocalState.UNKNOWN)
+        return True
+
+    async def settle(self, findings: tuple[_local_tasks.Finding, ...]) -> None:
+        """Tell owners what a list of the worker says of open starts."""
+        for finding in findings:
+            match finding:
+                case _local_tasks.Runs(running):
+                    task = self._table.tasks.get(running.attempt)
+                    if task and task.state is not LocalState.RUNNING:
+                        await self.confirm(task)
+                case _local_tasks.NeverRan(task) if (
+                    task.attempt in self._table.tasks
+                ):
+                    await self.never_ran(task, 'the worker did not start it')
+                case _:
+                    pass
+
+    async def confirm(self, task: _local_tasks.LocalTask) -> None:
+        """Note that an attempt runs and tell its owner."""
+        self._table.set_state(task.attempt, LocalState.RUNNING)
+        _metrics.STARTS.labels('started').inc()
+        observability.emit(catalogue.TASK_STARTED, attempt=task.attempt)
+        await self._reply(task.owner, task.attempt, outcomes.Outcome.DONE, '')
+
+    async def never_ran(
+        self, task: _local_tasks.LocalTask, reason: str
+    ) -> None:
+        """Release an attempt that was not started and tell its owner."""
+        self._table.drop(task.attempt)
+        await self._refuse(task.owner, task.attempt, reason)
+
+    async def _refuse(
+        self, owner: identifiers.NodeId, attempt: specs.AttemptId, reason: str
+    ) -> None:
+        _metrics.STARTS.labels('refused').inc()
+        observability.emit(
+            catalogue.TASK_REFUSED, attempt=attempt, reason=reason
+        )
+        await self._reply(owner, attempt, outcomes.Outcome.NOT_RUN, reason)
+
+    async def _reply(
+        self,
+        owner: identifiers.NodeId,
+        attempt: specs.AttemptId,
+        outcome: outcomes.Outcome,
+        reason: str,
+    ) -> None:
+        if owner:
+            reply = messages.StartReply(attempt, outcome, reason)
+            await send_or_drop(self._hub, owner, reply)
+
+
+async def send_or_drop(
+    hub: peers.PeerHub, peer: identifiers.NodeId, message: object
+) -> None:
+    """Send a message that the receiver asks for again if it is missing."""
+    try:
+        await hub.send(peer, message)
+    except errors.PeerUnreachable:
+        return
--- /dev/null
+++ b/citronrail/scheduling/_task_table.py
@@ -0,0 +1,184 @@
+"""The attempts on one host, their reservations and unsent reports."""
+
+import dataclasses
+
+import trio
+
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import resources
+from citronrail.model import specs
+from citronrail import observability
+from citronrail.observability.catalogue import scheduling as catalogue
+from citronrail.ports import worker as workers
+from citronrail.scheduling import _interfaces
+from citronrail.scheduling import _local_tasks
+from citronrail.scheduling import _report_queue
+from citronrail.scheduling import _runner_requests
+from citronrail.scheduling import _start_guard
+
+LocalState = _local_tasks.LocalState
+
+
+class TaskTable:
+    """Attempts that hold a reservation; the worker's list is the truth.
+
+    :param ledger: capacity ledger of this host.
+    :param guard: attempt numbers and fencing tokens seen.
+    :param requests: what owners asked for.
+    """
+
+    def __init__(
+        self,
+        ledger: _interfaces.Ledger,
+        guard: _start_guard.StartGuard,
+        requests: _runner_requests.Requests,
+    ) -> None:
+        self._ledger = ledger
+        self._guard = guard
+        self._requests = requests
+        self.tasks: dict[specs.AttemptId, _local_tasks.LocalTask] = {}
+        self.reports = _report_queue.ReportQueue()
+        self.reports_changed = trio.Event()
+        self.rebuilt = False
+
+    def add(self, task: _local_tasks.LocalTask) -> None:
+        """Add an attempt whose resources were admitted."""
+        self.tasks[task.attempt] = task
+
+    def admit(
+        self, attempt: specs.AttemptId, amount: resources.Resources
+    ) -> str:
+        """Reserve resources; return why they can't be had, or ''."""
+        admission = self._ledger.admit(attempt, amount)
+        return '' if admission.accepted else admission.reason
+
+    def set_state(self, attempt: specs.AttemptId, state: LocalState) -> None:
+        """Note where an attempt stands now."""
+        self.tasks[attempt] = dataclasses.replace(
+            self.tasks[attempt], state=state, since=trio.current_time()
+        )
+
+    def is_starting(self, attempt: specs.AttemptId) -> bool:
+        """Tell whether no list of the worker has settled a start yet."""
+        task = self.tasks.get(attempt)
+        return task is not None and task.state is LocalState.STARTING
+
+    def any_starting(self) -> bool:
+        """Tell whether the outcome of a start is still open."""
+        return any(
+            task.state is not LocalState.RUNNING
+            for task in self.tasks.values()
+        )
+
+    def drop(self, attempt: specs.AttemptId) -> None:
+        """Remove an attempt that never ran and release its resources."""
+        self.tasks.pop(attempt, None)
+        self._ledger.release(attempt)
+
+    def knows(self, attempt: specs.AttemptId) -> bool:
+        """Tell whether an attempt runs here or its end is being reported."""
+        return attempt in self.tasks or attempt in self.reports
+
+    def hurry(self, attempt: specs.AttemptId) -> None:
+        """Report an attempt's end again at once, if it is kept."""
+        self.reports.hurry(attempt, trio.current_time())
+        self.reports_changed.set()
+
+    def rebuild_ledger(self) -> None:
+        """Replace all reservations by those of the known attempts."""
+        self._ledger.rebuild(
+            tuple(task.as_running() for task in self.tasks.values())
+        )
+
+    def finish_rebuild(self) -> None:
+        """Allow admissions from now on."""
+        self.rebuild_ledger()
+        self.rebuilt = True
+        observability.emit(catalogue.LEDGER_REBUILT, tasks=len(self.tasks))
+
+    def take_in(
+        self, listing: workers.WorkerTasks, asked_at: float
+    ) -> tuple[_local_tasks.Finding, ...]:
+        """Apply what a list of the worker says.
+
+        :param listing: the list.
+        :param asked_at: local time at which it was asked for.
+        :returns: findings on starts, which need a reply to their owner.
+        """
+        replies: list[_local_tasks.Finding] = []
+        adopted = False
+        for finding in _local_tasks.compare(self.tasks, listing, asked_at):
+            match finding:
+                case _local_tasks.Runs(running):
+                    if running.attempt in self.tasks:
+                        replies.append(finding)
+                    else:
+                        self._adopt(running)
+                        adopted = True
+                case _local_tasks.Ended(ended):
+                    self._ended(_local_tasks.ended_report(ended))
+                case _local_tasks.Lost(task):
+                    self._ended(
+                        _local_tasks.lost_report(
+                            task.attempt,
+                            task.range_id,
+                            'the worker does not know it any more',
+                        )
+                    )
+                case _local_tasks.NeverRan():
+                    replies.append(finding)
+        if adopted and self.rebuilt:
+            self.rebuild_ledger()
+        return tuple(replies)
+
+    def _adopt(self, running: messages.RunningTask) -> None:
+        now = trio.current_time()
+        self._guard.note(running.attempt, now)
+        self.tasks[running.attempt] = _local_tasks.LocalTask(
+            running.attempt,
+            running.range_id,
+            running.spec,
+            LocalState.RUNNING,
+            now,
+            worker_state=running.state,
+        )
+        observability.emit(catalogue.TASK_ADOPTED, attempt=running.attempt)
+
+    def _ended(self, report: messages.TaskReport) -> None:
+        now = trio.current_time()
+        self._guard.note(report.attempt, now)
+        if not self.reports.add(report, now):
+            return
+        self.tasks.pop(report.attempt, None)
+        self._requests.drop(report.attempt)
+        self._ledger.release(report.attempt)
+        observability.emit(
+            catalogue.TASK_ENDED, attempt=report.attempt, state=report.state
+        )
+        self.reports_changed.set()
+
+    def for_hello(self) -> tuple[messages.RunningTask, ...]:
+        """Return the attempts that run and those whose end is unreported."""
+        ended = tuple(
+            messages.RunningTask(
+                report.attempt,
+                report.range_id,
+                _runner_requests.NO_SPEC,
+                'ended',
+                0.0,
+            )
+            for report in self.reports.reports()
+        )
+        return ended + tuple(t.as_running() for t in self.tasks.values())
+
+    def reserved_by_team(self) -> tuple[messages.TeamReservation, ...]:
+        """Return what the attempts of each team reserve."""
+        by_team: dict[identifiers.TeamName, resources.Resources] = {}
+        for task in self.tasks.values():
+            before = by_team.get(task.spec.team, resources.Resources())
+            by_team[task.spec.team] = before + task.spec.resources
+        return tuple(
+            messages.TeamReservation(team, amount)
+            for team, amount in by_team.items()
+        )
--- a/citronrail/scheduling/tests/test_mechanisms.py
+++ b/citronrail/scheduling/tests/test_mechanisms.py
@@ -20,6 +20,7 @@
 from citronrail.scheduling import _moves
 from citronrail.scheduling import _start_guard
 from citronrail.scheduling import _task_runner
+from citronrail.scheduling import _task_table
 from citronrail.scheduling.tests import _cluster
 from citronrail.scheduling.tests import _facts
 
@@ -84,7 +85,7 @@
         def forget(self):
             self._ledger.rebuild(())
 
-        monkeypatch.setattr(_task_runner.TaskRunner, '_rebuild_ledger', forget)
+        monkeypatch.setattr(_task_table.TaskTable, 'rebuild_ledger', forget)
 
     async def scenario(cluster):
         scheduler = cluster.owner.scheduler
