Add the command service

Cause: commands must run once, at their owner, and be reported honestly. Change: settings commands through a writer, job commands at range owners, queries gathered from all owners, results kept by command id.

--- a/citronrail/errors.py
+++ b/citronrail/errors.py
@@ -118,3 +118,42 @@
 
 class BackendFailed(CitronrailError):
     """The backend server failed after the request was sent."""
+
+
+class StoreValueTooLarge(StoreError):
+    """The store refuses values of this size; nothing was written."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class StoreCompacted(StoreError):
+    """The history asked for is gone; read the present state first."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class DocumentFull(CitronrailError):
+    """The change would make a stored document too large."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
+class CommandConflict(CommandRefused):
+    """Another command changed the settings first.
+
+    :param winner_id: id of the command that won, or '' if it isn't known.
+    :param version: settings version that the winner made.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str = '',
+        winner_id: str = '',
+        version: int = 0,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.winner_id = winner_id
+        self.version = version
--- a/citronrail/language/__init__.py
+++ b/citronrail/language/__init__.py
@@ -1,8 +1,13 @@
 """The operators' query and command language."""
 
+from citronrail.language._changes import changed
+from citronrail.language._facts import Facts
+from citronrail.language._facts import SeenWorker
+from citronrail.language._fleet_facts import FleetFacts
 from citronrail.language._format import format  # noqa: A004
 from citronrail.language._format import format_condition
 from citronrail.language._format import without_version
+from citronrail.language._local_rows import Views
 from citronrail.language._nodes import And
 from citronrail.language._nodes import Cancel
 from citronrail.language._nodes import Change
@@ -35,6 +40,16 @@
 from citronrail.language._parser import keywords
 from citronrail.language._parser import parse
 from citronrail.language._parser import parse_script
+from citronrail.language._ports import JobPredicate
+from citronrail.language._ports import JobShards
+from citronrail.language._ports import RangeDirectory
+from citronrail.language._ports import SettingsWriter
+from citronrail.language._query import evaluate
+from citronrail.language._query import Result
+from citronrail.language._service import CommandService
+from citronrail.language._tables import columns
+from citronrail.language._tables import EntryRow
+from citronrail.language._tables import RequestRow
 
 __all__ = [
     'And',
@@ -44,11 +59,17 @@
     'ChangeService',
     'ChangeTeam',
     'Command',
+    'CommandService',
     'Comparison',
     'Condition',
     'Drain',
     'Duration',
+    'EntryRow',
+    'Facts',
+    'FleetFacts',
     'JobCommand',
+    'JobPredicate',
+    'JobShards',
     'Membership',
     'Memory',
     'Not',
@@ -57,8 +78,13 @@
     'OrderKey',
     'Place',
     'PolicyKind',
+    'RangeDirectory',
+    'RequestRow',
+    'Result',
     'Return',
+    'SeenWorker',
     'SettingsCommand',
+    'SettingsWriter',
     'Show',
     'StartJob',
     'StartService',
@@ -66,6 +92,10 @@
     'StopService',
     'TableName',
     'Time',
+    'Views',
+    'changed',
+    'columns',
+    'evaluate',
     'format',
     'format_condition',
     'keywords',
--- a/citronrail/language/_facts.py
+++ b/citronrail/language/_facts.py
@@ -65,6 +65,9 @@
         )
 
 
+FactsSource = collections.abc.Callable[[], Facts]
+
+
 def refuse(message: str) -> errors.CommandRefused:
     """Make the error of a command that failed a check.
 
--- /dev/null
+++ b/citronrail/language/tests/test_query.py
@@ -0,0 +1,129 @@
+"""Guards the evaluation of queries."""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from citronrail import errors
+from citronrail import language
+from citronrail.language import _query
+from citronrail.model import rows
+
+ROWS = st.lists(
+    st.builds(
+        rows.TaskRow,
+        task=st.integers(0, 10**6).map('t/{}'.format),
+        job=st.sampled_from(['a', 'b', 'c d']),
+        team=st.just('h'),
+        work_class=st.sampled_from(['x', 'y']),
+        state=st.sampled_from(['running', 'pending']),
+        attempt=st.integers(0, 3),
+        memory_mb=st.integers(0, 4096),
+        started_at=st.none() | st.floats(0, 9),
+        exclusive=st.booleans(),
+    ),
+    max_size=20,
+    unique_by=lambda row: row.task,
+)
+CONDITIONS = st.sampled_from(
+    [
+        ('attempt >= 2', lambda row: row.attempt >= 2),
+        (
+            'class = x or state != running',
+            lambda row: row.work_class == 'x' or row.state != 'running',
+        ),
+        (
+            'not (job in ("c d", a) and exclusive = true)',
+            lambda row: row.job == 'b' or not row.exclusive,
+        ),
+        ('memory > 2GB', lambda row: row.memory_mb > 2048),
+        (
+            'started_at < 1970-01-01T00:00:05Z',
+            lambda row: row.started_at is not None and row.started_at < 5,
+        ),
+        ('started_at != 3', lambda row: row.started_at != 3),
+        ('task ~ "^t/1.*"', lambda row: row.task.startswith('t/1')),
+    ]
+)
+TAILS = st.sampled_from(
+    [
+        '',
+        'limit 3',
+        'order by started_at desc, job limit 5',
+        'order by started_at, memory_mb desc',
+        'count by job',
+        'count by started_at order by count, started_at desc limit 2',
+    ]
+)
+
+
+@hypothesis.given(ROWS, CONDITIONS)
+def test_condition_selects_the_rows_that_meet_it(table, condition):
+    """Guards the meaning of each operator and unit."""
+    text, met = condition
+    result = language.evaluate(
+        language.parse(f'show tasks where {text}'), table
+    )
+    assert {row[0] for row in result.rows} == {
+        row.task for row in table if met(row)
+    }
+
+
+@hypothesis.given(ROWS, ROWS, TAILS)
+def test_joined_parts_equal_the_whole(left, right, tail):
+    """Guards limits, order and counts that span several owners."""
+    known = {row.task for row in left}
+    right = [row for row in right if row.task not in known]
+    show = language.parse(f'show tasks {tail}')
+    # Partial counts must not be limited before they are added.
+    parts = [
+        language.evaluate(_query.for_part(show), part)
+        for part in (left, right)
+    ]
+    assert _query.merge(show, parts) == language.evaluate(show, left + right)
+
+
+def test_order_puts_absent_values_last():
+    """Guards tasks that have not started from hiding the others."""
+    table = [
+        rows.TaskRow(str(n), 'j', 'h', 'c', 's', started_at=value)
+        for n, value in enumerate([None, 2.0, 1.0])
+    ]
+    for direction, expected in (('', '210'), (' desc', '120')):
+        show = language.parse(f'show tasks order by started_at{direction}')
+        result = language.evaluate(show, table)
+        assert ''.join(str(row[0]) for row in result.rows) == expected
+
+
+def test_long_results_are_cut_and_say_so():
+    """Guards against a reply larger than a message may be."""
+    table = [
+        rows.TaskRow(str(n), 'j', 'h', 'c', 's')
+        for n in range(_query.MAX_ROWS + 1)
+    ]
+    result = language.evaluate(language.parse('show tasks'), table)
+    assert (len(result.rows), result.more) == (_query.MAX_ROWS, True)
+    result = language.evaluate(language.parse('show tasks limit 2'), table)
+    assert (len(result.rows), result.more) == (2, False)
+
+
+@pytest.mark.parametrize(
+    ('text', 'reason'),
+    [
+        ('show tasks where stat = x', 'mean "state"'),
+        ('show tasks order by jobb', 'mean "job"'),
+        ('show tasks count by jobb', 'mean "job"'),
+        ('show tasks count by job order by team', 'can not order a count'),
+        ('show tasks where zzz = 1', 'there are task, job'),
+        ('show tasks where attempt = x', 'holds a number'),
+        ('show tasks where job = 12', 'quotes'),
+        ('show tasks where exclusive = 1', 'true or false'),
+        ('show tasks where memory = 5m', 'an amount of memory'),
+        ('show tasks where attempt ~ "1"', 'searches text'),
+        ('show workers where latency < 2GB', '50ms'),
+    ],
+)
+def test_wrong_columns_are_explained(text, reason):
+    """Guards against an empty answer to a mistyped query."""
+    with pytest.raises(errors.CommandRefused, match=reason):
+        language.evaluate(language.parse(text), [])
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -541,7 +541,12 @@
 
 @_message
 class CommandReply:
-    """Result of a command or query, with a table for queries."""
+    """Result of a command or query, with a table for queries.
+
+    ``more`` tells that rows were left out. Between entries, ``ranges`` names
+    the ranges that the sender owned from the start of the command to its
+    end, and ``count`` how many tasks or jobs it cancelled in them.
+    """
 
     command_id: identifiers.CommandId
     outcome: outcomes.Outcome
@@ -549,6 +554,9 @@
     settings_version: int = 0
     columns: tuple[str, ...] = ()
     rows: tuple[tuple[Cell, ...], ...] = ()
+    more: bool = False
+    ranges: tuple[identifiers.RangeId, ...] = ()
+    count: int = 0
 
 
 @_message
