Draft the peer hub and the request path

Cause: requests need a way from entry to agent and back. Conclusion: a draft, to be made to run next.

--- a/citronrail/adapters/__init__.py
+++ b/citronrail/adapters/__init__.py
@@ -0,0 +1,21 @@
+"""Implementations of the ports by libraries and protocols."""
+
+from citronrail.adapters._agent_app import agent_app
+from citronrail.adapters._agent_app import Announcement
+from citronrail.adapters._caller_app import caller_app
+from citronrail.adapters._curve import CurveFiles
+from citronrail.adapters._http_backend_server import HttpBackendServer
+from citronrail.adapters._http_servers import serve
+from citronrail.adapters._zmq_peers import ZmqPeerHub
+from citronrail.adapters._zmq_sockets import PeerLimits
+
+__all__ = [
+    'Announcement',
+    'CurveFiles',
+    'HttpBackendServer',
+    'PeerLimits',
+    'ZmqPeerHub',
+    'agent_app',
+    'caller_app',
+    'serve',
+]
--- /dev/null
+++ b/citronrail/adapters/_agent_app.py
@@ -0,0 +1,110 @@
+"""The agent's local HTTP port."""
+
+import collections.abc
+import dataclasses
+
+import msgspec
+import prometheus_client
+import quart
+import quart_trio
+import werkzeug.exceptions
+
+from citronrail import errors
+from citronrail.adapters import _problem_json
+from citronrail.model import identifiers
+from citronrail.routing import RequestRunner
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_SERVICE_NAME = 100
+
+
+@dataclasses.dataclass(frozen=True)
+class Announcement:
+    """Body of an announcement; ``address`` is ``http://IP:PORT``."""
+
+    address: str
+    incarnation: int = 0
+    leaving: bool = False
+
+
+def agent_app(
+    runner: RequestRunner, ready: collections.abc.Callable[[], bool]
+) -> quart_trio.QuartTrio:
+    """Make the application of the agent's local port.
+
+    ``PUT /backends/<service>`` announces a backend server, to be repeated
+    each second; ``DELETE`` withdraws it. ``/metrics``, ``/livez`` and
+    ``/readyz`` are for the platform.
+
+    :param runner: keeps the announcements.
+    :param ready: whether this agent accepts work.
+    :returns: an ASGI application.
+    """
+    app = quart_trio.QuartTrio(__name__, static_folder=None)
+    app.config['MAX_CONTENT_LENGTH'] = MAX_BODY_BYTES
+
+    @app.put('/backends/<service>')
+    async def announce(service: str) -> tuple[str, int]:
+        told = await _announcement(service)
+        runner.announce(
+            identifiers.ServiceName(service),
+            told.address,
+            told.incarnation,
+            told.leaving,
+        )
+        return '', 204
+
+    @app.delete('/backends/<service>')
+    async def withdraw(service: str) -> tuple[str, int]:
+        told = await _announcement(service)
+        runner.withdraw(identifiers.ServiceName(service), told.address)
+        return '', 204
+
+    @app.get('/metrics')
+    async def metrics() -> quart.Response:
+        return quart.Response(
+            prometheus_client.generate_latest(),
+            content_type=prometheus_client.CONTENT_TYPE_LATEST,
+        )
+
+    @app.get('/livez')
+    async def livez() -> str:
+        return 'ok\n'
+
+    @app.get('/readyz')
+    async def readyz() -> tuple[str, int]:
+        return ('ok\n', 200) if ready() else ('not ready\n', 503)
+
+    @app.errorhandler(errors.CommandRefused)
+    async def on_refused(exc: errors.CommandRefused) -> quart.Response:
+        return _problem_json.response(
+            _problem_json.malformed(409, 'Refused', exc.message)
+        )
+
+    @app.errorhandler(werkzeug.exceptions.HTTPException)
+    async def on_error(
+        exc: werkzeug.exceptions.HTTPException,
+    ) -> quart.Response:
+        return _problem_json.response(
+            _problem_json.malformed(
+                exc.code or 500, exc.name, exc.description or ''
+            )
+        )
+
+    return app
+
+
+async def _announcement(service: str) -> Announcement:
+    """Read the announcement at hand; abort with 400 if it is malformed."""
+    data = await quart.request.get_data(as_text=False)
+    try:
+        told = msgspec.json.decode(data, type=Announcement)
+    except msgspec.DecodeError as exc:
+        raise werkzeug.exceptions.BadRequest(str(exc)) from exc
+    if len(service) > MAX_SERVICE_NAME:
+        raise werkzeug.exceptions.BadRequest('The service name is too long')
+    if not told.address.startswith('http://'):
+        raise werkzeug.exceptions.BadRequest(
+            'The address must be http://IP:PORT'
+        )
+    return told
--- /dev/null
+++ b/citronrail/adapters/_caller_app.py
@@ -0,0 +1,248 @@
+"""The callers' HTTP port."""
+
+import collections.abc
+import typing
+
+import quart
+import quart_trio
+import trio
+import uuid_utils
+import werkzeug.exceptions
+
+from citronrail.adapters import _problem_json
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import outcome as outcomes
+from citronrail.observability import emit
+from citronrail.observability.catalogue import adapters as events
+from citronrail.routing import CallerRequest
+from citronrail.routing import Problem
+
+MAX_BODY_BYTES = 4 * 1024 * 1024  # a body is one message to an agent
+MAX_HEADERS = 100
+MAX_HEADER_BYTES = 16 * 1024
+BODY_TIMEOUT_S = 30
+METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
+
+Ready = collections.abc.Callable[[], bool]
+
+
+class Router(typing.Protocol):
+    """What the port needs of :class:`citronrail.routing.RequestRouter`."""
+
+    async def handle(self, req: CallerRequest, respond: typing.Any) -> None:
+        """Answer one request."""
+        ...
+
+
+class BrokenOff(Exception):
+    """The answer ended early; hypercorn closes the connection."""
+
+
+def caller_app(router: Router, ready: Ready) -> quart_trio.QuartTrio:
+    """Make the application of the callers' port.
+
+    ``/services/<service>/<path>`` takes requests; ``/livez`` and ``/readyz``
+    tell the load balancer whether to send any.
+
+    :param router: answers requests.
+    :param ready: whether new requests are welcome.
+    :returns: an ASGI application.
+    """
+    app = quart_trio.QuartTrio(__name__, static_folder=None)
+    app.config['MAX_CONTENT_LENGTH'] = MAX_BODY_BYTES
+    app.config['BODY_TIMEOUT'] = BODY_TIMEOUT_S
+    app.config['RESPONSE_TIMEOUT'] = None
+    app.config['PROPAGATE_EXCEPTIONS'] = True
+    app.config['PROVIDE_AUTOMATIC_OPTIONS'] = False
+
+    @app.route('/livez')
+    async def livez() -> str:
+        return 'ok\n'
+
+    @app.route('/readyz')
+    async def readyz() -> tuple[str, int]:
+        return ('ok\n', 200) if ready() else ('not ready\n', 503)
+
+    @app.route(
+        '/services/<service>/<path:path>',
+        methods=METHODS,
+        strict_slashes=False,
+    )
+    @app.route('/services/<service>/', methods=METHODS, defaults={'path': ''})
+    async def service_request(service: str, path: str) -> quart.Response:
+        del path  # taken from the raw target, with its escapes
+        request_id = identifiers.RequestId(str(uuid_utils.uuid7()))
+        try:
+            req = await _read(request_id, identifiers.ServiceName(service))
+        except _Malformed as exc:
+            return _problem_json.response(exc.problem, request_id)
+        answer = _Answer(request_id)
+        app.nursery.start_soon(answer.produce, router, req)
+        return await answer.response()
+
+    @app.errorhandler(werkzeug.exceptions.HTTPException)
+    async def on_error(
+        exc: werkzeug.exceptions.HTTPException,
+    ) -> quart.Response:
+        return _problem_json.response(
+            _problem_json.malformed(
+                exc.code or 500, exc.name, exc.description or ''
+            )
+        )
+
+    return app
+
+
+class _Malformed(Exception):
+    """A request that is refused before it is routed."""
+
+    def __init__(self, status: int, title: str, detail: str) -> None:
+        super().__init__(detail)
+        self.problem = _problem_json.malformed(status, title, detail)
+
+
+async def _read(
+    request_id: identifiers.RequestId, service: identifiers.ServiceName
+) -> CallerRequest:
+    """Read the request at hand.
+
+    :raises _Malformed: if it is too large or not valid UTF-8.
+    """
+    scope = quart.request.scope
+    headers = _headers(scope['headers'])
+    target = _target(scope)
+    try:
+        body = await quart.request.get_data(as_text=False)
+    except werkzeug.exceptions.RequestEntityTooLarge as exc:
+        raise _Malformed(
+            413,
+            'The body is too large',
+            f'At most {MAX_BODY_BYTES} bytes are accepted.',
+        ) from exc
+    return CallerRequest(
+        request_id, service, scope['method'], target, headers, body
+    )
+
+
+def _headers(
+    raw: collections.abc.Iterable[tuple[bytes, bytes]],
+) -> messages.Headers:
+    pairs = list(raw)
+    size = sum(len(name) + len(value) for name, value in pairs)
+    if len(pairs) > MAX_HEADERS or size > MAX_HEADER_BYTES:
+        raise _Malformed(
+            431,
+            'The headers are too large',
+            f'At most {MAX_HEADERS} headers and {MAX_HEADER_BYTES} bytes'
+            ' are accepted.',
+        )
+    try:
+        return tuple(
+            (name.decode('ascii').lower(), value.decode('utf-8'))
+            for name, value in pairs
+        )
+    except UnicodeDecodeError as exc:
+        raise _Malformed(
+            400, 'A header is malformed', 'Headers must be valid UTF-8.'
+        ) from exc
+
+
+def _target(scope: typing.Any) -> str:
+    """Return the path below the service with its query, as sent."""
+    raw_path: bytes = scope['raw_path']
+    query: bytes = scope['query_string']
+    try:
+        scope['path'].encode('utf-8')
+        path = raw_path.decode('ascii')
+        text = query.decode('ascii')
+    except UnicodeError as exc:
+        raise _Malformed(
+            400, 'The path is malformed', 'It must be valid UTF-8, escaped.'
+        ) from exc
+    path = path.split('?', 1)[0]
+    rest = path.removeprefix('/services/').partition('/')[2]
+    return f'/{rest}?{text}' if text else f'/{rest}'
+
+
+class _Answer:
+    """Hands an answer from the router's task to quart's.
+
+    :param request_id: sent to the caller with the answer.
+    """
+
+    def __init__(self, request_id: identifiers.RequestId) -> None:
+        self._request_id = request_id
+        self._scope = trio.CancelScope()
+        self._begun = trio.Event()
+        self._response: quart.Response | None = None
+        self._whole = False
+        self._send, self._receive = trio.open_memory_channel[bytes](0)
+
+    async def produce(self, router: Router, req: CallerRequest) -> None:
+        """Let the router answer, until the caller is gone."""
+        try:
+            with self._scope:
+                await router.handle(req, self)
+        finally:
+            self._send.close()
+            self._begun.set()
+
+    async def response(self) -> quart.Response:
+        """Wait for the answer to begin."""
+        try:
+            await self._begun.wait()
+        except trio.Cancelled:
+            self._scope.cancel()
+            raise
+        if self._response is None:
+            raise BrokenOff(self._request_id)
+        return self._response
+
+    # The way back, used by the router
+
+    async def start(
+        self,
+        status: int,
+        headers: messages.Headers,
+        outcome: outcomes.Outcome,
+    ) -> None:
+        """Send status and headers."""
+        response = quart.Response(self._body(), status=status)
+        response.headers.clear()
+        for name, value in headers:
+            response.headers.add(name, value)
+        response.headers[_problem_json.OUTCOME_HEADER] = outcome.value
+        response.headers[_problem_json.REQUEST_ID_HEADER] = self._request_id
+        response.timeout = None
+        self._response = response
+        self._begun.set()
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body; waits for a slow caller."""
+        if data:
+            await self._send.send(data)
+
+    async def finish(self) -> None:
+        """End the answer normally."""
+        self._whole = True
+        await self._send.aclose()
+
+    async def problem(self, problem: Problem) -> None:
+        """Send a whole answer that describes a problem."""
+        self._response = _problem_json.response(problem, self._request_id)
+        self._begun.set()
+
+    async def _body(self) -> collections.abc.AsyncIterator[bytes]:
+        try:
+            async for data in self._receive:
+                yield data
+            if not self._whole:
+                emit(
+                    events.HTTP_RESPONSE_BROKEN_OFF,
+                    cause=self._request_id,
+                    request_id=self._request_id,
+                )
+                raise BrokenOff(self._request_id)
+        finally:
+            self._scope.cancel()
--- /dev/null
+++ b/citronrail/adapters/_peer_links.py
@@ -0,0 +1,195 @@
+"""Connections to peers and the peers that they lead to."""
+
+import typing
+
+import trio
+import zmq
+
+from citronrail.adapters import _metrics
+from citronrail.adapters import _peer_clock
+from citronrail.adapters import _zmq_sockets
+from citronrail.model import identifiers
+from citronrail.observability import emit
+from citronrail.observability.catalogue import adapters as events
+from citronrail.ports import peers
+
+Inbound = tuple[typing.Any, bytes]
+_LAST_HANDLING_S = 1.0
+
+
+class Link:
+    """One connection to a peer that has introduced itself.
+
+    :param sock: socket of the connection.
+    :param routing_id: address of the peer at a ROUTER, None at a DEALER.
+    :param peer: who is at the other end.
+    :param limits: bounds of the port.
+    """
+
+    def __init__(
+        self,
+        sock: _zmq_sockets.TrioSocket,
+        routing_id: bytes | None,
+        peer: peers.Peer,
+        limits: _zmq_sockets.PeerLimits,
+    ) -> None:
+        self.peer = peer
+        self.lock = trio.Lock()
+        self.scope = trio.CancelScope()
+        self.closed = ''
+        self.gone = trio.Event()
+        self.sent_at = trio.current_time()
+        self.heard_at = trio.current_time()
+        self.inbox, self.received = trio.open_memory_channel[Inbound](
+            limits.inbox_messages
+        )
+        self._sock = sock
+        self._prefix = [] if routing_id is None else [routing_id]
+
+    def try_send(self, frames: list[bytes]) -> bool:
+        """Hand a message to the socket without waiting.
+
+        :param frames: frames of the message, without routing id.
+        :returns: False if the queue of this peer is full.
+        :raises zmq.ZMQError: if the connection is gone.
+        """
+        if self.closed:
+            raise zmq.ZMQError(zmq.EHOSTUNREACH)
+        try:
+            sent = self._sock.send(self._prefix + frames)
+        except zmq.ZMQError as exc:
+            self.close(str(exc))
+            raise
+        if sent:
+            self.sent_at = trio.current_time()
+        return sent
+
+    def close(self, reason: str) -> None:
+        """Stop using the connection.
+
+        Messages that have arrived are still handled, within a second.
+
+        :param reason: logged with the disconnection.
+        """
+        if not self.closed:
+            self.closed = reason
+            self.gone.set()
+            self.inbox.close()
+            self.scope.deadline = trio.current_time() + _LAST_HANDLING_S
+
+
+class LinkTable:
+    """The links of this process, and who is connected by them."""
+
+    def __init__(self) -> None:
+        self._links: dict[identifiers.NodeId, list[Link]] = {}
+        self._clocks: dict[identifiers.NodeId, _peer_clock.ClockReading] = {}
+        self._listeners: list[tuple[peers.Listener, peers.Listener]] = []
+
+    def listen(
+        self, on_connect: peers.Listener, on_disconnect: peers.Listener
+    ) -> None:
+        """Call functions when a peer connects and disconnects.
+
+        :param on_connect: called for the peers already connected, too.
+        :param on_disconnect: called after the last link is gone.
+        """
+        self._listeners.append((on_connect, on_disconnect))
+        for links in self._links.values():
+            on_connect(links[0].peer)
+
+    def add(self, link: Link) -> None:
+        """Take a link into use; links to an earlier boot are closed.
+
+        :param link: a link whose peer has introduced itself.
+        """
+        node_id = link.peer.node_id
+        for old in list(self._links.get(node_id, ())):
+            if old.peer.boot_id != link.peer.boot_id:
+                old.close('the peer was restarted')
+                self.remove(old)
+        links = self._links.setdefault(node_id, [])
+        links.append(link)
+        if len(links) == 1:
+            self._connected(link.peer)
+
+    def remove(self, link: Link) -> None:
+        """Forget a link.
+
+        :param link: a link; one that is not in use is ignored.
+        """
+        node_id = link.peer.node_id
+        links = self._links.get(node_id, [])
+        if link not in links:
+            return
+        links.remove(link)
+        if not links:
+            del self._links[node_id]
+            self._clocks.pop(node_id, None)
+            self._disconnected(link)
+
+    def link(self, node_id: identifiers.NodeId) -> Link | None:
+        """Return the link over which to reach a node.
+
+        :param node_id: the receiver.
+        :returns: the oldest open link, None if there is none.
+        """
+        for link in self._links.get(node_id, ()):
+            if not link.closed:
+                return link
+        return None
+
+    def links(self) -> tuple[Link, ...]:
+        """Return all links."""
+        return tuple(lnk for links in self._links.values() for lnk in links)
+
+    def peers(self, role: str) -> tuple[peers.Peer, ...]:
+        """Return the connected peers of a role.
+
+        :param role: ``entry`` or ``agent``.
+        """
+        return tuple(
+            links[0].peer
+            for links in self._links.values()
+            if links[0].peer.role == role
+        )
+
+    def observe_clock(self, link: Link, clock: float) -> None:
+        """Note a reading of a peer's clock that has just arrived.
+
+        :param link: where it came from.
+        :param clock: the peer's monotonic clock in seconds.
+        """
+        now = trio.current_time()
+        node_id = link.peer.node_id
+        reading = _peer_clock.ClockReading(clock, now)
+        self._clocks[node_id] = _peer_clock.better(
+            self._clocks.get(node_id), reading, now
+        )
+
+    def clock(
+        self, node_id: identifiers.NodeId
+    ) -> _peer_clock.ClockReading | None:
+        """Return the best reading of the peer's present boot, or None."""
+        return self._clocks.get(node_id)
+
+    def _connected(self, peer: peers.Peer) -> None:
+        emit(
+            events.PEER_CONNECTED,
+            role=peer.role,
+            peer=peer.node_id,
+            boot_id=peer.boot_id,
+        )
+        _metrics.PEERS_CONNECTED.labels(peer.role).inc()
+        for on_connect, _ in self._listeners:
+            on_connect(peer)
+
+    def _disconnected(self, link: Link) -> None:
+        emit(
+            events.PEER_DISCONNECTED,
+            peer=link.peer.node_id,
+            reason=link.closed or 'closed',
+        )
+        _metrics.PEERS_CONNECTED.labels(link.peer.role).dec()
+        for _, on_disconnect in self._listeners:
+            on_disconnect(link.peer)
--- /dev/null
+++ b/citronrail/adapters/_problem_json.py
@@ -0,0 +1,61 @@
+"""Problem descriptions as HTTP answers (RFC 9457)."""
+
+import msgspec
+import quart
+
+from citronrail.model import outcome as outcomes
+from citronrail.routing import Problem
+
+PROBLEM_TYPE = 'application/problem+json'
+OUTCOME_HEADER = 'citronrail-outcome'
+REQUEST_ID_HEADER = 'citronrail-request-id'
+
+
+def response(problem: Problem, request_id: str = '') -> quart.Response:
+    """Make an HTTP answer from a problem.
+
+    :param problem: what to tell.
+    :param request_id: the request that it is about, or ''.
+    :returns: the answer with status, headers and a JSON body.
+    """
+    headers = {OUTCOME_HEADER: problem.outcome.value}
+    if request_id:
+        headers[REQUEST_ID_HEADER] = request_id
+    if problem.retry_after_s:
+        headers['retry-after'] = str(problem.retry_after_s)
+    return quart.Response(
+        body(problem, request_id),
+        status=problem.status,
+        headers=headers,
+        content_type=PROBLEM_TYPE,
+    )
+
+
+def body(problem: Problem, request_id: str = '') -> bytes:
+    """Encode a problem.
+
+    :param problem: what to tell.
+    :param request_id: the request that it is about, or ''.
+    :returns: JSON with ``type``, ``title``, ``status``, ``detail``,
+        ``outcome`` and ``request_id``.
+    """
+    return msgspec.json.encode(
+        {
+            'type': 'about:blank',
+            'title': problem.title,
+            'status': problem.status,
+            'detail': problem.detail,
+            'outcome': problem.outcome.value,
+            'request_id': request_id,
+        }
+    )
+
+
+def malformed(status: int, title: str, detail: str) -> Problem:
+    """Describe a request that is refused before it is looked at.
+
+    :param status: HTTP status.
+    :param title: what is wrong.
+    :param detail: more about it.
+    """
+    return Problem(status, title, detail, outcomes.Outcome.NOT_RUN)
--- /dev/null
+++ b/citronrail/adapters/_zmq_sockets.py
@@ -0,0 +1,135 @@
+"""zmq sockets under trio."""
+
+import dataclasses
+
+import trio
+import zmq
+
+
+@dataclasses.dataclass(frozen=True)
+class PeerLimits:
+    """Bounds of the peer port.
+
+    Small high-water marks keep a stalled peer's backlog short, so that a
+    sender learns early that nothing more is handed over.
+    """
+
+    queue_messages: int = 256
+    inbox_messages: int = 4096
+    max_message_bytes: int = 8 * 1024 * 1024
+    send_wait_s: float = 0.25
+    hello_wait_s: float = 2.0
+    keep_alive_s: float = 1.0
+    silence_s: float = 3.0
+    reconnect_s: float = 0.2
+
+
+class TrioSocket:
+    """Sends and receives whole messages on one zmq socket.
+
+    The socket's descriptor signals only changes of state, and sending may
+    consume such a signal. So the receiver looks at EVENTS before it waits,
+    and a sender wakes the receiver when messages are waiting.
+
+    :param sock: an open socket; closed by :meth:`close`.
+    """
+
+    def __init__(self, sock: zmq.Socket[bytes]) -> None:
+        self.zmq = sock
+        self._wait: trio.CancelScope | None = None
+
+    async def receive(self) -> list[zmq.Frame]:
+        """Wait for the next message.
+
+        :returns: its frames.
+        :raises zmq.ZMQError: if the socket is closed.
+        """
+        await trio.lowlevel.checkpoint()
+        while True:
+            try:
+                return self.zmq.recv_multipart(zmq.NOBLOCK, copy=False)
+            except zmq.Again:
+                pass
+            if self._readable():
+                continue
+            with trio.CancelScope() as self._wait:
+                await trio.lowlevel.wait_readable(self.zmq.FD)
+            self._wait = None
+
+    def send(self, frames: list[bytes]) -> bool:
+        """Hand a message to the socket without waiting.
+
+        :param frames: frames of the message.
+        :returns: False if the queue is full; nothing was handed over then.
+        :raises zmq.ZMQError: if no such peer is connected.
+        """
+        try:
+            self.zmq.send_multipart(frames, zmq.NOBLOCK)
+        except zmq.Again:
+            return False
+        finally:
+            if self._wait is not None and self._readable():
+                self._wait.cancel()
+        return True
+
+    def close(self) -> None:
+        """Close the socket; messages in its queues are dropped."""
+        self.zmq.close(linger=0)
+
+    def _readable(self) -> bool:
+        events = self.zmq.getsockopt(zmq.EVENTS)
+        return bool(int(events) & zmq.POLLIN)  # type: ignore[call-overload]
+
+
+def open_router(
+    ctx: zmq.Context[zmq.Socket[bytes]], limits: PeerLimits
+) -> zmq.Socket[bytes]:
+    """Open the socket that accepts peers.
+
+    A second connection with the routing id of a live one is not taken over,
+    since it may be an impostor or a delayed reconnect.
+
+    :param ctx: context of the process.
+    :param limits: bounds of the port.
+    :returns: a socket that is not bound yet.
+    """
+    sock = ctx.socket(zmq.ROUTER)
+    _set_common(sock, limits)
+    sock.setsockopt(zmq.ROUTER_MANDATORY, 1)
+    sock.setsockopt(zmq.ROUTER_HANDOVER, 0)
+    return sock
+
+
+def open_dealer(
+    ctx: zmq.Context[zmq.Socket[bytes]], limits: PeerLimits, routing_id: bytes
+) -> zmq.Socket[bytes]:
+    """Open a socket for one connection to an entry.
+
+    libzmq doesn't reconnect it: messages in flight are lost with the
+    connection, so both sides must begin anew with Hello.
+
+    :param ctx: context of the process.
+    :param limits: bounds of the port.
+    :param routing_id: identity of this process and boot.
+    :returns: a socket that is not connected yet.
+    """
+    sock = ctx.socket(zmq.DEALER)
+    _set_common(sock, limits)
+    sock.setsockopt(zmq.ROUTING_ID, routing_id)
+    sock.setsockopt(zmq.RECONNECT_IVL, -1)
+    return sock
+
+
+def _set_common(sock: zmq.Socket[bytes], limits: PeerLimits) -> None:
+    sock.setsockopt(zmq.LINGER, 0)
+    sock.setsockopt(zmq.IMMEDIATE, 1)
+    sock.setsockopt(zmq.SNDHWM, limits.queue_messages)
+    sock.setsockopt(zmq.RCVHWM, limits.queue_messages)
+    sock.setsockopt(zmq.MAXMSGSIZE, limits.max_message_bytes)
+    sock.setsockopt(zmq.TCP_KEEPALIVE, 1)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_IDLE, 5)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_INTVL, 2)
+    sock.setsockopt(zmq.TCP_KEEPALIVE_CNT, 3)
+    sock.setsockopt(zmq.HEARTBEAT_IVL, 1000)
+    sock.setsockopt(zmq.HEARTBEAT_TIMEOUT, 2500)
+    sock.setsockopt(zmq.HANDSHAKE_IVL, 2000)
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -125,6 +125,14 @@
     address: str = ''
 
 
+@_message
+class Alive:
+    """Sent by the peer port on a connection that was idle for a second."""
+
+    boot_id: identifiers.BootId
+    clock: float  # the sender's monotonic clock
+
+
 @_message
 class Heartbeat:
     """Agent to entry, each second."""
@@ -301,12 +309,17 @@
 
 @_message
 class RequestRefused:
-    """Agent to entry: the request was not run and never will be."""
+    """Agent to entry: the request was not run and never will be.
+
+    ``leaving`` tells that the agent or its backend servers leave, ``full``
+    that there was no room in time.
+    """
 
     request_id: identifiers.RequestId
     attempt: int
     reason: str
     leaving: bool = False
+    full: bool = False
 
 
 @_message
--- a/citronrail/ports/__init__.py
+++ b/citronrail/ports/__init__.py
@@ -12,6 +12,7 @@
 from citronrail.ports.key_value_store import TxnResult
 from citronrail.ports.key_value_store import WatchEvent
 from citronrail.ports.peers import Handler
+from citronrail.ports.peers import Listener
 from citronrail.ports.peers import Peer
 from citronrail.ports.peers import PeerHub
 from citronrail.ports.worker import EndedTask
@@ -29,6 +30,7 @@
     'Handler',
     'KeyValue',
     'KeyValueStore',
+    'Listener',
     'Listing',
     'Peer',
     'PeerHub',
--- a/citronrail/ports/peers.py
+++ b/citronrail/ports/peers.py
@@ -25,6 +25,8 @@
     [Peer, typing.Any, bytes], collections.abc.Awaitable[None]
 ]
 
+Listener = collections.abc.Callable[[Peer], None]
+
 
 class PeerHub(typing.Protocol):
     """Connections to all peers of this process.
@@ -53,6 +55,14 @@
         """
         ...
 
+    def listen(self, on_connect: Listener, on_disconnect: Listener) -> None:
+        """Call functions when peers connect and disconnect.
+
+        :param on_connect: gets the peer; called for present peers at once.
+        :param on_disconnect: gets the peer, after its last connection broke.
+        """
+        ...
+
     async def send(
         self,
         peer: identifiers.NodeId,
@@ -73,6 +83,10 @@
         """Return the connected peers of a role."""
         ...
 
+    def peer(self, node_id: identifiers.NodeId) -> Peer | None:
+        """Return a connected peer, None if it is not connected."""
+        ...
+
     def to_peer_clock(
         self, peer: identifiers.NodeId, deadline: float
     ) -> float:
