Carry requests from HTTP over zmq to a backend server and back

Cause: the daemon needs a whole request path to be wired. Conclusion: usable for wiring; CURVE, faults and limits are to be tested next.

--- a/citronrail/adapters/_agent_app.py
+++ b/citronrail/adapters/_agent_app.py
@@ -9,10 +9,10 @@
 import quart_trio
 import werkzeug.exceptions
 
-from citronrail import errors
 from citronrail.adapters import _problem_json
+from citronrail import errors
 from citronrail.model import identifiers
-from citronrail.routing import RequestRunner
+from citronrail import routing
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_SERVICE_NAME = 100
@@ -28,7 +28,7 @@
 
 
 def agent_app(
-    runner: RequestRunner, ready: collections.abc.Callable[[], bool]
+    runner: routing.RequestRunner, ready: collections.abc.Callable[[], bool]
 ) -> quart_trio.QuartTrio:
     """Make the application of the agent's local port.
 
--- a/citronrail/adapters/_caller_app.py
+++ b/citronrail/adapters/_caller_app.py
@@ -13,10 +13,9 @@
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
-from citronrail.routing import CallerRequest
-from citronrail.routing import Problem
+from citronrail import routing
 
 MAX_BODY_BYTES = 4 * 1024 * 1024  # a body is one message to an agent
 MAX_HEADERS = 100
@@ -30,7 +29,9 @@
 class Router(typing.Protocol):
     """What the port needs of :class:`citronrail.routing.RequestRouter`."""
 
-    async def handle(self, req: CallerRequest, respond: typing.Any) -> None:
+    async def handle(
+        self, req: routing.CallerRequest, respond: typing.Any
+    ) -> None:
         """Answer one request."""
         ...
 
@@ -104,23 +105,24 @@
 
 async def _read(
     request_id: identifiers.RequestId, service: identifiers.ServiceName
-) -> CallerRequest:
+) -> routing.CallerRequest:
     """Read the request at hand.
 
     :raises _Malformed: if it is too large or not valid UTF-8.
     """
-    scope = quart.request.scope
+    scope: dict[str, typing.Any] = dict(quart.request.scope)
     headers = _headers(scope['headers'])
     target = _target(scope)
     try:
-        body = await quart.request.get_data(as_text=False)
+        data = await quart.request.get_data(as_text=False)
     except werkzeug.exceptions.RequestEntityTooLarge as exc:
         raise _Malformed(
             413,
             'The body is too large',
             f'At most {MAX_BODY_BYTES} bytes are accepted.',
         ) from exc
-    return CallerRequest(
+    body = data if isinstance(data, bytes) else data.encode()
+    return routing.CallerRequest(
         request_id, service, scope['method'], target, headers, body
     )
 
@@ -179,7 +181,9 @@
         self._whole = False
         self._send, self._receive = trio.open_memory_channel[bytes](0)
 
-    async def produce(self, router: Router, req: CallerRequest) -> None:
+    async def produce(
+        self, router: Router, req: routing.CallerRequest
+    ) -> None:
         """Let the router answer, until the caller is gone."""
         try:
             with self._scope:
@@ -228,7 +232,7 @@
         self._whole = True
         await self._send.aclose()
 
-    async def problem(self, problem: Problem) -> None:
+    async def problem(self, problem: routing.Problem) -> None:
         """Send a whole answer that describes a problem."""
         self._response = _problem_json.response(problem, self._request_id)
         self._begun.set()
@@ -238,7 +242,7 @@
             async for data in self._receive:
                 yield data
             if not self._whole:
-                emit(
+                observability.emit(
                     events.HTTP_RESPONSE_BROKEN_OFF,
                     cause=self._request_id,
                     request_id=self._request_id,
--- a/citronrail/adapters/_curve.py
+++ b/citronrail/adapters/_curve.py
@@ -14,14 +14,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class CurveFiles:
-    """Key files of this process.
+    """Key files, as written by :func:`zmq.auth.create_certificates`.
 
-    ``own_key`` is a secret key file as written by
-    :func:`zmq.auth.create_certificates`. ``allowed_keys`` is a directory with
-    one public key file ``<node id>.key`` for every node, entries included.
+    ``own_key`` is this process's secret key file. ``server_key`` is the key
+    of the entries' peer ports: the secret key file at an entry, the public
+    one at an agent. ``allowed_keys`` is a directory with one public key file
+    ``<node id>.key`` for every node that may connect.
     """
 
     own_key: pathlib.Path
+    server_key: pathlib.Path
     allowed_keys: pathlib.Path
 
 
@@ -34,45 +36,43 @@
 
     def __init__(self, files: CurveFiles) -> None:
         self._directory = files.allowed_keys
-        self._public, self._secret = _load(files.own_key)
-        if self._secret is None:
+        self._own_public, self._own_secret = _load(files.own_key)
+        self._server_public, self._server_secret = _load(files.server_key)
+        if self._own_secret is None:
             raise errors.ConfigError(
                 f'{files.own_key.name} holds no secret key', step=_STEP
             )
-        self._nodes: dict[str, str] = {}
         if not files.allowed_keys.is_dir():
             raise errors.ConfigError(
                 f'{files.allowed_keys} is no directory', step=_STEP
             )
-        for path in sorted(files.allowed_keys.glob('*.key')):
-            public, _ = _load(path)
-            self._nodes[public.decode()] = path.stem
+        self._nodes = {
+            _load(path)[0].decode(): path.stem
+            for path in sorted(files.allowed_keys.glob('*.key'))
+        }
 
     def secure_server(self, sock: zmq.Socket[bytes]) -> None:
         """Accept only connections with allowed keys.
 
         :param sock: a socket that is not bound yet.
+        :raises citronrail.errors.ConfigError: without the secret server key.
         """
-        sock.curve_secretkey = self._secret
-        sock.curve_publickey = self._public
+        if self._server_secret is None:
+            raise errors.ConfigError(
+                'the server key file holds no secret key', step=_STEP
+            )
+        sock.curve_secretkey = self._server_secret
+        sock.curve_publickey = self._server_public
         sock.curve_server = True
 
-    def secure_client(self, sock: zmq.Socket[bytes], node_id: str) -> None:
-        """Connect only to the holder of a node's key.
+    def secure_client(self, sock: zmq.Socket[bytes]) -> None:
+        """Connect only to the holder of the server key.
 
         :param sock: a socket that is not connected yet.
-        :param node_id: node that is expected to answer.
-        :raises citronrail.errors.ConfigError: if its key is not allowed.
         """
-        for public, owner in self._nodes.items():
-            if owner == node_id:
-                sock.curve_secretkey = self._secret
-                sock.curve_publickey = self._public
-                sock.curve_serverkey = public.encode()
-                return
-        raise errors.ConfigError(
-            f'no key file for node {node_id}', step=_STEP, peer=node_id
-        )
+        sock.curve_secretkey = self._own_secret
+        sock.curve_publickey = self._own_public
+        sock.curve_serverkey = self._server_public
 
     def owner(self, public_key: str) -> str:
         """Return the node that a public key belongs to, or ''.
@@ -92,7 +92,7 @@
             authenticator.configure_curve(domain='*', location=self._directory)
             sock = authenticator.zap_socket
             while True:
-                while sock.getsockopt(zmq.EVENTS) & zmq.POLLIN:
+                while int(sock.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
                     await authenticator.handle_zap_message(
                         sock.recv_multipart()
                     )
--- a/citronrail/adapters/_http_backend_server.py
+++ b/citronrail/adapters/_http_backend_server.py
@@ -8,7 +8,7 @@
 
 from citronrail import errors
 from citronrail.model import messages
-from citronrail.ports import backend_server
+from citronrail import ports
 
 CONNECT_TIMEOUT_S = 1.0
 # Shorter than the idle time after which servers close connections, so that
@@ -84,8 +84,8 @@
 
     @contextlib.asynccontextmanager
     async def run(
-        self, req: backend_server.BackendRequest
-    ) -> collections.abc.AsyncIterator[backend_server.BackendResponse]:
+        self, req: ports.BackendRequest
+    ) -> collections.abc.AsyncIterator[ports.BackendResponse]:
         """Send a request and give access to its answer.
 
         :param req: the request to send.
--- a/citronrail/adapters/_http_servers.py
+++ b/citronrail/adapters/_http_servers.py
@@ -8,7 +8,7 @@
 import hypercorn.trio
 import trio
 
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
 
 MAX_HEADER_BYTES = 16 * 1024
@@ -54,9 +54,9 @@
             _serve, _http_1_only(app), config, shutdown
         )
         address = binds[0]
-        emit(events.HTTP_PORT_OPEN, name=name, address=address)
+        observability.emit(events.HTTP_PORT_OPEN, name=name, address=address)
         task_status.started(int(address.rsplit(':', 1)[1]))
-    emit(events.HTTP_PORT_CLOSED, name=name)
+    observability.emit(events.HTTP_PORT_CLOSED, name=name)
 
 
 async def _serve(
--- a/citronrail/adapters/_peer_links.py
+++ b/citronrail/adapters/_peer_links.py
@@ -9,9 +9,9 @@
 from citronrail.adapters import _peer_clock
 from citronrail.adapters import _zmq_sockets
 from citronrail.model import identifiers
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
-from citronrail.ports import peers
+from citronrail import ports
 
 Inbound = tuple[typing.Any, bytes]
 _LAST_HANDLING_S = 1.0
@@ -30,7 +30,7 @@
         self,
         sock: _zmq_sockets.TrioSocket,
         routing_id: bytes | None,
-        peer: peers.Peer,
+        peer: ports.Peer,
         limits: _zmq_sockets.PeerLimits,
     ) -> None:
         self.peer = peer
@@ -84,10 +84,10 @@
     def __init__(self) -> None:
         self._links: dict[identifiers.NodeId, list[Link]] = {}
         self._clocks: dict[identifiers.NodeId, _peer_clock.ClockReading] = {}
-        self._listeners: list[tuple[peers.Listener, peers.Listener]] = []
+        self._listeners: list[tuple[ports.Listener, ports.Listener]] = []
 
     def listen(
-        self, on_connect: peers.Listener, on_disconnect: peers.Listener
+        self, on_connect: ports.Listener, on_disconnect: ports.Listener
     ) -> None:
         """Call functions when a peer connects and disconnects.
 
@@ -143,7 +143,7 @@
         """Return all links."""
         return tuple(lnk for links in self._links.values() for lnk in links)
 
-    def peers(self, role: str) -> tuple[peers.Peer, ...]:
+    def peers(self, role: str) -> tuple[ports.Peer, ...]:
         """Return the connected peers of a role.
 
         :param role: ``entry`` or ``agent``.
@@ -173,8 +173,8 @@
         """Return the best reading of the peer's present boot, or None."""
         return self._clocks.get(node_id)
 
-    def _connected(self, peer: peers.Peer) -> None:
-        emit(
+    def _connected(self, peer: ports.Peer) -> None:
+        observability.emit(
             events.PEER_CONNECTED,
             role=peer.role,
             peer=peer.node_id,
@@ -185,7 +185,7 @@
             on_connect(peer)
 
     def _disconnected(self, link: Link) -> None:
-        emit(
+        observability.emit(
             events.PEER_DISCONNECTED,
             peer=link.peer.node_id,
             reason=link.closed or 'closed',
--- a/citronrail/adapters/_problem_json.py
+++ b/citronrail/adapters/_problem_json.py
@@ -1,17 +1,17 @@
-"""Problem descriptions as HTTP answers (RFC 9457)."""
+"""routing.Problem descriptions as HTTP answers (RFC 9457)."""
 
 import msgspec
 import quart
 
 from citronrail.model import outcome as outcomes
-from citronrail.routing import Problem
+from citronrail import routing
 
 PROBLEM_TYPE = 'application/problem+json'
 OUTCOME_HEADER = 'citronrail-outcome'
 REQUEST_ID_HEADER = 'citronrail-request-id'
 
 
-def response(problem: Problem, request_id: str = '') -> quart.Response:
+def response(problem: routing.Problem, request_id: str = '') -> quart.Response:
     """Make an HTTP answer from a problem.
 
     :param problem: what to tell.
@@ -31,7 +31,7 @@
     )
 
 
-def body(problem: Problem, request_id: str = '') -> bytes:
+def body(problem: routing.Problem, request_id: str = '') -> bytes:
     """Encode a problem.
 
     :param problem: what to tell.
@@ -51,11 +51,11 @@
     )
 
 
-def malformed(status: int, title: str, detail: str) -> Problem:
+def malformed(status: int, title: str, detail: str) -> routing.Problem:
     """Describe a request that is refused before it is looked at.
 
     :param status: HTTP status.
     :param title: what is wrong.
     :param detail: more about it.
     """
-    return Problem(status, title, detail, outcomes.Outcome.NOT_RUN)
+    return routing.Problem(status, title, detail, outcomes.Outcome.NOT_RUN)
--- a/citronrail/adapters/_zmq_peers.py
+++ b/citronrail/adapters/_zmq_peers.py
@@ -9,22 +9,21 @@
 import trio
 import zmq
 
-from citronrail import errors
 from citronrail.adapters import _curve
 from citronrail.adapters import _metrics
 from citronrail.adapters import _peer_links
 from citronrail.adapters import _zmq_sockets
+from citronrail import errors
 from citronrail.model import identifiers
 from citronrail.model import messages
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
-from citronrail.ports import peers
+from citronrail import ports
 
 _HELLO_EXPECTED = 'hello expected'
 _FULL_QUEUE_PAUSE_S = 0.002
 
 Introduce = collections.abc.Callable[[], messages.Hello]
-EntryKey = tuple[identifiers.NodeId, str]
 
 
 class ZmqPeerHub:
@@ -68,13 +67,13 @@
         self._keys = _curve.CurveKeys(curve) if curve else None
         self._limits = limits or _zmq_sockets.PeerLimits()
         self._rng = rng
-        self._handlers: dict[type, list[peers.Handler]] = (
+        self._handlers: dict[type, list[ports.Handler]] = (
             collections.defaultdict(list)
         )
         self._table = _peer_links.LinkTable()
         self._accepted: dict[bytes, _peer_links.Link] = {}
-        self._entries: dict[EntryKey, trio.CancelScope] = {}
-        self._wanted: tuple[EntryKey, ...] = ()
+        self._entries: dict[str, trio.CancelScope] = {}
+        self._wanted: frozenset[str] = frozenset()
         self._nursery: trio.Nursery | None = None
         self._ctx: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
 
@@ -88,7 +87,7 @@
         """Boot id of this process."""
         return self._boot_id
 
-    def subscribe(self, kind: type, handler: peers.Handler) -> None:
+    def subscribe(self, kind: type, handler: ports.Handler) -> None:
         """Call ``handler(peer, message, payload)`` for each ``kind``.
 
         :param kind: a registered message class.
@@ -98,8 +97,8 @@
 
     def listen(
         self,
-        on_connect: peers.Listener,
-        on_disconnect: peers.Listener,
+        on_connect: ports.Listener,
+        on_disconnect: ports.Listener,
     ) -> None:
         """Call functions when peers connect and disconnect.
 
@@ -108,14 +107,14 @@
         """
         self._table.listen(on_connect, on_disconnect)
 
-    def peers(self, role: str) -> tuple[peers.Peer, ...]:
+    def peers(self, role: str) -> tuple[ports.Peer, ...]:
         """Return the connected peers of a role.
 
         :param role: ``entry`` or ``agent``.
         """
         return self._table.peers(role)
 
-    def peer(self, node_id: identifiers.NodeId) -> peers.Peer | None:
+    def peer(self, node_id: identifiers.NodeId) -> ports.Peer | None:
         """Return a connected peer, None if it is not connected.
 
         :param node_id: the peer.
@@ -166,18 +165,13 @@
             _metrics.PEER_SENDS_FAILED.inc()
             raise errors.PeerUnreachable(reason, step='peers.send', peer=peer)
 
-    def set_entries(
-        self, addresses: collections.abc.Iterable[messages.EntryAddress]
-    ) -> None:
+    def set_entries(self, addresses: collections.abc.Iterable[str]) -> None:
         """Connect to these entries and disconnect from all others.
 
-        :param addresses: the present entries; this process is left out.
+        :param addresses: peer ports as ``tcp://IP:PORT``; this process's own
+            is ignored.
         """
-        self._wanted = tuple(
-            (entry.node_id, entry.address)
-            for entry in addresses
-            if entry.node_id != self._node_id
-        )
+        self._wanted = frozenset(addresses) - {self.address}
         if self._nursery is not None:
             self._apply_entries(self._nursery)
 
@@ -197,7 +191,7 @@
                     nursery.start_soon(self._keys.authenticate, self._ctx)
                     await trio.lowlevel.checkpoint()
                 else:
-                    emit(events.PEER_PORT_INSECURE)
+                    observability.emit(events.PEER_PORT_INSECURE)
                 if self._listen:
                     nursery.start_soon(self._accept, self._bind())
                 nursery.start_soon(self._keep_alive)
@@ -213,18 +207,17 @@
             self._keys.secure_server(sock)
         sock.bind(self._listen)
         self.address = str(sock.getsockopt_string(zmq.LAST_ENDPOINT))
-        emit(events.PEER_PORT_OPEN, address=self.address)
+        observability.emit(events.PEER_PORT_OPEN, address=self.address)
         return _zmq_sockets.TrioSocket(sock)
 
     def _apply_entries(self, nursery: trio.Nursery) -> None:
-        for key, scope in list(self._entries.items()):
-            if key not in self._wanted:
+        for address, scope in list(self._entries.items()):
+            if address not in self._wanted:
                 scope.cancel()
-                del self._entries[key]
-        for key in self._wanted:
-            if key not in self._entries:
-                scope = self._entries[key] = trio.CancelScope()
-                nursery.start_soon(self._stay_connected, key, scope)
+                del self._entries[address]
+        for address in sorted(self._wanted - self._entries.keys()):
+            scope = self._entries[address] = trio.CancelScope()
+            nursery.start_soon(self._stay_connected, address, scope)
 
     async def _hand_over(
         self, link: _peer_links.Link | None, frames: list[bytes]
@@ -278,7 +271,7 @@
 
     def _refuse(self, sender: str, reason: str, detail: str) -> None:
         _metrics.PEER_MESSAGES_REFUSED.labels(reason).inc()
-        emit(
+        observability.emit(
             events.PEER_MESSAGE_REFUSED,
             peer=sender[:80],
             reason=f'{reason}: {detail}'[:300],
@@ -310,7 +303,9 @@
             owner = self._keys.owner(_user_id(frame))
             if owner != hello.node_id:
                 _metrics.PEER_MESSAGES_REFUSED.labels('wrong key').inc()
-                emit(events.PEER_KEY_REFUSED, peer=claimed, owner=owner)
+                observability.emit(
+                    events.PEER_KEY_REFUSED, peer=claimed, owner=owner
+                )
                 return
         old = self._accepted.get(key)
         if old is not None:
@@ -352,7 +347,7 @@
         link.heard_at = trio.current_time()
         sender = str(link.peer.node_id)
         if isinstance(message, messages.ProtocolError):
-            emit(
+            observability.emit(
                 events.PEER_REPORTED_ERROR, peer=sender, reason=message.reason
             )
             if message.reason == _HELLO_EXPECTED:
@@ -370,7 +365,7 @@
         try:
             link.inbox.send_nowait((message, payload))
         except trio.WouldBlock:
-            emit(events.PEER_QUEUE_FULL, peer=sender)
+            observability.emit(events.PEER_QUEUE_FULL, peer=sender)
             _metrics.PEER_MESSAGES_REFUSED.labels('inbox full').inc()
             link.close('too many unhandled messages')
 
@@ -395,18 +390,19 @@
 
     async def _call(
         self,
-        handler: peers.Handler,
+        handler: ports.Handler,
         link: _peer_links.Link,
         message: object,
         payload: bytes,
     ) -> None:
         try:
             await handler(link.peer, message, payload)
-        except Exception as exc:  # noqa: BLE001 - one message must not stop the peer
+        except Exception as exc:  # noqa: BLE001
+            # A fault in one handler must not end the peer's connection.
             _metrics.PEER_MESSAGES_REFUSED.labels('handler failed').inc()
-            emit(
+            observability.emit(
                 events.PEER_HANDLER_FAILED,
-                kind=type(message).__name__,
+                message=type(message).__name__,
                 peer=link.peer.node_id,
                 error=repr(exc),
             )
@@ -414,32 +410,31 @@
     # Outgoing connections
 
     async def _stay_connected(
-        self, key: EntryKey, scope: trio.CancelScope
+        self, address: str, scope: trio.CancelScope
     ) -> None:
         with scope:
             while True:
-                await self._connect(key)
+                await self._connect(address)
                 pause = self._limits.reconnect_s
                 await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
 
-    async def _connect(self, key: EntryKey) -> None:
+    async def _connect(self, address: str) -> None:
         """Use one connection to an entry until it breaks."""
-        node_id, address = key
         routing_id = f'{self._node_id}/{self._boot_id}'.encode()
         raw = _zmq_sockets.open_dealer(self._ctx, self._limits, routing_id)
         sock = _zmq_sockets.TrioSocket(raw)
         link = None
         try:
             if self._keys is not None:
-                self._keys.secure_client(raw, node_id)
+                self._keys.secure_client(raw)
             broken = raw.get_monitor_socket(zmq.EVENT_DISCONNECTED)
             raw.connect(address)
             with trio.move_on_after(self._limits.hello_wait_s):
-                link = await self._greet(sock, node_id)
+                link = await self._greet(sock, address)
             if link is not None:
                 await self._read(sock, link, _zmq_sockets.TrioSocket(broken))
-        except (zmq.ZMQError, errors.ConfigError) as exc:
-            self._refuse(node_id, 'connection failed', str(exc))
+        except zmq.ZMQError as exc:
+            self._refuse(address, 'connection failed', str(exc))
         finally:
             if link is not None:
                 link.close('the connection broke')
@@ -448,15 +443,17 @@
             sock.close()
 
     async def _greet(
-        self, sock: _zmq_sockets.TrioSocket, node_id: identifiers.NodeId
+        self, sock: _zmq_sockets.TrioSocket, address: str
     ) -> _peer_links.Link | None:
         while not sock.send([messages.pack(self._hello())]):
             await trio.sleep(_FULL_QUEUE_PAUSE_S)
         frames = await sock.receive()
-        hello = self._decode(frames, node_id)
-        if not isinstance(hello, messages.Hello) or hello.node_id != node_id:
-            self._refuse(node_id, 'no hello', type(hello).__name__)
+        hello = self._decode(frames, address)
+        if not isinstance(hello, messages.Hello):
+            self._refuse(address, 'no hello', type(hello).__name__)
             return None
+        if hello.node_id == self._node_id:
+            await trio.sleep_forever()  # an address of this process itself
         link = _peer_links.Link(sock, None, _peer_of(hello), self._limits)
         self._start_link(link, hello)
         return link
@@ -510,8 +507,8 @@
     link.close('the connection broke')
 
 
-def _peer_of(hello: messages.Hello) -> peers.Peer:
-    return peers.Peer(
+def _peer_of(hello: messages.Hello) -> ports.Peer:
+    return ports.Peer(
         hello.node_id,
         hello.boot_id,
         hello.role,
--- a/citronrail/adapters/_zmq_sockets.py
+++ b/citronrail/adapters/_zmq_sockets.py
@@ -78,7 +78,7 @@
 
     def _readable(self) -> bool:
         events = self.zmq.getsockopt(zmq.EVENTS)
-        return bool(int(events) & zmq.POLLIN)  # type: ignore[call-overload]
+        return bool(int(events) & zmq.POLLIN)
 
 
 def open_router(
--- a/citronrail/observability/catalogue/adapters.py
+++ b/citronrail/observability/catalogue/adapters.py
@@ -12,7 +12,7 @@
     1602, 'INFO', 'Lost the connection to {peer}: {reason}'
 )
 PEER_HANDLER_FAILED = _events.EventKind(
-    1603, 'ERROR', 'Handling {kind} from {peer} failed: {error}'
+    1603, 'ERROR', 'Handling {message} from {peer} failed: {error}'
 )
 PEER_QUEUE_FULL = _events.EventKind(
     1604, 'WARNING', 'Too many unhandled messages from {peer}'
--- a/citronrail/observability/catalogue/routing.py
+++ b/citronrail/observability/catalogue/routing.py
@@ -3,7 +3,7 @@
 from citronrail.observability import _events
 
 ANSWER_DROPPED = _events.EventKind(
-    1300, 'WARNING', 'Dropped {kind} from {peer} for {request}: {reason}'
+    1300, 'WARNING', 'Dropped {message} from {peer} for {request}: {reason}'
 )
 REQUEST_ENDED = _events.EventKind(
     1301, 'DEBUG', 'Request {request} ended: {outcome}, {status}'
--- a/citronrail/routing/__init__.py
+++ b/citronrail/routing/__init__.py
@@ -1,8 +1,8 @@
 """The request path: balancing, admission, retries, keys and streaming."""
 
 from citronrail.routing._balancing import policy_of
-from citronrail.routing._keys import KeyAnswer
 from citronrail.routing._keys import Keeper
+from citronrail.routing._keys import KeyAnswer
 from citronrail.routing._keys import KeyService
 from citronrail.routing._keys import range_of
 from citronrail.routing._requests import CallerRequest
--- a/citronrail/routing/_answer_stream.py
+++ b/citronrail/routing/_answer_stream.py
@@ -6,10 +6,9 @@
 
 from citronrail import errors
 from citronrail.model import messages
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
-from citronrail.ports import backend_server
-from citronrail.ports import peers
+from citronrail import ports
 from citronrail.routing import _exchanges
 from citronrail.routing import _feeds
 from citronrail.routing import _requests
@@ -28,7 +27,7 @@
     :param run: the run whose answer it is.
     """
 
-    def __init__(self, hub: peers.PeerHub, run: _runs.Run) -> None:
+    def __init__(self, hub: ports.PeerHub, run: _runs.Run) -> None:
         self._hub = hub
         self._run = run
         self._chunks = 0
@@ -108,7 +107,7 @@
 
 
 async def pass_on(
-    response: backend_server.BackendResponse,
+    response: ports.BackendResponse,
     stream: AnswerStream,
     run: _runs.Run,
 ) -> None:
@@ -148,5 +147,5 @@
             await stream.write(buffer.push(data))
         except _feeds.EventTooLong as exc:
             raise errors.BackendFailed(str(exc), step='feed') from exc
-    emit(events.FEED_ENDED, request=run.run_id.request_id)
+    observability.emit(events.FEED_ENDED, request=run.run_id.request_id)
     await stream.write(_feeds.RETRY_HINT)
--- a/citronrail/routing/_attempts.py
+++ b/citronrail/routing/_attempts.py
@@ -9,7 +9,7 @@
 from citronrail.model import identifiers
 from citronrail.model import settings
 from citronrail.model import views
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 from citronrail.routing import _admission
 from citronrail.routing import _balancing
@@ -276,7 +276,7 @@
                 kind = events.ATTEMPT_FAILED
             case _:
                 return
-        emit(
+        observability.emit(
             kind,
             cause=progress.req.request_id,
             request=request,
@@ -305,7 +305,7 @@
             return True
         if not _retry_budget.allows(self._budget):
             progress.stopped_because = 'the retry budget is spent'
-            emit(
+            observability.emit(
                 events.RETRY_BUDGET_SPENT,
                 cause=progress.req.request_id,
                 request=progress.req.request_id,
--- a/citronrail/routing/_backends.py
+++ b/citronrail/routing/_backends.py
@@ -6,7 +6,7 @@
 from citronrail import errors
 from citronrail.model import identifiers
 from citronrail.model import messages
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 
 ANNOUNCEMENT_S = 3.0  # announcements are repeated each second
@@ -66,7 +66,7 @@
             self._backends[(service, address)] = known
             news = not leaving
             if news:
-                emit(
+                observability.emit(
                     events.BACKEND_ANNOUNCED, service=service, address=address
                 )
         else:
@@ -74,7 +74,9 @@
         known.until = now + ANNOUNCEMENT_S
         if leaving and not known.leaving:
             known.leaving = news = True
-            emit(events.BACKEND_LEAVING, service=service, address=address)
+            observability.emit(
+                events.BACKEND_LEAVING, service=service, address=address
+            )
         if news:
             self._changed()
 
@@ -87,7 +89,9 @@
         backend = self._backends.pop((service, address), None)
         if backend is not None:
             backend.leaving = True
-            emit(events.BACKEND_LEAVING, service=service, address=address)
+            observability.emit(
+                events.BACKEND_LEAVING, service=service, address=address
+            )
             self._changed()
 
     def drop_lapsed(self, now: float) -> None:
@@ -103,7 +107,7 @@
         for key in lapsed:
             backend = self._backends.pop(key)
             backend.leaving = True
-            emit(
+            observability.emit(
                 events.BACKEND_LAPSED,
                 service=backend.service,
                 address=backend.address,
--- a/citronrail/routing/_dispatch.py
+++ b/citronrail/routing/_dispatch.py
@@ -9,9 +9,9 @@
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
-from citronrail.ports import peers
+from citronrail import ports
 from citronrail.routing import _exchanges
 from citronrail.routing import _metrics
 from citronrail.routing import _requests
@@ -32,7 +32,7 @@
     :param hub: connections to agents.
     """
 
-    def __init__(self, hub: peers.PeerHub) -> None:
+    def __init__(self, hub: ports.PeerHub) -> None:
         self._hub = hub
         self._exchanges = _exchanges.ExchangeTable(hub)
         hub.listen(lambda _: None, self._exchanges.peer_gone)
@@ -122,7 +122,7 @@
                     await self._ask_to_cancel(exchange, agent)
         if exchange.cancelled is outcomes.Outcome.NOT_RUN:
             exchange.fail(_verdicts.Cancelled())
-        emit(
+        observability.emit(
             events.REQUEST_CANCELLED,
             cause=exchange.request_id,
             request=f'{exchange.request_id}#{exchange.attempt}',
--- a/citronrail/routing/_exchanges.py
+++ b/citronrail/routing/_exchanges.py
@@ -7,9 +7,9 @@
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
-from citronrail.ports import peers
+from citronrail import ports
 from citronrail.routing import _metrics
 from citronrail.routing import _verdicts
 
@@ -31,7 +31,7 @@
         self,
         request_id: identifiers.RequestId,
         attempt: int,
-        peer: peers.Peer,
+        peer: ports.Peer,
     ) -> None:
         self.request_id = request_id
         self.attempt = attempt
@@ -154,7 +154,7 @@
     :param hub: where the answers come from.
     """
 
-    def __init__(self, hub: peers.PeerHub) -> None:
+    def __init__(self, hub: ports.PeerHub) -> None:
         self._exchanges: dict[ExchangeId, Exchange] = {}
         for kind in (
             messages.ResponseStart,
@@ -180,7 +180,7 @@
         """
         self._exchanges.pop((exchange.request_id, exchange.attempt), None)
 
-    def peer_gone(self, peer: peers.Peer) -> None:
+    def peer_gone(self, peer: ports.Peer) -> None:
         """End the attempts at an agent whose connection broke.
 
         :param peer: the agent.
@@ -194,7 +194,7 @@
         return tuple(self._exchanges.values())
 
     async def _on_answer(
-        self, peer: peers.Peer, message: messages.ResponseEnd, payload: bytes
+        self, peer: ports.Peer, message: messages.ResponseEnd, payload: bytes
     ) -> None:
         key = (message.request_id, message.attempt)
         exchange = self._exchanges.get(key)
@@ -210,10 +210,10 @@
         if reason:
             kind = type(message).__name__
             _metrics.ANSWERS_DROPPED.labels(kind).inc()
-            emit(
+            observability.emit(
                 events.ANSWER_DROPPED,
                 cause=message.request_id,
-                kind=kind,
+                message=kind,
                 peer=peer.node_id,
                 request=f'{message.request_id}#{message.attempt}',
                 reason=reason,
--- a/citronrail/routing/_keys.py
+++ b/citronrail/routing/_keys.py
@@ -12,9 +12,9 @@
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
-from citronrail.ports import peers
+from citronrail import ports
 from citronrail.routing import _requests
 
 RANGE_COUNT = 8
@@ -129,7 +129,7 @@
     """
 
     def __init__(
-        self, hub: peers.PeerHub, keeper: Keeper, owner_of: OwnerOf
+        self, hub: ports.PeerHub, keeper: Keeper, owner_of: OwnerOf
     ) -> None:
         self._hub = hub
         self._keeper = keeper
@@ -226,7 +226,7 @@
             while not await self._deliver(message, body):
                 await trio.sleep(_RETRY_PAUSE_S / 2)
             return
-        emit(
+        observability.emit(
             events.KEY_NOT_COMPLETED,
             cause=wish.request_id,
             request=wish.request_id,
@@ -290,7 +290,7 @@
     # Messages of other entries
 
     async def _on_reserve(
-        self, peer: peers.Peer, message: messages.ReserveKey, _: bytes
+        self, peer: ports.Peer, message: messages.ReserveKey, _: bytes
     ) -> None:
         answer = self._keeper.reserve(message, trio.current_time())
         reply = answer.reply
@@ -304,7 +304,7 @@
         await self._hub.send(peer.node_id, reply, answer.body)
 
     async def _on_reply(
-        self, _: peers.Peer, message: messages.ReserveReply, body: bytes
+        self, _: ports.Peer, message: messages.ReserveReply, body: bytes
     ) -> None:
         waiting = self._replies.get(message.request_id)
         if waiting is not None:
@@ -312,7 +312,7 @@
                 waiting.send_nowait(KeyAnswer(message, body))
 
     async def _on_complete(
-        self, _: peers.Peer, message: messages.CompleteKey, body: bytes
+        self, _: ports.Peer, message: messages.CompleteKey, body: bytes
     ) -> None:
         self._keeper.complete(message, body, trio.current_time())
 
--- a/citronrail/routing/_load_book.py
+++ b/citronrail/routing/_load_book.py
@@ -7,7 +7,7 @@
 from citronrail.model import identifiers
 from citronrail.model import settings
 from citronrail.model import views
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 from citronrail.routing import _balancing
 from citronrail.routing import _outliers
@@ -84,7 +84,7 @@
         new = _outliers.after_failure(old, now)
         self._health[node_id] = new
         if new.ejected_until > old.ejected_until:
-            emit(
+            observability.emit(
                 events.AGENT_EJECTED,
                 peer=node_id,
                 seconds=round(new.ejected_until - now),
@@ -129,9 +129,11 @@
     ) -> None:
         """Drop what is kept of agents that are gone."""
         present = {agent.node_id for agent in agents}
-        for kept in (self._reports, self._health, self._full_until):
-            for node_id in [name for name in kept if name not in present]:
-                del kept[node_id]  # type: ignore[attr-defined]
+        known = {*self._reports, *self._health, *self._full_until}
+        for node_id in known - present:
+            self._reports.pop(node_id, None)
+            self._health.pop(node_id, None)
+            self._full_until.pop(node_id, None)
 
     def _candidate(
         self, agent: views.AgentView, now: float
--- a/citronrail/routing/_relay.py
+++ b/citronrail/routing/_relay.py
@@ -4,7 +4,7 @@
 
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 from citronrail.routing import _attempts
 from citronrail.routing import _dispatch
@@ -139,10 +139,9 @@
         if self._reading is not None:
             self._reading.cancel()
 
-    async def relay(self, progress: _attempts.Progress) -> bool:
+    async def relay(self) -> bool:
         """Pass the feed on until it ends.
 
-        :param progress: the request.
         :returns: whether it ended as it should.
         """
         exchange = self._relay.exchange
@@ -163,7 +162,7 @@
                 case _:
                     report_incomplete(exchange)
                     return False
-        emit(events.FEED_ENDED, request=exchange.request_id)
+        observability.emit(events.FEED_ENDED, request=exchange.request_id)
         await self._relay.write(_feeds.RETRY_HINT)
         return True
 
@@ -173,7 +172,7 @@
 
     :param exchange: the attempt whose answer it was.
     """
-    emit(
+    observability.emit(
         events.ANSWER_INCOMPLETE,
         cause=exchange.request_id,
         request=f'{exchange.request_id}#{exchange.attempt}',
--- a/citronrail/routing/_router.py
+++ b/citronrail/routing/_router.py
@@ -9,9 +9,9 @@
 from citronrail.model import identifiers
 from citronrail.model import outcome as outcomes
 from citronrail.model import specs
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
-from citronrail.ports import peers
+from citronrail import ports
 from citronrail.routing import _attempts
 from citronrail.routing import _dispatch
 from citronrail.routing import _exchanges
@@ -19,7 +19,7 @@
 from citronrail.routing import _load_book
 from citronrail.routing import _metrics
 from citronrail.routing import _problems
-from citronrail.routing import _relay
+from citronrail.routing import _relay as relays
 from citronrail.routing import _requests
 from citronrail.routing import _verdicts
 
@@ -48,7 +48,7 @@
 
     def __init__(
         self,
-        hub: peers.PeerHub,
+        hub: ports.PeerHub,
         keys: _keys.KeyService,
         agents: _attempts.Agents,
         cfg: _attempts.CurrentSettings,
@@ -66,7 +66,7 @@
         self._attempts = _attempts.Attempts(
             self._dispatch, agents, cfg, self._book, rng
         )
-        self._feeds: set[_relay.FeedRelay] = set()
+        self._feeds: set[relays.FeedRelay] = set()
         self._in_progress = 0
         self._draining = False
         self._nursery: trio.Nursery | None = None
@@ -100,7 +100,7 @@
 
         Feeds are ended between two events. The caller bounds the time.
         """
-        emit(events.ROUTER_DRAINING, count=self._in_progress)
+        observability.emit(events.ROUTER_DRAINING, count=self._in_progress)
         self._draining = True
         for feed in self._feeds:
             feed.end()
@@ -200,7 +200,7 @@
     ) -> bool:
         """Pass an answer on; tell whether it was passed on wholly."""
         assert exchange.started is not None
-        relay = _relay.AnswerRelay(self._dispatch, exchange, respond)
+        relay = relays.AnswerRelay(self._dispatch, exchange, respond)
         if _requests.is_feed(exchange.started.headers):
             return await self._relay_feed(progress, relay)
         with trio.move_on_at(progress.deadline):
@@ -213,15 +213,15 @@
         return False
 
     async def _relay_feed(
-        self, progress: _attempts.Progress, relay: _relay.AnswerRelay
+        self, progress: _attempts.Progress, relay: relays.AnswerRelay
     ) -> bool:
         """Pass a feed on until it ends or this entry leaves."""
         self._attempts.note_feed(relay.exchange)
-        feed = _relay.FeedRelay(relay, self._draining)
+        feed = relays.FeedRelay(relay, self._draining)
         self._feeds.add(feed)
         try:
             with trio.move_on_at(progress.finish_before):
-                if not await feed.relay(progress):
+                if not await feed.relay():
                     return False
                 await self._complete(progress, None)
                 await relay.respond.finish()
@@ -283,15 +283,15 @@
         with trio.move_on_at(limit):
             for exchange in progress.exchanges:
                 if not exchange.closed:
-                    relay = _relay.AnswerRelay(
-                        self._dispatch, exchange, _relay.Discard()
+                    relay = relays.AnswerRelay(
+                        self._dispatch, exchange, relays.Discard()
                     )
                     await relay.all_but_end(progress)
                     if isinstance(exchange.verdict, _verdicts.Complete):
                         answer = relay.stored_answer()
         for exchange in progress.exchanges:
             if not exchange.ended:
-                emit(
+                observability.emit(
                     events.EXCLUSIVE_RUN_OVERDUE,
                     cause=progress.req.request_id,
                     request=progress.req.request_id,
--- a/citronrail/routing/_runner.py
+++ b/citronrail/routing/_runner.py
@@ -10,10 +10,9 @@
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
-from citronrail.observability import emit
+from citronrail import observability
 from citronrail.observability.catalogue import routing as events
-from citronrail.ports import backend_server
-from citronrail.ports import peers
+from citronrail import ports
 from citronrail.routing import _answer_stream
 from citronrail.routing import _backends
 from citronrail.routing import _metrics
@@ -57,8 +56,8 @@
 
     def __init__(
         self,
-        hub: peers.PeerHub,
-        backend_server: backend_server.BackendServer,
+        hub: ports.PeerHub,
+        backend_server: ports.BackendServer,
         *,
         limits: RunnerLimits | None = None,
         max_run_s: MaxRun = lambda _: DEFAULT_MAX_RUN_S,
@@ -155,7 +154,7 @@
 
         Feeds are ended between two events. The caller bounds the time.
         """
-        emit(events.RUNNER_DRAINING, count=len(self._open))
+        observability.emit(events.RUNNER_DRAINING, count=len(self._open))
         self._leaving = True
         await self._push_backends()
         for run in self._open.values():
@@ -166,13 +165,13 @@
     # Messages of entries
 
     async def _on_run(
-        self, peer: peers.Peer, message: messages.RunRequest, body: bytes
+        self, peer: ports.Peer, message: messages.RunRequest, body: bytes
     ) -> None:
         run_id = _runs.run_id(peer, message)
         known = self._runs.find(run_id)
         if known is not None and known.state is not _runs.RunState.CANCELLED:
             # A refusal would be taken for the answer to the first copy.
-            emit(
+            observability.emit(
                 events.DUPLICATE_RUN_DROPPED,
                 cause=message.request_id,
                 request=f'{message.request_id}#{message.attempt}',
@@ -200,7 +199,7 @@
         self._nursery.start_soon(self._carry_out, run, message, body)
 
     async def _on_cancel(
-        self, peer: peers.Peer, message: messages.CancelRequest, _: bytes
+        self, peer: ports.Peer, message: messages.CancelRequest, _: bytes
     ) -> None:
         run_id = _runs.run_id(peer, message)
         run = self._runs.find(run_id)
@@ -224,7 +223,7 @@
         )
 
     async def _on_credit(
-        self, peer: peers.Peer, message: messages.Credit, _: bytes
+        self, peer: ports.Peer, message: messages.Credit, _: bytes
     ) -> None:
         run_id = _runs.RunId(
             peer.node_id, peer.boot_id, message.request_id, message.attempt
@@ -233,7 +232,7 @@
         if run is not None:
             run.give_credit(message.chunks)
 
-    def _on_disconnect(self, peer: peers.Peer) -> None:
+    def _on_disconnect(self, peer: ports.Peer) -> None:
         """Give up runs whose entry is gone, to free their slots."""
         for run in self._runs.of_entry(peer):
             if run.state is _runs.RunState.QUEUED:
@@ -336,7 +335,7 @@
         until = message.finish_before
         if run.exclusive:
             until = started_at + self._max_run_s(message.service)
-        request = backend_server.BackendRequest(
+        request = ports.BackendRequest(
             backend.address,
             message.method,
             message.target,
--- a/citronrail/routing/_runs.py
+++ b/citronrail/routing/_runs.py
@@ -7,7 +7,7 @@
 
 from citronrail.model import identifiers
 from citronrail.model import messages
-from citronrail.ports import peers
+from citronrail import ports
 
 FORGET_S = 5.0  # a copy of a message is not delayed longer than this
 
@@ -103,7 +103,7 @@
             if run.forget_at < now and run.state not in open_states:
                 del self._runs[run.run_id]
 
-    def of_entry(self, peer: peers.Peer) -> tuple[Run, ...]:
+    def of_entry(self, peer: ports.Peer) -> tuple[Run, ...]:
         """Return the runs that a peer asked for.
 
         :param peer: an entry.
@@ -117,7 +117,7 @@
 
 
 def run_id(
-    peer: peers.Peer, message: messages.RunRequest | messages.CancelRequest
+    peer: ports.Peer, message: messages.RunRequest | messages.CancelRequest
 ) -> RunId:
     """Return the identity of the run that a message is about.
 
--- /dev/null
+++ b/standins/backend_server/__main__.py
@@ -0,0 +1,99 @@
+"""Runs a stand-in backend server until SIGTERM.
+
+Prints one line of JSON with its address when it listens.
+"""
+
+import argparse
+import functools
+import json
+import signal
+import sys
+import time
+
+import httpx
+import msgspec
+import trio
+
+from citronrail import adapters
+from standins.backend_server import _app
+
+ANNOUNCE_EACH_S = 1.0
+DRAIN_S = 20.0
+LEAVING_S = 0.5  # time for the agent to tell the entries
+
+
+def main() -> None:
+    """Read the configuration and serve."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--config', required=True, help='JSON file, or JSON')
+    text = parser.parse_args().config
+    if not text.lstrip().startswith('{'):
+        with open(text, encoding='utf-8') as file:
+            text = file.read()
+    cfg = msgspec.json.decode(text, type=_app.BackendConfig)
+    trio.run(_serve, cfg)
+
+
+async def _serve(cfg: _app.BackendConfig) -> None:
+    work = _app.Workload(cfg)
+    closing = trio.Event()
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async with trio.open_nursery() as nursery:
+            port = await nursery.start(
+                functools.partial(
+                    adapters.serve,
+                    _app.backend_app(work),
+                    cfg.host,
+                    cfg.port,
+                    name='backend server',
+                    shutdown=closing,
+                    drain_s=DRAIN_S,
+                )
+            )
+            address = f'http://{cfg.host}:{port}'
+            print(json.dumps({'address': address}), flush=True)
+            nursery.start_soon(_leave, signals, work, closing)
+            if cfg.agent:
+                await _announce(cfg, address, work)
+
+
+async def _leave(
+    signals: object, work: _app.Workload, closing: trio.Event
+) -> None:
+    """Leave on the first signal; end at once on the second."""
+    async for _ in signals:  # type: ignore[attr-defined]
+        if work.leaving.is_set():
+            sys.exit(1)
+        work.leaving.set()
+        await trio.sleep(LEAVING_S)
+        closing.set()
+        if work.history.in_progress == 0:
+            return
+
+
+async def _announce(
+    cfg: _app.BackendConfig, address: str, work: _app.Workload
+) -> None:
+    """Announce each second, then that it leaves."""
+    incarnation = cfg.incarnation or time.time_ns()
+    url = f'{cfg.agent}/backends/{cfg.service}'
+    async with httpx.AsyncClient(timeout=2.0, trust_env=False) as client:
+        while True:
+            leaving = work.leaving.is_set()
+            body = {
+                'address': address,
+                'incarnation': incarnation,
+                'leaving': leaving,
+            }
+            try:
+                await client.put(url, json=body)
+            except httpx.HTTPError as exc:
+                print(f'cannot announce: {exc!r}', file=sys.stderr)
+            if leaving:
+                return
+            with trio.move_on_after(ANNOUNCE_EACH_S):
+                await work.leaving.wait()
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/standins/backend_server/_history.py
@@ -0,0 +1,73 @@
+"""What a backend server ran, kept for checks afterwards."""
+
+import collections
+import dataclasses
+import time
+
+HISTORY_RUNS = 200_000
+
+
+@dataclasses.dataclass
+class RunRecord:
+    """One run; times are Unix times in seconds, ``ended`` 0 while open.
+
+    ``key`` is the caller's business key, such as an order's number.
+    """
+
+    request_id: str
+    key: str
+    started: float
+    ended: float = 0.0
+
+
+class History:
+    """The latest runs, and counts of all runs."""
+
+    def __init__(self) -> None:
+        self.runs: collections.deque[RunRecord] = collections.deque(
+            maxlen=HISTORY_RUNS
+        )
+        self.by_request: collections.Counter[str] = collections.Counter()
+        self.by_key: collections.Counter[str] = collections.Counter()
+        self.in_progress = 0
+        self.most_in_progress = 0
+
+    def begin(self, request_id: str, key: str) -> RunRecord:
+        """Note that a run starts.
+
+        :param request_id: citronrail's id of the request.
+        :param key: the caller's business key, or ''.
+        :returns: its record, to be passed to :meth:`end`.
+        """
+        record = RunRecord(request_id, key, time.time())
+        self.runs.append(record)
+        if request_id:
+            self.by_request[request_id] += 1
+        if key:
+            self.by_key[key] += 1
+        self.in_progress += 1
+        self.most_in_progress = max(self.most_in_progress, self.in_progress)
+        return record
+
+    def end(self, record: RunRecord) -> None:
+        """Note that a run ended.
+
+        :param record: its record.
+        """
+        record.ended = time.time()
+        self.in_progress -= 1
+
+    def summary(self) -> dict[str, object]:
+        """Return everything as plain data for JSON."""
+        return {
+            'total': sum(1 for _ in self.runs),
+            'in_progress': self.in_progress,
+            'most_in_progress': self.most_in_progress,
+            'duplicated_requests': {
+                key: count
+                for key, count in self.by_request.items()
+                if count > 1
+            },
+            'by_key': dict(self.by_key),
+            'runs': [dataclasses.asdict(run) for run in self.runs],
+        }
