--- /dev/null
+++ b/citronrail/adapters/_etcd_store.py
@@ -0,0 +1,257 @@
+"""The key-value port over the etcd v3 JSON protocol."""
+
+import collections.abc
+import contextlib
+import json
+
+import httpx
+import trio
+
+from citronrail.adapters import _etcd_protocol as protocol
+from citronrail import errors
+from citronrail import observability
+from citronrail.observability.catalogue import adapters as events
+from citronrail import ports
+
+CALL_DEADLINE_S = 1.5
+CONNECT_TIMEOUT_S = 0.5
+# A watch without any event is renewed after this time, since a connection
+# whose other end is gone can look alive for ever.
+WATCH_IDLE_S = 60.0
+MAX_CONNECTIONS = 64
+
+# Nothing was sent when one of these is raised.
+_NOT_SENT = (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout)
+
+
+class EtcdStore:
+    """A :class:`citronrail.ports.KeyValueStore` over HTTP.
+
+    A call goes to the endpoint that answered last, and to the next one if
+    the connection was refused. A read is also repeated at the next endpoint
+    after any other failure.
+
+    :param endpoints: base URLs such as ``http://10.0.0.5:2379``.
+    :param deadline_s: longest time of a call in seconds.
+    """
+
+    def __init__(
+        self,
+        endpoints: collections.abc.Sequence[str],
+        deadline_s: float = CALL_DEADLINE_S,
+    ) -> None:
+        if not endpoints:
+            raise errors.ConfigError('no store endpoint', step='store.open')
+        self._endpoints = [url.rstrip('/') for url in endpoints]
+        self._preferred = 0
+        self._deadline_s = deadline_s
+        self._client = httpx.AsyncClient(
+            timeout=httpx.Timeout(
+                deadline_s, connect=min(CONNECT_TIMEOUT_S, deadline_s)
+            ),
+            limits=httpx.Limits(
+                max_connections=MAX_CONNECTIONS,
+                max_keepalive_connections=MAX_CONNECTIONS,
+            ),
+            trust_env=False,
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._client.aclose()
+
+    async def get(self, key: str) -> ports.KeyValue | None:
+        """Read one key; see the port."""
+        answer = await self._read('/v3/kv/range', protocol.single_key(key))
+        with _parsing('store.get'):
+            found = protocol.items(answer)
+        return found[0] if found else None
+
+    async def list(self, prefix: str) -> ports.Listing:
+        """Read the keys under a prefix; see the port."""
+        answer = await self._read('/v3/kv/range', protocol.key_range(prefix))
+        with _parsing('store.list'):
+            return ports.Listing(
+                protocol.items(answer), protocol.revision_of(answer)
+            )
+
+    async def txn(
+        self,
+        compares: collections.abc.Sequence[ports.Compare],
+        writes: collections.abc.Sequence[ports.Put | ports.Delete],
+    ) -> ports.TxnResult:
+        """Carry out a transaction; see the port."""
+        answer = await self._write(
+            '/v3/kv/txn', protocol.txn_body(compares, writes)
+        )
+        with _parsing('store.txn'):
+            return ports.TxnResult(
+                bool(answer.get('succeeded')), protocol.revision_of(answer)
+            )
+
+    async def grant_lease(self, ttl_s: float) -> int:
+        """Create a lease; see the port."""
+        answer = await self._write(
+            '/v3/lease/grant', protocol.grant_body(ttl_s)
+        )
+        with _parsing('store.grant_lease'):
+            return int(answer['ID'])
+
+    async def keep_alive(self, lease_id: int) -> bool:
+        """Renew a lease; see the port."""
+        answer = await self._write(
+            '/v3/lease/keepalive', protocol.lease_body(lease_id)
+        )
+        with _parsing('store.keep_alive'):
+            return int(answer['result'].get('TTL', '0')) > 0
+
+    async def revoke_lease(self, lease_id: int) -> None:
+        """End a lease; see the port."""
+        with contextlib.suppress(errors.LeaseLost):
+            await self._write(
+                '/v3/lease/revoke', protocol.lease_body(lease_id)
+            )
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, start_revision: int
+    ) -> collections.abc.AsyncIterator[
+        collections.abc.AsyncIterator[tuple[ports.WatchEvent, ...]]
+    ]:
+        """Receive changes; see the port."""
+        response = await self._open_watch(
+            protocol.watch_body(prefix, start_revision)
+        )
+        changes = _changes(response)
+        try:
+            yield changes
+        finally:
+            with trio.CancelScope(shield=True), trio.move_on_after(1.0):
+                await changes.aclose()
+                await response.aclose()
+
+    async def _open_watch(self, body: protocol.Json) -> httpx.Response:
+        cause: Exception | None = None
+        for number in self._in_order():
+            request = self._client.build_request(
+                'POST',
+                f'{self._endpoints[number]}/v3/watch',
+                json=body,
+                timeout=httpx.Timeout(WATCH_IDLE_S, connect=CONNECT_TIMEOUT_S),
+            )
+            try:
+                with trio.fail_after(self._deadline_s):
+                    return await self._client.send(request, stream=True)
+            except (httpx.HTTPError, trio.TooSlowError) as exc:
+                cause = exc
+                self._report(number, '/v3/watch', exc)
+        raise _unavailable('store.watch', cause) from cause
+
+    async def _read(self, path: str, body: protocol.Json) -> protocol.Json:
+        """Call without effect; any endpoint will do."""
+        cause: Exception | None = None
+        with trio.move_on_after(self._deadline_s):
+            for number in self._in_order():
+                try:
+                    return await self._post(number, path, body)
+                except (httpx.HTTPError, errors.StoreOutcomeUnknown) as exc:
+                    cause = exc
+                    self._report(number, path, exc)
+        raise _unavailable(path, cause) from cause
+
+    async def _write(self, path: str, body: protocol.Json) -> protocol.Json:
+        """Call with effect; repeated only if it was not sent."""
+        cause: Exception | None = None
+        number = self._preferred
+        try:
+            with trio.fail_after(self._deadline_s):
+                for number in self._in_order():
+                    try:
+                        return await self._post(number, path, body)
+                    except _NOT_SENT as exc:
+                        cause = exc
+                        self._report(number, path, exc)
+        except (httpx.HTTPError, trio.TooSlowError) as exc:
+            self._report(number, path, exc)
+            self._preferred = (number + 1) % len(self._endpoints)
+            raise errors.StoreOutcomeUnknown(
+                f'no answer: {type(exc).__name__} {exc}', step=path
+            ) from exc
+        raise _unavailable(path, cause) from cause
+
+    async def _post(
+        self, number: int, path: str, body: protocol.Json
+    ) -> protocol.Json:
+        url = self._endpoints[number] + path
+        response = await self._client.post(url, json=body)
+        if response.status_code != httpx.codes.OK:
+            refusal = protocol.refusal(response.status_code, response.content)
+            if refusal is not None:
+                raise refusal
+            raise errors.StoreOutcomeUnknown(
+                f'status {response.status_code}: {response.text[:200]}',
+                step=path,
+            )
+        try:
+            answer = response.json()
+        except ValueError as exc:
+            raise errors.StoreOutcomeUnknown(
+                'the answer is no JSON', step=path
+            ) from exc
+        if not isinstance(answer, dict):
+            raise errors.StoreOutcomeUnknown(
+                'the answer is no JSON object', step=path
+            )
+        self._preferred = number
+        return answer
+
+    def _in_order(self) -> tuple[int, ...]:
+        """Return the endpoints' numbers, the preferred one first."""
+        count = len(self._endpoints)
+        return tuple((self._preferred + i) % count for i in range(count))
+
+    def _report(self, number: int, path: str, exc: Exception) -> None:
+        observability.emit(
+            events.STORE_ENDPOINT_FAILED,
+            endpoint=self._endpoints[number],
+            path=path,
+            reason=f'{type(exc).__name__} {exc}',
+        )
+
+
+@contextlib.contextmanager
+def _parsing(step: str) -> collections.abc.Iterator[None]:
+    """Turn a malformed answer into an error of the port."""
+    try:
+        yield
+    except (KeyError, ValueError, TypeError, AttributeError) as exc:
+        raise errors.StoreOutcomeUnknown(
+            f'malformed answer: {type(exc).__name__} {exc}', step=step
+        ) from exc
+
+
+async def _changes(
+    response: httpx.Response,
+) -> collections.abc.AsyncGenerator[tuple[ports.WatchEvent, ...], None]:
+    try:
+        async for line in response.aiter_lines():
+            if not line.strip():
+                continue
+            message = json.loads(line)
+            if 'result' not in message:
+                raise errors.StoreUnavailable(
+                    f'watch failed: {message}', step='store.watch'
+                )
+            batch = protocol.events(message['result'])
+            if batch:
+                yield batch
+    except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
+        raise _unavailable('store.watch', exc) from exc
+    raise errors.StoreUnavailable('the watch ended', step='store.watch')
+
+
+def _unavailable(
+    step: str, cause: Exception | None
+) -> errors.StoreUnavailable:
+    reason = f'{type(cause).__name__} {cause}' if cause else 'no answer'
+    return errors.StoreUnavailable(reason, step=step)
--- a/standins/key_value/_state.py
+++ b/standins/key_value/_state.py
@@ -101,6 +101,11 @@
         lease.expires_at = now + lease.ttl_s
         return lease.ttl_s
 
+    def ttl_s(self, lease_id: int) -> float:
+        """Return the time to live that a lease was granted, 0 if lapsed."""
+        lease = self._leases.get(lease_id)
+        return lease.ttl_s if lease is not None else 0.0
+
     def revoke_lease(self, lease_id: int) -> bool:
         """End a lease and remove its keys; False if it didn't exist."""
         lease = self._leases.pop(lease_id, None)
