--- a/citronrail/observability/catalogue/adapters.py
+++ b/citronrail/observability/catalogue/adapters.py
@@ -38,3 +38,6 @@
 HTTP_PORT_CLOSED = _events.EventKind(
     1622, 'INFO', 'HTTP port for {name} is closed'
 )
+STORE_ENDPOINT_FAILED = _events.EventKind(
+    1640, 'WARNING', 'store endpoint {endpoint} failed at {path}: {reason}'
+)
