--- a/citronrail/observability/catalogue/decisions.py
+++ b/citronrail/observability/catalogue/decisions.py
@@ -24,8 +24,7 @@
 TASK_THROTTLED = _events.EventKind(
     1455,
     'INFO',
-    'task {task} on {node_id} is limited to {share} of its processors,'
-    ' services are slowed {slowdown} times',
+    'task {task} on {node_id} is limited to {share} of its processors',
 )
 TASK_EVICTED = _events.EventKind(
     1456, 'WARNING', 'task {task} is evicted from {node_id}: {reason}'
--- a/citronrail/scheduling/_estimates.py
+++ b/citronrail/scheduling/_estimates.py
@@ -137,8 +137,9 @@
     :returns: the new observations.
     """
     samples = dict(estimates.samples)
-    own = samples.pop(key, WorkSamples())
-    samples[key] = _added(own, seen, Declared(resources.Resources(), 0.0))
+    if key.job:
+        own = samples.pop(key, WorkSamples())
+        samples[key] = _added(own, seen, Declared(resources.Resources(), 0.0))
     group = WorkKey(key.team, key.work_class)
     shared = samples.pop(group, WorkSamples())
     samples[group] = _added(shared, seen, declared)
@@ -163,7 +164,7 @@
     :returns: seconds.
     """
     share = estimates.settings.run_quantile if quantile is None else quantile
-    own = estimates.samples.get(key, WorkSamples()).run
+    own = _own(estimates, key).run
     group = _group(estimates, key).run
     return _estimate(estimates, own, group, declared_run_s, share)
 
@@ -179,7 +180,7 @@
     :returns: processors and memory that ``size_quantile`` of the tasks stay
         within.
     """
-    own = estimates.samples.get(key, WorkSamples())
+    own = _own(estimates, key)
     group = _group(estimates, key)
     share = estimates.settings.size_quantile
     millicores = _estimate(
@@ -203,13 +204,19 @@
     :param count: number of observations needed.
     :returns: True if the job, or its team and class, has that many.
     """
-    own = estimates.samples.get(key, WorkSamples())
+    own = _own(estimates, key)
     seen = max(
         len(own.memory.values), len(_group(estimates, key).memory.values)
     )
     return seen >= count
 
 
+def _own(estimates: Estimates, key: WorkKey) -> WorkSamples:
+    if not key.job:
+        return WorkSamples()
+    return estimates.samples.get(key, WorkSamples())
+
+
 def _group(estimates: Estimates, key: WorkKey) -> WorkSamples:
     group = WorkKey(key.team, key.work_class)
     return estimates.samples.get(group, WorkSamples())
--- a/citronrail/scheduling/_interference.py
+++ b/citronrail/scheduling/_interference.py
@@ -127,6 +127,34 @@
     return dataclasses.replace(model, pairs=pairs)
 
 
+@dataclasses.dataclass(frozen=True)
+class Moments:
+    """Mean and variance of an expected excess."""
+
+    mean: float = 0.0
+    variance: float = 0.0
+
+    def slowdown(self, bound: float) -> float:
+        """Return the expected slowdown with a margin.
+
+        :param bound: standard deviations above the mean.
+        :returns: expected time over undisturbed time, at least 1.0.
+        """
+        return 1.0 + max(0.0, self.mean + bound * math.sqrt(self.variance))
+
+    def plus(self, pair: 'Moments', count: float) -> 'Moments':
+        """Add one co-runner of a class of which ``count`` are included.
+
+        :param pair: excess of one co-runner of the class.
+        :param count: number of its tasks before.
+        :returns: the moments with one more.
+        """
+        return Moments(
+            self.mean + pair.mean,
+            self.variance + (2.0 * count + 1.0) * pair.variance,
+        )
+
+
 class Predictions:
     """Predictions of a model at one moment, with computed pairs kept.
 
@@ -140,50 +168,55 @@
     def __init__(self, model: InterferenceModel, now: float) -> None:
         self.model = model
         self.now = now
-        self._excess: dict[tuple[Pair, int, float], float] = {}
+        self._pairs: dict[tuple[Pair, int], Moments] = {}
 
-    def excess(
-        self, pair: Pair, host_load: float, bound: float | None = None
-    ) -> float:
-        """Predict the share of time that one co-runner adds.
+    def pair(self, pair: Pair, host_load: float) -> Moments:
+        """Predict the excess that one co-runner adds.
 
         :param pair: the disturbed class and the class of its co-runner.
         :param host_load: share of the host's processors in use, 0 to 1.
-        :param bound: standard deviations above the mean; None uses the
-            setting.
-        :returns: the excess, at least 0.
+        :returns: the moments of the excess.
         """
-        width = self.model.settings.bound if bound is None else bound
         step = round(host_load * LOAD_STEPS)
-        key = (pair, step, width)
-        found = self._excess.get(key)
-        if found is None:
-            found = pair_excess(
-                self.model, pair, step / LOAD_STEPS, self.now, width
-            )
-            self._excess[key] = found
-        return found
+        found = self._pairs.get((pair, step))
+        return self._computed(pair, step) if found is None else found
 
-    def slowdown(
+    def beside(
         self,
         work_class: identifiers.WorkClass,
         co_runners: Mapping[identifiers.WorkClass, float],
         host_load: float,
-        bound: float | None = None,
-    ) -> float:
-        """Predict the slowdown of a class beside co-runners.
+        included: float = 0.0,
+    ) -> Moments:
+        """Predict the excess of a class beside co-runners.
+
+        Deviations of different classes are independent; those of tasks of
+        one class are the same and add up.
 
         :param work_class: class of the disturbed work.
-        :param co_runners: number of tasks of each class beside it.
+        :param co_runners: number of tasks of each class on the host.
         :param host_load: share of the host's processors in use, 0 to 1.
-        :param bound: standard deviations above the mean; None uses the
-            setting.
-        :returns: expected time over undisturbed time, at least 1.0.
+        :param included: how much of ``co_runners`` is the disturbed task
+            itself: 1.0 or its share if it is on the host, else 0.0.
+        :returns: the moments of the excess.
         """
-        total = 1.0
+        step = round(host_load * LOAD_STEPS)
+        mean = variance = 0.0
         for other, count in co_runners.items():
-            total += count * self.excess((work_class, other), host_load, bound)
-        return total
+            pair = (work_class, other)
+            found = self._pairs.get((pair, step))
+            if found is None:
+                found = self._computed(pair, step)
+            if other == work_class:
+                count = max(0.0, count - included)
+            mean += count * found.mean
+            variance += count * count * found.variance
+        return Moments(mean, variance)
+
+    def _computed(self, pair: Pair, step: int) -> Moments:
+        found = _pair_moments(self.model, pair, step / LOAD_STEPS, self.now)
+        self._pairs[pair, step] = found
+        return found
 
 
 def pair_excess(
@@ -202,13 +235,20 @@
     :param bound: standard deviations above the mean; None uses the setting.
     :returns: the excess, at least 0.
     """
-    cfg = model.settings
-    estimate = _aged(model.pairs.get(pair), now, cfg)
+    moments = _pair_moments(model, pair, host_load, now)
+    width = model.settings.bound if bound is None else bound
+    return moments.slowdown(width) - 1.0
+
+
+def _pair_moments(
+    model: InterferenceModel, pair: Pair, host_load: float, now: float
+) -> Moments:
+    estimate = _aged(model.pairs.get(pair), now, model.settings)
     offset = host_load - REFERENCE_LOAD
-    mean = estimate.level + estimate.slope * offset
-    variance = estimate.level_variance + estimate.slope_variance * offset**2
-    width = cfg.bound if bound is None else bound
-    return max(0.0, mean + width * math.sqrt(variance))
+    return Moments(
+        max(0.0, estimate.level + estimate.slope * offset),
+        estimate.level_variance + estimate.slope_variance * offset**2,
+    )
 
 
 def is_measured(
--- a/citronrail/scheduling/_placement.py
+++ b/citronrail/scheduling/_placement.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Sequence
 import dataclasses
+import itertools
 import typing
 
 from citronrail import errors
@@ -167,11 +168,7 @@
                 policy, request, candidates, reservation, context
             )
         case _:
-            fitting = [
-                item
-                for item in candidates
-                if admission.admissible(request, item, reservation)
-            ]
+            fitting = _admissible(request, candidates, reservation)
     if not fitting:
         return types.NotPlaced('no worker has room now')
     match policy:
@@ -242,16 +239,28 @@
     Scoring every host of a large fleet would take seconds a round; the best
     of a few dozen is nearly as good.
     """
-    order: Sequence[types.Candidate] = candidates
-    if len(candidates) > policy.weights.sample:
-        order = context.rng.sample(candidates, len(candidates))
-    fitting: list[types.Candidate] = []
-    for item in order:
-        if admission.admissible(request, item, reservation):
-            fitting.append(item)
-            if len(fitting) >= policy.weights.sample:
-                break
-    return fitting
+    wanted = policy.weights.sample
+    if len(candidates) <= wanted:
+        return _admissible(request, candidates, reservation)
+    drawn = context.rng.sample(candidates, min(len(candidates), 4 * wanted))
+    fitting = _admissible(request, drawn, reservation, wanted)
+    if fitting:
+        return fitting
+    return _admissible(request, candidates, reservation, wanted)
+
+
+def _admissible(
+    request: types.PlacementRequest,
+    candidates: Sequence[types.Candidate],
+    reservation: resources.Resources,
+    most: int | None = None,
+) -> list[types.Candidate]:
+    found = (
+        item
+        for item in candidates
+        if admission.admissible(request, item, reservation)
+    )
+    return list(itertools.islice(found, most))
 
 
 def reserved_share(candidate: types.Candidate) -> float:
--- a/citronrail/scheduling/_placement_admission.py
+++ b/citronrail/scheduling/_placement_admission.py
@@ -8,6 +8,7 @@
 
 from citronrail.model import identifiers
 from citronrail.model import resources
+from citronrail.model import specs
 from citronrail.scheduling import _placement_types as types
 
 
@@ -18,6 +19,16 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True)
+class Hold:
+    """Room on a host that is kept for one task until a local time."""
+
+    node_id: identifiers.NodeId
+    task: specs.TaskId
+    reservation: resources.Resources
+    until: float
+
+
 def admissible(
     request: types.PlacementRequest,
     candidate: types.Candidate,
@@ -40,6 +51,33 @@
     )
 
 
+def with_holds(
+    candidates: Iterable[types.Candidate],
+    holds: Iterable[Hold],
+    task: specs.TaskId | None,
+    now: float,
+) -> tuple[types.Candidate, ...]:
+    """Count held room as reserved, but for the task it is held for.
+
+    :param candidates: the hosts.
+    :param holds: the holds; expired ones are ignored.
+    :param task: the task to place, or None.
+    :param now: local time in seconds.
+    :returns: the hosts as that task may use them.
+    """
+    held: dict[identifiers.NodeId, resources.Resources] = {}
+    for hold in holds:
+        if hold.until > now and hold.task != task:
+            amount = held.get(hold.node_id, resources.Resources())
+            held[hold.node_id] = amount + hold.reservation
+    return tuple(
+        dataclasses.replace(item, reserved=item.reserved + held[item.node_id])
+        if item.node_id in held
+        else item
+        for item in candidates
+    )
+
+
 def declared_reservation(
     request: types.PlacementRequest,
 ) -> resources.Resources:
--- a/citronrail/scheduling/_placement_score.py
+++ b/citronrail/scheduling/_placement_score.py
@@ -42,7 +42,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class HostCost:
-    """Cost of a host and the slowdowns expected there."""
+    """Cost of a host and the slowdowns expected there.
+
+    ``worst_service_slowdown`` is the mean expected one, without the margin
+    for what is unknown: a deferral needs evidence.
+    """
 
     total: float
     newcomer_slowdown: float
@@ -104,30 +108,27 @@
     :returns: the cost; lower is better.
     """
     model = context.predictions
-    load = candidate.load
+    width = 0.0 if trial else context.interference.settings.bound
     counts = candidate.class_counts
-    bound = 0.0 if trial else None
-    newcomer = model.slowdown(request.work_class, counts, load, bound)
+    own = model.beside(request.work_class, counts, candidate.load)
+    newcomer = own.slowdown(width)
     total = _own_weight(cfg, request) * _harm(request.service, newcomer)
-    worst = newcomer if request.service is not None else 1.0
+    worst = own.slowdown(0.0) if request.service is not None else 1.0
     unmeasured = False
     for (work_class, service), number in candidate.victims.items():
-        added, after = _added_harm(
-            model,
-            (work_class, request.work_class),
-            counts,
-            load,
-            service,
-            bound,
+        pair = (work_class, request.work_class)
+        before = model.beside(work_class, counts, candidate.load, 1.0)
+        after = before.plus(
+            model.pair(pair, candidate.load),
+            counts.get(request.work_class, 0.0),
         )
+        added = _added_harm(before, after, service, width)
         weight = cfg.service_weight if service else cfg.batch_weight
         total += number * weight * added
         if service:
-            worst = max(worst, after)
+            worst = max(worst, after.slowdown(0.0))
             unmeasured = unmeasured or not interference.is_measured(
-                context.interference,
-                (work_class, request.work_class),
-                context.now,
+                context.interference, pair, context.now
             )
     total += _spread_cost(cfg, request, candidate, context.service_hosts)
     free = candidate.free.millicores / max(1, candidate.capacity.millicores)
@@ -175,22 +176,17 @@
 
 
 def _added_harm(
-    model: interference.Predictions,
-    pair: interference.Pair,
-    counts: Mapping[identifiers.WorkClass, float],
-    load: float,
+    before: interference.Moments,
+    after: interference.Moments,
     service: bool,
-    bound: float | None,
-) -> tuple[float, float]:
-    """Return the harm that the newcomer adds and the slowdown after it."""
-    # The victim itself is not among its co-runners.
-    itself = min(1.0, counts.get(pair[0], 0.0))
-    before = model.slowdown(pair[0], counts, load, bound)
-    before -= itself * model.excess((pair[0], pair[0]), load, bound)
-    after = before + model.excess(pair, load, bound)
+    width: float,
+) -> float:
+    """Return the harm that a newcomer adds to one task."""
     if not service:
-        return after - before, after
-    return _service_harm(after) - _service_harm(before), after
+        return after.slowdown(width) - before.slowdown(width)
+    return _service_harm(after.slowdown(width)) - _service_harm(
+        before.slowdown(width)
+    )
 
 
 def _own_weight(cfg: ScoreSettings, request: types.PlacementRequest) -> float:
--- a/citronrail/scheduling/_quota_reclaim.py
+++ b/citronrail/scheduling/_quota_reclaim.py
@@ -1,11 +1,11 @@
 """Which borrowed work leaves so that an owner of quota or urgent work starts.
 
-Only work beyond its team's quota leaves, never a service or urgent work, the
-lowest priority and the cheapest lost work first. The freed room is held for
+Only work beyond its team's quota leaves, or work of the urgent task's own
+team, never a service or urgent work, the lowest priority and the cheapest lost
+work first. The freed room is held for
 the task it was freed for.
 """
 
-from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
@@ -37,16 +37,6 @@
     ends_in_s: float = 60.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Hold:
-    """Room on a host that is kept for one task until a local time."""
-
-    node_id: identifiers.NodeId
-    task: specs.TaskId
-    reservation: resources.Resources
-    until: float
-
-
 @dataclasses.dataclass(frozen=True)
 class Reclaim:
     """Tasks that leave a host so that another one starts there."""
@@ -86,13 +76,13 @@
         whose ``declared`` is the reservation to make room for.
     :param candidates: all hosts, with holds applied.
     :param running: all running tasks.
-    :param use: reservations by team.
+    :param use: reservations by team, of all in ``running`` at least.
     :param teams: settings by team name.
     :param max_victims: evictions that the cap still allows.
     :returns: at most one entry for each claim; a claim that can't be met
         with the remaining evictions is left out.
     """
-    by_host = _borrowed_by_host(running, use, teams)
+    by_host = _evictable_by_host(running)
     use = dict(use)
     gone: set[specs.TaskId] = set()
     result: list[Reclaim] = []
@@ -122,40 +112,13 @@
     return tuple(result)
 
 
-def with_holds(
-    candidates: Iterable[types.Candidate],
-    holds: Iterable[Hold],
-    task: specs.TaskId | None,
-    now: float,
-) -> tuple[types.Candidate, ...]:
-    """Count held room as reserved, but for the task it is held for.
-
-    :param candidates: the hosts.
-    :param holds: the holds; expired ones are ignored.
-    :param task: the task to place, or None.
-    :param now: local time in seconds.
-    :returns: the hosts as that task may use them.
-    """
-    held: dict[identifiers.NodeId, resources.Resources] = {}
-    for hold in holds:
-        if hold.until > now and hold.task != task:
-            amount = held.get(hold.node_id, resources.Resources())
-            held[hold.node_id] = amount + hold.reservation
-    return tuple(
-        dataclasses.replace(item, reserved=item.reserved + held[item.node_id])
-        if item.node_id in held
-        else item
-        for item in candidates
-    )
-
-
 def hold_for_starved(
     request: types.PlacementRequest,
     reservation: resources.Resources,
     candidates: Sequence[types.Candidate],
     running: Sequence[RunningTask],
     until: float,
-) -> Hold | None:
+) -> admission.Hold | None:
     """Choose the host where room for a large waiting task comes first.
 
     Without a hold, small tasks would refill each gap and the large one would
@@ -186,7 +149,7 @@
             best = (wait_s, host.node_id)
     if best is None:
         return None
-    return Hold(best[1], request.task, reservation, until)
+    return admission.Hold(best[1], request.task, reservation, until)
 
 
 def _time_until_free(
@@ -203,21 +166,15 @@
     return None
 
 
-def _borrowed_by_host(
-    running: Sequence[RunningTask], use: quotas.Use, teams: quotas.Teams
+def _evictable_by_host(
+    running: Sequence[RunningTask],
 ) -> Mapping[identifiers.NodeId, Sequence[RunningTask]]:
     by_host: dict[identifiers.NodeId, list[RunningTask]] = {}
-    over = {
-        name
-        for name, used in use.items()
-        if not used.fits_in(teams.get(name, quotas.NO_QUOTA).quota)
-    }
     for item in running:
         leaves = (
             item.service is None
             and item.priority is not specs.Priority.URGENT
             and not item.stopping
-            and item.team in over
         )
         if leaves:
             by_host.setdefault(item.node_id, []).append(item)
@@ -241,7 +198,7 @@
 def _option(
     request: types.PlacementRequest,
     host: types.Candidate,
-    borrowed: Sequence[RunningTask],
+    evictable: Sequence[RunningTask],
     gone: set[specs.TaskId],
     use: quotas.Use,
     teams: quotas.Teams,
@@ -254,12 +211,10 @@
     left = dict(use)
     free = host.free
     victims: list[RunningTask] = []
-    for item in borrowed:
+    for item in evictable:
         if need.fits_in(free):
             break
-        quota = teams.get(item.team, quotas.NO_QUOTA).quota
-        over = not left[item.team].fits_in(quota)
-        if item.task in gone or item.team == request.team or not over:
+        if item.task in gone or not _may_leave(item, request, left, teams):
             continue
         left[item.team] = left[item.team] - item.reservation
         free = free + item.reservation
@@ -269,6 +224,19 @@
     return Reclaim(host.node_id, request.task, _needed(victims, need, free))
 
 
+def _may_leave(
+    item: RunningTask,
+    request: types.PlacementRequest,
+    use: quotas.Use,
+    teams: quotas.Teams,
+) -> bool:
+    """Only borrowed work leaves, or the team's own for its urgent work."""
+    if item.team == request.team:
+        return request.urgent
+    quota = teams.get(item.team, quotas.NO_QUOTA).quota
+    return not use[item.team].fits_in(quota)
+
+
 def _needed(
     victims: Sequence[RunningTask],
     need: resources.Resources,
--- /dev/null
+++ b/citronrail/scheduling/tests/test_decision_adapters.py
@@ -0,0 +1,193 @@
+"""Tests of the decisions behind the scheduler's protocols."""
+
+import random
+import time
+
+import pytest
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import resources
+from citronrail.model import settings
+from citronrail.model import specs
+from citronrail.model import views
+from citronrail.scheduling import _decision_adapters as adapters
+from citronrail.scheduling import _policies as protocols
+
+SEAT = identifiers.WorkClass('seat')
+PLAN = identifiers.WorkClass('plan')
+SEATS = identifiers.ServiceName('seats')
+UNIT = resources.Resources(1000, 1000)
+CAPACITY = resources.Resources(4000, 4000)
+
+
+def _agent(index, free=CAPACITY):
+    return views.AgentView(
+        identifiers.NodeId(f'w{index}'),
+        identifiers.BootId('b'),
+        identifiers.DataCentreName(f'dc{index % 2}'),
+        f'r{index}',
+        CAPACITY,
+        free,
+        messages.AgentLoad(),
+        (),
+        0.0,
+    )
+
+
+def _policies(name='learned'):
+    return adapters.build_policies(
+        settings.PolicySettings(name), random.Random(1)
+    )
+
+
+def _request(index, work_class=PLAN, **fields):
+    return protocols.PlacementRequest(
+        specs.TaskId('job', index), 'team', work_class, UNIT, 60.0, **fields
+    )
+
+
+def _usage(node, at, slowdown):
+    """A replica of the service slowed by one plan beside it."""
+    replica = specs.AttemptId(specs.TaskId('service:seats', node), 1)
+    plan = specs.AttemptId(specs.TaskId('old', node), 1)
+    return (
+        messages.TaskUsage(replica, SEAT, UNIT, slowdown, (PLAN,), at),
+        messages.TaskUsage(plan, PLAN, UNIT, 1.0, (SEAT,), at),
+    )
+
+
+def _running(index, node, **fields):
+    return protocols.RunningView(
+        specs.AttemptId(specs.TaskId('old', index), 1),
+        identifiers.NodeId(node),
+        'team',
+        PLAN,
+        fields.pop('priority', specs.Priority.NORMAL),
+        UNIT,
+        time.time() - 30.0,
+        60.0,
+        **fields,
+    )
+
+
+@pytest.mark.parametrize(
+    'name', ['learned', 'first_fit', 'least_loaded', 'random']
+)
+def test_choice_is_a_candidate_and_no_sibling(name):
+    """Guards against two replicas of a service on one host."""
+    policies = _policies(name)
+    request = _request(0, SEAT, service=SEATS, siblings=('w0',))
+    agents = (_agent(0), _agent(1))
+    assert policies.placement.choose(request, agents, 0.0) == 'w1'
+    assert policies.placement.choose(request, agents[:1], 0.0) is None
+
+
+def test_usage_reports_steer_later_placements():
+    """Guards against measurements that never reach the placement."""
+    policies = _policies()
+    for at in range(1, 30):
+        for observer in policies.observers:
+            observer.observe_usage('w0', _usage(0, float(at), 3.5), at + 2.0)
+    agents = (_agent(0), _agent(1))
+    assert policies.placement.choose(_request(1), agents, 32.0) == 'w1'
+    only = (_agent(0),)
+    assert policies.placement.choose(_request(2), only, 32.0) is None
+    later = policies.placement.choose(_request(2), only, 60.0)
+    assert later == 'w0'
+
+
+def test_unknown_policy_is_refused_and_the_old_one_stays():
+    """Guards against a settings change that stops all placements."""
+    policies = _policies()
+    with pytest.raises(errors.ConfigError):
+        policies.placement.use(settings.PolicySettings('best'))
+    assert policies.placement.choose(_request(0), (_agent(0),), 0.0) == 'w0'
+
+
+def test_replicas_and_then_quota_work_are_allowed_first():
+    """Guards against batch work that delays a service."""
+    groups = tuple(
+        protocols.PendingGroup(
+            owner,
+            team,
+            PLAN,
+            specs.Priority.NORMAL,
+            UNIT,
+            3,
+            0.0,
+            60.0,
+            service=service,
+        )
+        for owner, team, service in (
+            ('guest', 'guest', None),
+            ('own', 'owner', None),
+            ('service:seats', 'owner', SEATS),
+        )
+    )
+    order = _policies().quotas.order(
+        groups, {}, CAPACITY, {'owner': settings.TeamSettings(CAPACITY)}, 1.0
+    )
+    assert [item.owner for item in order] == ['service:seats', 'own', 'guest']
+    assert [item.count for item in order] == [3, 3, 3]
+
+
+def test_failing_worker_goes_on_probation():
+    """Guards against failures that never reach the health record."""
+    health = _policies().health
+    for index in range(4):
+        assert health.healthy('w0', 0.0)
+        task = specs.TaskId(f'job{index}', 0)
+        health.record('w0', specs.AttemptId(task, 1), True, 1.0)
+    assert not health.healthy('w0', 1.0)
+    assert not health.may_start('w0', 2.0)
+    assert health.may_start('w0', 40.0)
+
+
+def test_pressure_throttles_and_then_evicts_batch_work():
+    """Guards against relief that never reaches the tasks."""
+    policies = _policies()
+    running = (_running(0, 'w0'), _running(1, 'w0'))
+    taken = []
+    for now in range(40):
+        policies.observers[0].observe_usage(
+            'w0', _usage(0, now - 1.0, 6.0), float(now)
+        )
+        taken += policies.pressure.relieve(
+            running, (_agent(0),), (), float(now)
+        )
+    assert isinstance(taken[0], protocols.Throttle)
+    evicted = [i.attempt for i in taken if isinstance(i, protocols.Evict)]
+    assert len(evicted) == len(set(evicted)) == 2
+
+
+def test_urgent_task_gets_room_that_is_held_for_it():
+    """Guards against freed room that another task takes first."""
+    policies = _policies()
+    full = _agent(0, resources.Resources())
+    running = tuple(
+        _running(i, 'w0', priority=specs.Priority.LOW) for i in range(4)
+    )
+    urgent = _request(9, priority=specs.Priority.URGENT)
+    reliefs = policies.pressure.relieve(running, (full,), (urgent,), 0.0)
+    assert len(reliefs) == 1
+    again = policies.pressure.relieve(running, (full,), (urgent,), 1.0)
+    assert again == ()
+    freed = (_agent(0, UNIT),)
+    assert policies.placement.choose(_request(5), freed, 2.0) is None
+    assert policies.placement.choose(urgent, freed, 2.0) == 'w0'
+
+
+def test_observed_sizes_raise_the_reservation():
+    """Guards against observations that never reach the reservation."""
+    policies = _policies()
+    spec = specs.TaskSpec('team', PLAN, UNIT, 10.0)
+    seen = resources.Resources(500, 3000)
+    for _ in range(10):
+        for observer in policies.observers:
+            observer.observe_end(spec, 'finished', 100.0, seen, 0.0)
+    size = policies.estimator.reservation('team', PLAN, UNIT)
+    assert size.memory_mb >= 3000
+    assert size.millicores == 500
+    assert policies.estimator.run_s('team', PLAN, 10.0) == 100.0
