Keep keys of owned ranges and bound acknowledgements by former members

Cause: keys must pass to the next owner at a planned stop, and tasks must survive a store outage without a second run of any of them. Before and after: no such parts before; not yet under test as a whole. Conclusion: to be wired next.

--- a/citronrail/coordination/__init__.py
+++ b/citronrail/coordination/__init__.py
@@ -19,6 +19,7 @@
 from citronrail.coordination._owned_ranges import OwnedRange
 from citronrail.coordination._owned_ranges import OwnershipListener
 from citronrail.coordination._ownership_view import EntryMember
+from citronrail.coordination._ownership_view import MembershipState
 from citronrail.coordination._peer_clock import CLOCK_RATE_MARGIN
 from citronrail.coordination._peer_clock import ClockReading
 from citronrail.coordination._peer_clock import lengthened
@@ -46,6 +47,7 @@
     'IdempotencyKeeper',
     'KeeperLimits',
     'Member',
+    'MembershipState',
     'Moment',
     'OwnedRange',
     'OwnershipListener',
--- a/citronrail/coordination/_ownership_view.py
+++ b/citronrail/coordination/_ownership_view.py
@@ -48,6 +48,22 @@
         return self.places[range_id].holder
 
 
+@dataclasses.dataclass(frozen=True)
+class MembershipState:
+    """The entries as last read, and the state of the own store lease.
+
+    ``revision`` is that of the read, 0 before the first. ``last_contact`` is
+    the local time before the last renewal that was answered. ``has_history``
+    tells whether any range was ever owned.
+    """
+
+    entries: tuple[EntryMember, ...]
+    revision: int
+    lease_holds: bool
+    last_contact: float
+    has_history: bool
+
+
 def entry_key(node_id: identifiers.NodeId) -> str:
     """Return the membership key of an entry."""
     return ENTRIES_PREFIX + node_id
--- a/citronrail/coordination/_range_ownership.py
+++ b/citronrail/coordination/_range_ownership.py
@@ -122,6 +122,16 @@
         """Return the entries of the latest read of the store."""
         return self._view.entries
 
+    def membership(self) -> views.MembershipState:
+        """Return what is known of the entries and of the own lease."""
+        return views.MembershipState(
+            entries=self._view.entries,
+            revision=self._view.revision,
+            lease_holds=self._lease.holds,
+            last_contact=self._lease.last_contact,
+            has_history=any(place.record for place in self._view.places),
+        )
+
     def add_listener(self, listener: ranges.OwnershipListener) -> None:
         """Tell a listener of changes; add it before ``run``."""
         self._calls.add(listener)
--- a/citronrail/membership/_agent_directory.py
+++ b/citronrail/membership/_agent_directory.py
@@ -82,6 +82,7 @@
         self._sent_version: dict[identifiers.NodeId, int] = {}
         self._started_at = 0.0
         self._draining = False
+        self._may_acknowledge = True
         hub.subscribe(messages.Heartbeat, self._on_heartbeat)
         hub.subscribe(messages.BackendUpdate, self._on_backend_update)
 
@@ -139,8 +140,15 @@
             silent.append(messages.SilentAgent(node_id, boot_id, age_s))
         return tuple(silent)
 
+    def allow_acknowledging(self, allowed: bool) -> None:
+        """Say whether heartbeats may be acknowledged.
+
+        :param allowed: see :func:`may_acknowledge`.
+        """
+        self._may_acknowledge = allowed
+
     def stop_acknowledging(self) -> None:
-        """Give no further permits; used while this entry drains."""
+        """Acknowledge no more; used before this entry leaves."""
         self._draining = True
 
     async def _on_heartbeat(
@@ -174,7 +182,7 @@
     async def _acknowledge(
         self, peer: ports.Peer, msg: messages.Heartbeat
     ) -> None:
-        if self._draining:
+        if self._draining or not self._may_acknowledge:
             return
         entries = self._entries()
         if _entry_list.checksum(entries) == msg.entries_known:
--- a/citronrail/membership/_entry_mesh.py
+++ b/citronrail/membership/_entry_mesh.py
@@ -34,6 +34,20 @@
         ...
 
 
+class OutsiderBound(typing.Protocol):
+    """Until when entries that are no members may acknowledge agents."""
+
+    @property
+    def until(self) -> float:
+        """Local time."""
+        ...
+
+    @property
+    def revision(self) -> int:
+        """Revision of the store at which the members were read."""
+        ...
+
+
 @dataclasses.dataclass(frozen=True)
 class EntryView:
     """Last heartbeat of another entry, with ages turned into local times.
@@ -42,7 +56,8 @@
     ``knows_us_at`` is the sending time of our latest heartbeat that the entry
     certainly received; minus infinity if there was none. ``last_acks`` holds,
     for each agent that the entry reported as silent, the latest local time at
-    which it can have acknowledged the agent.
+    which it can have acknowledged the agent. ``outsiders_until`` bounds the
+    acknowledgements by entries that are no members at ``view_revision``.
     """
 
     node_id: identifiers.NodeId
@@ -54,6 +69,8 @@
     ranges: tuple[messages.RangeClaim, ...]
     last_acks: dict[identifiers.NodeId, float]
     draining: bool
+    view_revision: int
+    outsiders_until: float
 
 
 def fresh_at_least(
@@ -84,6 +101,7 @@
     :param settings: follower that takes news of other entries.
     :param directory: the agents that this entry knows.
     :param ranges: gives the ranges that this entry owns at the moment.
+    :param outsiders: bound for the acknowledgements of former members.
     """
 
     def __init__(
@@ -92,11 +110,13 @@
         settings: SettingsNews,
         directory: _agent_directory.AgentDirectory,
         ranges: _agent_directory.Ranges,
+        outsiders: OutsiderBound,
     ) -> None:
         self._hub = hub
         self._settings = settings
         self._directory = directory
         self._ranges = ranges
+        self._outsiders = outsiders
         self._views: dict[identifiers.NodeId, EntryView] = {}
         self._sent_at: dict[int, float] = {}
         self._received: dict[identifiers.NodeId, tuple[int, float]] = {}
@@ -134,6 +154,10 @@
         """Return the last heartbeat of every other entry."""
         return tuple(self._views.values())
 
+    def view(self, node_id: identifiers.NodeId) -> EntryView | None:
+        """Return the last heartbeat of another entry, or None."""
+        return self._views.get(node_id)
+
     def owner_of(
         self, range_id: identifiers.RangeId
     ) -> identifiers.NodeId | None:
@@ -183,6 +207,8 @@
             draining=self.draining,
             echo_seq=echo_seq,
             echo_age_s=now - received_at,
+            view_revision=self._outsiders.revision,
+            outsiders_for_s=max(0.0, self._outsiders.until - now),
         )
 
     async def _on_heartbeat(
@@ -207,6 +233,8 @@
                 for agent in msg.silent
             },
             draining=msg.draining,
+            view_revision=msg.view_revision,
+            outsiders_until=now + msg.outsiders_for_s,
         )
         await self._exchange_settings(peer, msg)
 
--- a/citronrail/membership/_quiet_spans.py
+++ b/citronrail/membership/_quiet_spans.py
@@ -1,6 +1,7 @@
 """How long each entry has certainly not acknowledged an agent."""
 
 import collections.abc
+import math
 import typing
 
 import trio
@@ -157,8 +158,8 @@
         """
         now = trio.current_time()
         spans = [
-            scheduling.own_span(self._directory.last_ack(node_id), now),
-            scheduling.departed_span(self._outsiders.until),
+            scheduling.QuietSpan(self._directory.last_ack(node_id), now),
+            scheduling.QuietSpan(self._outsiders.until, math.inf),
         ]
         for entry in self._source.membership().entries:
             if entry.node_id != self._own:
@@ -173,10 +174,10 @@
     ) -> scheduling.QuietSpan:
         view = self._mesh.view(entry.node_id)
         if view is None or view.boot_id != entry.boot_id:
-            return scheduling.acknowledging_span(now)
+            return scheduling.QuietSpan(now, now)
         last_ack = view.last_acks.get(node_id)
         if last_ack is None:
-            return scheduling.acknowledging_span(now)
+            return scheduling.QuietSpan(now, now)
         return scheduling.QuietSpan(last_ack, view.sent_after)
 
     def _may_acknowledge(self, now: float) -> bool:
--- a/citronrail/membership/tests/test_membership.py
+++ b/citronrail/membership/tests/test_membership.py
@@ -53,6 +53,13 @@
             self.fresh_at = max(self.fresh_at, fresh_at)
 
 
+class _Outsiders:
+    """No former members."""
+
+    until = 0.0
+    revision = 1
+
+
 def _peer(node_id, role):
     return ports.Peer(node_id, f'boot-{node_id}', role, DATA_CENTRE)
 
@@ -91,7 +98,7 @@
         self.followers.append(follower)
         self.directories.append(directory)
         self.meshes.append(
-            membership.EntryMesh(hub, follower, directory, tuple)
+            membership.EntryMesh(hub, follower, directory, tuple, _Outsiders())
         )
 
     async def start(self, nursery):
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -191,7 +191,9 @@
     ``fresh_age_s`` is the time since the settings of ``settings_version``
     were last confirmed to be the latest, counted back from the sending.
     ``echo_seq`` is the last heartbeat received from the addressee and
-    ``echo_age_s`` the time since then; 0 if there was none.
+    ``echo_age_s`` the time since then; 0 if there was none. An entry that is
+    no member in the sender's read of the store at ``view_revision`` may
+    acknowledge agents for at most ``outsiders_for_s`` more.
     """
 
     boot_id: identifiers.BootId
@@ -204,6 +206,8 @@
     draining: bool = False
     echo_seq: int = 0
     echo_age_s: float = 0.0
+    view_revision: int = 0
+    outsiders_for_s: float = 0.0
 
 
 @_message
--- a/citronrail/observability/catalogue/routing.py
+++ b/citronrail/observability/catalogue/routing.py
@@ -53,3 +53,8 @@
 FEED_ENDED = _events.EventKind(
     1325, 'INFO', 'Ended the feed {request} after a whole event'
 )
+KEYS_HANDED_OVER = _events.EventKind(
+    1340,
+    'INFO',
+    'Handed {count} keys of range {range_id} to {successor}: {accepted}',
+)
--- a/citronrail/routing/__init__.py
+++ b/citronrail/routing/__init__.py
@@ -4,7 +4,7 @@
 from citronrail.routing._keys import Keeper
 from citronrail.routing._keys import KeyAnswer
 from citronrail.routing._keys import KeyService
-from citronrail.routing._keys import range_of
+from citronrail.routing._owned_keys import OwnedKeys
 from citronrail.routing._requests import CallerRequest
 from citronrail.routing._requests import Problem
 from citronrail.routing._requests import Respond
@@ -17,11 +17,11 @@
     'Keeper',
     'KeyAnswer',
     'KeyService',
+    'OwnedKeys',
     'Problem',
     'RequestRouter',
     'RequestRunner',
     'Respond',
     'RunnerLimits',
     'policy_of',
-    'range_of',
 ]
--- a/citronrail/routing/_keys.py
+++ b/citronrail/routing/_keys.py
@@ -12,12 +12,12 @@
 from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
+from citronrail.model import ranges
 from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 from citronrail import ports
 from citronrail.routing import _requests
 
-RANGE_COUNT = 8
 MAX_STORED_BYTES = 64 * 1024
 REPLY_WAIT_S = 1.0
 _RETRY_PAUSE_S = 0.1
@@ -98,16 +98,6 @@
     body: bytes
 
 
-def range_of(key: str) -> identifiers.RangeId:
-    """Return the range that a key belongs to.
-
-    :param key: an idempotency or exclusive key.
-    :returns: a number below :data:`RANGE_COUNT`, the same in all processes.
-    """
-    digest = hashlib.blake2b(key.encode(), digest_size=4).digest()
-    return identifiers.RangeId(int.from_bytes(digest) % RANGE_COUNT)
-
-
 def fingerprint(req: _requests.CallerRequest) -> str:
     """Return a digest that tells requests with the same key apart.
 
@@ -327,7 +317,7 @@
     if opts.key:
         yield messages.ReserveKey(
             req.request_id,
-            range_of(opts.key),
+            ranges.range_of(opts.key),
             opts.key,
             '',
             fingerprint(req),
@@ -337,7 +327,7 @@
     if opts.exclusive:
         yield messages.ReserveKey(
             req.request_id,
-            range_of(opts.exclusive),
+            ranges.range_of(opts.exclusive),
             '',
             opts.exclusive,
             '',
