--- a/citronrail/membership/tests/test_membership.py
+++ b/citronrail/membership/tests/test_membership.py
@@ -47,11 +47,19 @@
                 self.settings = self.store.settings
             await trio.sleep(0.5)
 
-    def observe(self, version, fresh_at):
-        if version == self.settings.version:
+    def observe(self, settings, fresh_at):
+        if settings.version >= self.settings.version:
+            self.settings = settings
             self.fresh_at = max(self.fresh_at, fresh_at)
 
 
+class _Outsiders:
+    """No former members."""
+
+    until = 0.0
+    revision = 1
+
+
 def _peer(node_id, role):
     return ports.Peer(node_id, f'boot-{node_id}', role, DATA_CENTRE)
 
@@ -90,7 +98,7 @@
         self.followers.append(follower)
         self.directories.append(directory)
         self.meshes.append(
-            membership.EntryMesh(hub, follower, directory, tuple)
+            membership.EntryMesh(hub, follower, directory, tuple, _Outsiders())
         )
 
     async def start(self, nursery):
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -84,7 +84,8 @@
     """An attempt that the agent's worker holds.
 
     ``state`` is one of ``starting``, ``running``, ``throttled``,
-    ``checkpointing``.
+    ``checkpointing``, or ``ended`` for an attempt whose report is not yet
+    acknowledged.
     """
 
     attempt: specs.AttemptId
@@ -100,7 +101,9 @@
 
     ``slowdown`` is the measured time over the undisturbed time of the same
     work, at least 1.0. ``co_runners`` are the classes of the other tasks that
-    ran on the host when it was measured.
+    ran on the host when it was measured, ``co_runner_shares`` the share of
+    its processors that each of them was limited to (empty: none was
+    throttled), and ``host_load`` the share of the host's processors in use.
     """
 
     attempt: specs.AttemptId
@@ -109,6 +112,8 @@
     slowdown: float
     co_runners: tuple[identifiers.WorkClass, ...]
     measured_at: float  # on the sender's clock
+    co_runner_shares: tuple[float, ...] = ()
+    host_load: float = 0.5
 
 
 @_message
@@ -126,6 +131,14 @@
     address: str = ''
 
 
+@_message
+class Alive:
+    """Sent by the peer port on a connection that was idle for a second."""
+
+    boot_id: identifiers.BootId
+    clock: float  # the sender's monotonic clock
+
+
 @_message
 class Heartbeat:
     """Agent to entry, each second."""
@@ -178,7 +191,9 @@
     ``fresh_age_s`` is the time since the settings of ``settings_version``
     were last confirmed to be the latest, counted back from the sending.
     ``echo_seq`` is the last heartbeat received from the addressee and
-    ``echo_age_s`` the time since then; 0 if there was none.
+    ``echo_age_s`` the time since then; 0 if there was none. An entry that is
+    no member in the sender's read of the store at ``view_revision`` may
+    acknowledge agents for at most ``outsiders_for_s`` more.
     """
 
     boot_id: identifiers.BootId
@@ -191,6 +206,8 @@
     draining: bool = False
     echo_seq: int = 0
     echo_age_s: float = 0.0
+    view_revision: int = 0
+    outsiders_for_s: float = 0.0
 
 
 @_message
@@ -209,6 +226,14 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class TeamReservation:
+    """What the running tasks of a team reserve on the sender's host."""
+
+    team: identifiers.TeamName
+    reserved: resources.Resources
+
+
 @_message
 class UsageReport:
     """Agent to entry, every few seconds; usage lags behind the work."""
@@ -216,6 +241,7 @@
     boot_id: identifiers.BootId
     clock: float  # the sender's monotonic clock
     usage: tuple[TaskUsage, ...] = ()
+    reserved: tuple[TeamReservation, ...] = ()
 
 
 @_message
@@ -254,6 +280,33 @@
     reason: str = ''
 
 
+@_message
+class TaskQuery:
+    """Owner to agent: what became of these attempts.
+
+    Answered by a :class:`TaskQueryReply` from a list that the agent asked
+    its worker for after the query arrived.
+    """
+
+    attempts: tuple[specs.AttemptId, ...]
+    range_id: identifiers.RangeId
+    fencing: identifiers.FencingToken
+
+
+@_message
+class TaskQueryReply:
+    """Agent to owner: what became of the attempts that were asked for.
+
+    An attempt in ``absent`` doesn't run, and a late :class:`StartTask` for it
+    is refused. One in neither list is being started or has ended; a
+    :class:`StartReply` or :class:`TaskReport` follows.
+    """
+
+    range_id: identifiers.RangeId
+    running: tuple[specs.AttemptId, ...] = ()
+    absent: tuple[specs.AttemptId, ...] = ()
+
+
 @_message
 class ThrottleTask:
     """Owner to agent: limit an attempt to a share of its processors."""
@@ -307,12 +360,17 @@
 
 @_message
 class RequestRefused:
-    """Agent to entry: the request was not run and never will be."""
+    """Agent to entry: the request was not run and never will be.
+
+    ``leaving`` tells that the agent or its backend servers leave, ``full``
+    that there was no room in time.
+    """
 
     request_id: identifiers.RequestId
     attempt: int
     reason: str
     leaving: bool = False
+    full: bool = False
 
 
 @_message
@@ -444,7 +502,12 @@
     """State of an idempotency or exclusive key.
 
     ``verdict`` is ``in progress``, ``done`` or ``unknown``. Ages count back
-    from the sending of the message; ``expires_in_s`` counts forward.
+    from the sending of the message; ``expires_in_s`` counts forward, as does
+    ``run_ends_in_s``, after which no granted run can be in progress. A record
+    of kind ``takeover`` passes on what the sender itself didn't know: keys
+    born before ``expires_in_s`` from the sending (mostly negative) may have
+    run unless there is a record of them, and exclusive keys may be held until
+    ``run_ends_in_s``.
     """
 
     key: str
@@ -456,6 +519,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b''
+    run_ends_in_s: float = 0.0
 
 
 @_message
@@ -493,8 +557,10 @@
 class ExtendOwnership:
     """Range owner to every other entry while it can't reach the store.
 
-    Asks the receiver to promise not to take the ranges over, and to help no
-    one else to, until ``promise_until``.
+    Asks the receiver not to take the ranges over, and to help no one else to,
+    for the fixed promise time from the receipt. The owner counts that time
+    from before it sent the message. A message received after
+    ``promise_until`` was held up and gets no promise.
     """
 
     seq: int
@@ -526,14 +592,17 @@
     """Entry to the one that wants a range.
 
     ``promised_until`` is the end of the receiver's last promise, on the
-    querying entry's clock; 0 if it gave none. ``still_owner`` is True when
-    the receiver itself owns the range.
+    querying entry's clock; 0 if it gave none. It is a lower bound, so the
+    querying entry waits ``promise_left_s`` from the receipt instead, which
+    counts from the sending. ``still_owner`` is True when the receiver itself
+    owns the range.
     """
 
     seq: int
     range_id: identifiers.RangeId
     promised_until: float
     still_owner: bool = False
+    promise_left_s: float = 0.0
 
 
 Cell = str | int | float | bool | None
