Fit commands to the scheduler, the memberships and the policies

Cause: the scheduler cancels whole jobs and names its columns itself. Change: adapters from the scheduler's and entry's components to commands. Conclusion: conditions on columns that differ within a job are refused.

--- a/citronrail/language/__init__.py
+++ b/citronrail/language/__init__.py
@@ -1,6 +1,7 @@
 """The operators' query and command language."""
 
 from citronrail.language._changes import changed
+from citronrail.language._entry_overview import EntryOverview
 from citronrail.language._facts import Facts
 from citronrail.language._facts import SeenWorker
 from citronrail.language._fleet_facts import FleetFacts
@@ -40,12 +41,15 @@
 from citronrail.language._parser import keywords
 from citronrail.language._parser import parse
 from citronrail.language._parser import parse_script
-from citronrail.language._ports import JobPredicate
+from citronrail.language._policy_checks import PolicyChecks
+from citronrail.language._ports import Cancelled
 from citronrail.language._ports import JobShards
 from citronrail.language._ports import RangeDirectory
+from citronrail.language._ports import RowPredicate
 from citronrail.language._ports import SettingsWriter
 from citronrail.language._query import evaluate
 from citronrail.language._query import Result
+from citronrail.language._scheduler_shards import SchedulerShards
 from citronrail.language._service import CommandService
 from citronrail.language._tables import columns
 from citronrail.language._tables import EntryRow
@@ -54,6 +58,7 @@
 __all__ = [
     'And',
     'Cancel',
+    'Cancelled',
     'Change',
     'ChangePolicy',
     'ChangeService',
@@ -64,11 +69,11 @@
     'Condition',
     'Drain',
     'Duration',
+    'EntryOverview',
     'EntryRow',
     'Facts',
     'FleetFacts',
     'JobCommand',
-    'JobPredicate',
     'JobShards',
     'Membership',
     'Memory',
@@ -77,11 +82,14 @@
     'Or',
     'OrderKey',
     'Place',
+    'PolicyChecks',
     'PolicyKind',
     'RangeDirectory',
     'RequestRow',
     'Result',
     'Return',
+    'RowPredicate',
+    'SchedulerShards',
     'SeenWorker',
     'SettingsCommand',
     'SettingsWriter',
--- a/citronrail/language/_metrics.py
+++ b/citronrail/language/_metrics.py
@@ -23,9 +23,8 @@
     ['result'],
 )
 CANCELLED = prometheus_client.Counter(
-    'citronrail_language_cancelled_total',
-    'Tasks and jobs cancelled by commands, by kind.',
-    ['kind'],
+    'citronrail_language_cancelled_tasks_total',
+    'Tasks cancelled by commands.',
 )
 REPEATED = prometheus_client.Counter(
     'citronrail_language_repeated_commands_total',
--- a/citronrail/language/_owners.py
+++ b/citronrail/language/_owners.py
@@ -139,7 +139,7 @@
             return messages.CommandReply(
                 command_id,
                 outcomes.Outcome.DONE,
-                f'{total} {command.table.value} cancelled',
+                f'{total} tasks cancelled',
                 count=total,
             )
         if not counts:
@@ -148,7 +148,7 @@
         return messages.CommandReply(
             command_id,
             outcomes.Outcome.UNKNOWN,
-            f'{total} {command.table.value} cancelled so far; ranges '
+            f'{total} tasks cancelled so far; ranges '
             f'{numbers} are not confirmed ({tries.problem}); repeat the '
             f'command with the same id',
             count=total,
--- a/citronrail/language/_ports.py
+++ b/citronrail/language/_ports.py
@@ -1,6 +1,7 @@
 """Interfaces through which commands meet the other subsystems."""
 
 import collections.abc
+import dataclasses
 import typing
 
 from citronrail.model import identifiers
@@ -9,12 +10,36 @@
 from citronrail.model import specs
 
 JobRows = tuple[rows.TaskRow, ...] | tuple[rows.JobRow, ...]
-JobPredicate = collections.abc.Callable[[typing.Any], bool]
 ChangeSettings = collections.abc.Callable[
     [settings_model.Settings], settings_model.Settings
 ]
 
 
+class RowPredicate(typing.Protocol):
+    """Tells whether a row meets a condition."""
+
+    @property
+    def fields(self) -> frozenset[str]:
+        """Columns that the condition looks at."""
+        ...
+
+    def __call__(self, row: typing.Any) -> bool:
+        """Tell whether ``row`` meets the condition."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class Cancelled:
+    """Result of a cancellation.
+
+    ``count`` tasks had not ended. In the ``failed`` ranges the outcome is
+    unknown or nothing changed; the command is repeated with the same id.
+    """
+
+    count: int
+    failed: tuple[identifiers.RangeId, ...] = ()
+
+
 class SettingsWriter(typing.Protocol):
     """Writes the configuration to the store, each command once."""
 
@@ -62,9 +87,9 @@
     async def cancel(
         self,
         kind: str,
-        predicate: JobPredicate,
+        predicate: RowPredicate,
         command_id: identifiers.CommandId,
-    ) -> int:
+    ) -> Cancelled:
         """Cancel everything in the owned shards that meets a condition.
 
         All of it is one batch in each shard, durable when this returns. A
@@ -74,7 +99,7 @@
         :param predicate: takes a :class:`~citronrail.model.rows.TaskRow` or
             :class:`~citronrail.model.rows.JobRow`.
         :param command_id: identity of the command, equal for its retries.
-        :returns: number of tasks or jobs cancelled.
+        :returns: number of tasks cancelled, and where it failed.
         """
         ...
 
@@ -85,6 +110,10 @@
         """
         ...
 
+    def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
+        """Return the ranges whose shards are loaded and owned now."""
+        ...
+
 
 class RangeDirectory(typing.Protocol):
     """Which entry owns which range, as far as this entry knows."""
@@ -94,7 +123,3 @@
     ) -> identifiers.NodeId | None:
         """Return the owner, this entry included, or None."""
         ...
-
-    def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
-        """Return the ranges that this entry itself owns now."""
-        ...
--- a/citronrail/language/_query.py
+++ b/citronrail/language/_query.py
@@ -18,7 +18,7 @@
 MAX_SEARCHED_CHARACTERS = 500
 COUNT_COLUMN = 'count'
 Cells = tuple[messages.Cell, ...]
-Predicate = collections.abc.Callable[[typing.Any], bool]
+_Row = collections.abc.Callable[[typing.Any], bool]
 _Test = collections.abc.Callable[[typing.Any], bool]
 
 _COMPARE: dict[_nodes.Operator, typing.Any] = {
@@ -54,6 +54,18 @@
         _column(show.table, show.count_by)
 
 
+@dataclasses.dataclass(frozen=True)
+class Predicate:
+    """Tells whether a row meets a condition that looks at ``fields``."""
+
+    test: _Row
+    fields: frozenset[str] = frozenset()
+
+    def __call__(self, row: typing.Any) -> bool:
+        """Tell whether ``row`` meets the condition."""
+        return self.test(row)
+
+
 def predicate(
     table: _nodes.TableName, condition: _nodes.Condition | None
 ) -> Predicate:
@@ -64,23 +76,32 @@
     :returns: a function of one row.
     :raises citronrail.errors.CommandRefused: as for :func:`check`.
     """
+    if condition is None:
+        return Predicate(_accept)
+    fields: set[str] = set()
+    return Predicate(_test(table, condition, fields), frozenset(fields))
+
+
+def _test(
+    table: _nodes.TableName, condition: _nodes.Condition, fields: set[str]
+) -> _Row:
     match condition:
-        case None:
-            return _accept
         case _nodes.And(operands):
-            parts = [predicate(table, operand) for operand in operands]
+            parts = [_test(table, operand, fields) for operand in operands]
             return lambda row: all(part(row) for part in parts)
         case _nodes.Or(operands):
-            parts = [predicate(table, operand) for operand in operands]
+            parts = [_test(table, operand, fields) for operand in operands]
             return lambda row: any(part(row) for part in parts)
         case _nodes.Not(operand):
-            inner = predicate(table, operand)
+            inner = _test(table, operand, fields)
             return lambda row: not inner(row)
         case _nodes.Comparison(field, kind, value):
             column = _column(table, field)
+            fields.add(column.name)
             return _on_cell(column.name, _compare(column, kind, value))
         case _nodes.Membership(field, values):
             column = _column(table, field)
+            fields.add(column.name)
             wanted = frozenset(_plain(column, value) for value in values)
             return _on_cell(column.name, lambda cell: cell in wanted)
 
@@ -90,7 +111,7 @@
     return True
 
 
-def _on_cell(name: str, test: _Test) -> Predicate:
+def _on_cell(name: str, test: _Test) -> _Row:
     cell = operator.attrgetter(name)
     return lambda row: test(cell(row))
 
@@ -164,8 +185,8 @@
 def _column(table: _nodes.TableName, name: str) -> _tables.Column:
     columns = {column.name: column for column in _tables.columns(table)}
     found = columns.get(name)
-    if found is None and name in _tables.ALIASES:
-        found = columns.get(_tables.ALIASES[name] or next(iter(columns)))
+    for alias in _tables.ALIASES.get(name, ()):
+        found = found or columns.get(alias)
     if found is None:
         hint = _facts.near_miss(name, columns)
         raise _facts.refuse(
--- a/citronrail/language/_service.py
+++ b/citronrail/language/_service.py
@@ -80,7 +80,7 @@
         self._views = views
         self._facts = facts
         self._wall_clock = wall_clock
-        self._own = _shard_commands.ShardCommands(shards, directory, views)
+        self._own = _shard_commands.ShardCommands(shards, views)
         forwarder = _forwarder.Forwarder(hub, wall_clock)
         self._owners = _owners.Owners(hub, forwarder, directory)
         self._receiver = _receiver.Receiver(hub, self._own, self._facts)
--- a/citronrail/language/_shard_commands.py
+++ b/citronrail/language/_shard_commands.py
@@ -28,18 +28,15 @@
     """The part of commands and queries that one entry answers.
 
     :param shards: the job shards that this entry owns.
-    :param directory: tells which ranges this entry owns.
     :param views: what this entry knows besides.
     """
 
     def __init__(
         self,
         shards: _ports.JobShards,
-        directory: _ports.RangeDirectory,
         views: _local_rows.Views,
     ) -> None:
         self._shards = shards
-        self._directory = directory
         self._views = views
 
     async def carry_out(
@@ -54,32 +51,38 @@
         :raises citronrail.errors.CitronrailError: if it was refused or its
             effect is unknown, as told by ``outcome``.
         """
-        before = set(self._directory.owned_ranges())
-        count = 0
+        before = set(self._shards.owned_ranges())
+        done = _ports.Cancelled(0)
         match command:
             case _nodes.StartJob(spec):
                 self._check_owner(spec.job_id, before)
                 message = await self._shards.submit(spec, command_id)
             case _nodes.StopJob(name):
                 self._check_owner(name, before)
-                count = await self._shards.cancel(
-                    'jobs', lambda row: bool(row.job == name), command_id
-                )
-                message = self._stopped(name, count)
-            case _nodes.Cancel(table, where):
-                count = await self._shards.cancel(
-                    table.value, _query.predicate(table, where), command_id
-                )
-                message = f'{count} {table.value} cancelled'
-                _metrics.CANCELLED.labels(table.value).inc(count)
-        held = before & set(self._directory.owned_ranges())
+                done = await self._cancel(_named(name), command_id)
+                message = self._stopped(name, done)
+            case _nodes.Cancel():
+                done = await self._cancel(command, command_id)
+                message = f'{done.count} tasks cancelled'
+        held = before & set(self._shards.owned_ranges())
         return messages.CommandReply(
             command_id,
             outcomes.Outcome.DONE,
             message,
-            ranges=tuple(sorted(held)),
-            count=count,
+            ranges=tuple(sorted(held - set(done.failed))),
+            count=done.count,
+        )
+
+    async def _cancel(
+        self, command: _nodes.Cancel, command_id: identifiers.CommandId
+    ) -> _ports.Cancelled:
+        done = await self._shards.cancel(
+            command.table.value,
+            _query.predicate(command.table, command.where),
+            command_id,
         )
+        _metrics.CANCELLED.inc(done.count)
+        return done
 
     async def answer(
         self,
@@ -96,7 +99,7 @@
         :raises citronrail.errors.CommandRefused: if a column is wrong.
         """
         _query.check(show)
-        owned = self._directory.owned_ranges()
+        owned = self._shards.owned_ranges()
         match show.table:
             case _nodes.TableName.TASKS | _nodes.TableName.JOBS:
                 rows: tuple[object, ...] = self._shards.rows(show.table.value)
@@ -128,9 +131,15 @@
                 step=_STEP,
             )
 
-    def _stopped(self, name: str, count: int) -> str:
-        if count:
-            return f'job "{name}" stopped'
+    def _stopped(self, name: str, done: _ports.Cancelled) -> str:
+        range_id = ranges.range_of(name)
+        if range_id in done.failed:
+            raise errors.StoreOutcomeUnknown(
+                f'range {range_id} may or may not have cancelled it',
+                step=_STEP,
+            )
+        if done.count:
+            return f'job "{name}" stopped, {done.count} tasks cancelled'
         known = {getattr(row, 'job', '') for row in self._shards.rows('jobs')}
         if name not in known:
             raise errors.CommandRefused(
@@ -138,3 +147,10 @@
                 step=_STEP,
             )
         return f'job "{name}" had ended already'
+
+
+def _named(name: str) -> _nodes.Cancel:
+    return _nodes.Cancel(
+        _nodes.TableName.JOBS,
+        _nodes.Comparison('job', _nodes.Operator.EQUAL, name),
+    )
--- a/citronrail/language/_tables.py
+++ b/citronrail/language/_tables.py
@@ -159,13 +159,17 @@
     _nodes.TableName.SETTINGS: SettingRow,
 }
 
-# The word that commands use for a column, where it differs.
-ALIASES = {
-    'class': 'work_class',
-    'memory': 'memory_mb',
-    'free_memory': 'free_memory_mb',
-    'latency': 'latency_ms',
-    'name': '',  # the first column
+# The words that commands use for columns with other names.
+ALIASES: dict[str, tuple[str, ...]] = {
+    'class': ('work_class',),
+    'memory': ('memory_mb',),
+    'free_memory': ('free_memory_mb',),
+    'latency': ('latency_ms', 'latency_target_ms'),
+    'run_time': ('max_run_s',),
+    'name': (
+        'entry',
+        *(table.value.removesuffix('s') for table in ROW_CLASSES),
+    ),
 }
 
 
@@ -184,6 +188,11 @@
     )
 
 
+def job_columns() -> tuple[Column, ...]:
+    """Return the columns of the table of jobs."""
+    return columns(_nodes.TableName.JOBS)
+
+
 def _kind(hint: typing.Any) -> Kind:
     options = set(typing.get_args(hint) or (hint,)) - {type(None)}
     if options == {str}:
