--- /dev/null
+++ b/citronrail/daemon/_ports_of_settings.py
@@ -0,0 +1,109 @@
+"""Objects made from the settings of a process."""
+
+import pathlib
+import random
+
+import trio
+
+from citronrail import adapters
+from citronrail.daemon import _process_settings
+from citronrail.model import identifiers
+from citronrail.observability.catalogue import daemon as events
+from citronrail import observability
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split ``IP:PORT``.
+
+    :param address: a checked address from the process settings.
+    :returns: the IP address and the port number.
+    """
+    host, _, port = address.rpartition(':')
+    return host.strip('[]'), int(port)
+
+
+def curve_files(
+    cfg: _process_settings.ProcessSettings,
+) -> adapters.CurveFiles | None:
+    """Return the key files of a process, None if it uses no keys."""
+    if cfg.keys is None:
+        return None
+    return adapters.CurveFiles(
+        own_key=pathlib.Path(cfg.keys.own),
+        server_key=pathlib.Path(cfg.keys.entries),
+        allowed_keys=pathlib.Path(cfg.keys.accepted),
+    )
+
+
+def seeded_random(node_id: str) -> random.Random:
+    """Return the random generator of a process; its seed is logged."""
+    seed = random.SystemRandom().getrandbits(64)
+    observability.emit(events.SEEDED, node=node_id, seed=seed)
+    return random.Random(seed)
+
+
+def peer_addresses(
+    cfg: _process_settings.ProcessSettings,
+) -> tuple[str, ...]:
+    """Return the configured peer addresses as ``tcp://IP:PORT``."""
+    return tuple(f'tcp://{address}' for address in cfg.entries)
+
+
+def boot_identity() -> identifiers.BootId:
+    """Return a new boot id for this run of the process."""
+    return identifiers.new_boot_id()
+
+
+class HttpPort:
+    """An HTTP server as a component that drains.
+
+    :param app: an ASGI application.
+    :param address: ``IP:PORT``.
+    :param name: what the port is for.
+    :param drain_s: longest time for requests in progress, in seconds.
+    """
+
+    def __init__(
+        self, app: adapters.AsgiApp, address: str, name: str, drain_s: float
+    ) -> None:
+        self._app = app
+        self._address = address
+        self._name = name
+        self._drain_s = drain_s
+        self._shutdown = trio.Event()
+        self._closed = trio.Event()
+        self.port = 0
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve until cancelled or drained."""
+        host, port = split_address(self._address)
+        async with trio.open_nursery() as nursery:
+            self.port = await nursery.start(self._serve, host, port)
+            task_status.started()
+
+    async def _serve(
+        self,
+        host: str,
+        port: int,
+        *,
+        task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await adapters.serve(
+            self._app,
+            host,
+            port,
+            name=self._name,
+            shutdown=self._shutdown,
+            drain_s=self._drain_s,
+            task_status=task_status,
+        )
+        self._closed.set()
+
+    async def drain(self) -> None:
+        """Accept no connection and wait for requests in progress."""
+        self._shutdown.set()
+        await self._closed.wait()
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -22,3 +22,9 @@
 COMPONENT_FAILED = _events.EventKind(
     1008, 'ERROR', '{component} failed: {reason}'
 )
+SEEDED = _events.EventKind(
+    1009, 'INFO', 'random generator of {node} seeded with {seed}'
+)
+SETTINGS_BEHIND = _events.EventKind(
+    1010, 'WARNING', 'other entries know settings version {version}'
+)
