--- a/citronrail/adapters/__init__.py
+++ b/citronrail/adapters/__init__.py
@@ -6,15 +6,19 @@
 from citronrail.adapters._curve import CurveFiles
 from citronrail.adapters._etcd_store import EtcdStore
 from citronrail.adapters._http_backend_server import HttpBackendServer
+from citronrail.adapters._http_servers import AsgiApp
 from citronrail.adapters._http_servers import serve
+from citronrail.adapters._http_worker import HttpWorker
 from citronrail.adapters._zmq_peers import ZmqPeerHub
 from citronrail.adapters._zmq_sockets import PeerLimits
 
 __all__ = [
     'Announcement',
+    'AsgiApp',
     'CurveFiles',
     'EtcdStore',
     'HttpBackendServer',
+    'HttpWorker',
     'PeerLimits',
     'ZmqPeerHub',
     'agent_app',
