--- a/citronrail/daemon/_agent.py
+++ b/citronrail/daemon/_agent.py
@@ -9,21 +9,61 @@
 from citronrail.daemon import _application
 from citronrail.daemon import _ports_of_settings as parts
 from citronrail.daemon import _process_settings
+from citronrail import errors
 from citronrail import membership
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail.model import resources
+from citronrail import observability
+from citronrail.observability.catalogue import daemon as events
 from citronrail import routing
 from citronrail import scheduling
 
 WORKER_RETRY_S = 0.5
 
 
+async def run_agent(
+    cfg: _process_settings.ProcessSettings,
+    boot_id: identifiers.BootId,
+    rng: random.Random,
+) -> None:
+    """Run an agent until a planned stop is complete.
+
+    :param cfg: settings of the process, with role ``agent``.
+    :param boot_id: identity of this run.
+    :param rng: source of chance.
+    """
+    worker = adapters.HttpWorker(cfg.worker_url)
+    backend_server = adapters.HttpBackendServer()
+    try:
+        capacity = await _capacity_of(worker)
+        role = AgentRole(cfg, boot_id, rng, worker, backend_server, capacity)
+        await role.app.run()
+    finally:
+        with trio.CancelScope(shield=True):
+            await worker.aclose()
+            await backend_server.aclose()
+
+
+async def _capacity_of(worker: adapters.HttpWorker) -> resources.Resources:
+    """Ask the worker for its capacity until it answers."""
+    while True:
+        try:
+            return (await worker.info()).capacity
+        except errors.CitronrailError as exc:
+            observability.emit(events.WORKER_NOT_READY, reason=exc)
+            await trio.sleep(WORKER_RETRY_S)
+
+
 class AgentRole:
     """Everything that runs in an agent.
 
-    :param cfg: settings of the process, with role ``agent``.
+    :param cfg: settings of the process.
     :param boot_id: identity of this run.
     :param rng: source of chance.
+    :param worker: the worker on this host.
+    :param backend_server: sends requests to the backend servers.
+    :param capacity: what the worker holds.
     """
 
     def __init__(
@@ -31,20 +71,23 @@
         cfg: _process_settings.ProcessSettings,
         boot_id: identifiers.BootId,
         rng: random.Random,
+        worker: adapters.HttpWorker,
+        backend_server: adapters.HttpBackendServer,
+        capacity: resources.Resources,
     ) -> None:
         self._cfg = cfg
         self._boot_id = boot_id
-        self._worker = adapters.HttpWorker(cfg.worker_url)
-        self._ledger = coordination.CapacityLedger()
-        self.app = _application.Application(cfg.node_id, cfg.times.drain_s)
+        self._capacity = capacity
+        self._leaving = False
+        self._tasks: scheduling.TaskRunner | None = None
+        self._ledger = coordination.CapacityLedger(capacity)
         curve = parts.curve_files(cfg)
         self.hub = adapters.ZmqPeerHub(
             self._introduce, curve=curve, insecure=curve is None, rng=rng
         )
-        self._backend_server = adapters.HttpBackendServer()
         self.requests = routing.RequestRunner(
             self.hub,
-            self._backend_server,
+            backend_server,
             limits=routing.RunnerLimits(
                 cfg.limits.slots, cfg.limits.connections
             ),
@@ -52,45 +95,32 @@
         self.links = membership.EntryLinks(
             self.hub, self.hub, parts.peer_addresses(cfg), self._status
         )
-        self.tasks = scheduling.TaskRunner(
+        self._tasks = scheduling.TaskRunner(
             self.hub,
-            self._worker,
+            worker,
             self._ledger,
             self.links,
             identifiers.DataCentreName(cfg.data_centre),
         )
-        self.local_port = parts.HttpPort(
+        self.app = self._application()
+
+    def _application(self) -> _application.Application:
+        cfg = self._cfg
+        app = _application.Application(cfg.node_id, cfg.times.drain_s)
+        local_port = parts.HttpPort(
             adapters.agent_app(self.requests, self._ready),
             cfg.addresses.local,
             'local',
             cfg.times.drain_s,
         )
-        self._leaving = False
-
-    async def run(self, handle_signals: bool = True) -> None:
-        """Run until a planned stop is complete.
-
-        :param handle_signals: see :meth:`Application.run`.
-        """
-        await self._await_worker()
-        app = self.app
+        assert self._tasks is not None
         app.add('peers', self.hub.run)
         app.add('links', self.links.run)
-        app.add('tasks', self.tasks.run, self.tasks.drain)
+        app.add('local port', local_port.run)
+        app.add('tasks', self._tasks.run, self._tasks.drain)
         app.add('requests', self.requests.run, self.requests.drain)
-        app.add('local port', self.local_port.run)
-        app.add('leaving', _idle, self._leave)
-        try:
-            await app.run(handle_signals)
-        finally:
-            with trio.CancelScope(shield=True):
-                await self._worker.aclose()
-                await self._backend_server.aclose()
-
-    async def _await_worker(self) -> None:
-        """Learn the capacity, which Hello and the ledger need."""
-        self._capacity = (await self._worker.info()).capacity
-        self._ledger.set_capacity(self._capacity)
+        app.add('membership', parts.idle, self._leave)
+        return app
 
     async def _leave(self) -> None:
         """Tell the entries to send no new work before anything drains."""
@@ -98,10 +128,12 @@
         await self.links.announce()
 
     def _ready(self) -> bool:
-        return self.app.ready and self.tasks.ready
+        tasks = self._tasks
+        return self.app.ready and tasks is not None and tasks.ready
 
     def _introduce(self) -> messages.Hello:
         cfg = self._cfg
+        tasks = self._tasks
         return messages.Hello(
             node_id=identifiers.NodeId(cfg.node_id),
             boot_id=self._boot_id,
@@ -109,26 +141,17 @@
             clock=0.0,
             data_centre=identifiers.DataCentreName(cfg.data_centre),
             rack=cfg.rack,
-            capacity=self._ledger.capacity,
-            tasks=self._known_tasks(),
+            capacity=self._capacity,
+            tasks=tasks.running_tasks() if tasks is not None else (),
         )
 
-    def _known_tasks(self) -> tuple[messages.RunningTask, ...]:
-        tasks = getattr(self, 'tasks', None)
-        return tasks.running_tasks() if tasks is not None else ()
-
     def _status(self) -> membership.AgentStatus:
+        tasks = self._tasks
+        ready = tasks is not None and tasks.ready
         return membership.AgentStatus(
             load=self.requests.load(),
             free=self._ledger.free,
             backends=self.requests.backends(),
             leaving=self._leaving,
-            ready=self.tasks.ready and not self._leaving,
+            ready=ready and not self._leaving,
         )
-
-
-async def _idle(
-    *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
-) -> None:
-    task_status.started()
-    await trio.sleep_forever()
--- /dev/null
+++ b/citronrail/daemon/_entry.py
@@ -0,0 +1,205 @@
+"""The entry role: callers' requests, commands and job shards."""
+
+import random
+
+import trio
+
+from citronrail import adapters
+from citronrail import coordination
+from citronrail.daemon import _application
+from citronrail.daemon import _entry_commands
+from citronrail.daemon import _entry_shards
+from citronrail.daemon import _ports_of_settings as parts
+from citronrail.daemon import _process_settings
+from citronrail import membership
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail import routing
+
+CONNECT_INTERVAL_S = 0.25
+
+
+async def run_entry(
+    cfg: _process_settings.ProcessSettings,
+    boot_id: identifiers.BootId,
+    rng: random.Random,
+) -> None:
+    """Run an entry until a planned stop is complete.
+
+    :param cfg: settings of the process, with role ``entry``.
+    :param boot_id: identity of this run.
+    :param rng: source of chance.
+    """
+    assert cfg.store is not None
+    store = adapters.EtcdStore(cfg.store.endpoints)
+    try:
+        role = EntryRole(cfg, boot_id, rng, store)
+        await role.app.run()
+    finally:
+        with trio.CancelScope(shield=True):
+            await store.aclose()
+
+
+class EntryRole:
+    """Everything that runs in an entry.
+
+    :param cfg: settings of the process.
+    :param boot_id: identity of this run.
+    :param rng: source of chance.
+    :param store: the platform's key-value service.
+    """
+
+    def __init__(
+        self,
+        cfg: _process_settings.ProcessSettings,
+        boot_id: identifiers.BootId,
+        rng: random.Random,
+        store: adapters.EtcdStore,
+    ) -> None:
+        assert cfg.store is not None
+        self._cfg = cfg
+        self._boot_id = boot_id
+        budget = coordination.StoreBudget(
+            cfg.store.writes_per_s, cfg.store.reads_per_s
+        )
+        self.store = coordination.BudgetedStore(store, budget)
+        curve = parts.curve_files(cfg)
+        address = f'tcp://{cfg.addresses.peer}'
+        self.hub = adapters.ZmqPeerHub(
+            self._introduce,
+            listen=address,
+            curve=curve,
+            insecure=curve is None,
+            rng=rng,
+        )
+        self._build_membership(address)
+        self._build_routing(rng)
+        self.shards = _entry_shards.make_scheduler(self, rng)
+        self.commands = _entry_commands.make_commands(self, cfg)
+        self.ownership.add_listener(self.keys)
+        self.ownership.add_listener(self.shards)
+        self.app = self._application()
+
+    def _build_membership(self, address: str) -> None:
+        for_use = self.store.for_use
+        own = identifiers.NodeId(self._cfg.node_id)
+        self.follower = coordination.SettingsFollower(
+            for_use(coordination.StoreUse.SETTINGS),
+            self._cfg.times.settings_confirm_s,
+        )
+        self.ownership = coordination.RangeOwnership(
+            for_use(coordination.StoreUse.LEASE), self.hub, address
+        )
+        self.directory = membership.AgentDirectory(
+            self.hub, self.follower, self.claims, self.entry_addresses
+        )
+        outsiders = membership.Outsiders(self.ownership, own)
+        self.mesh = membership.EntryMesh(
+            self.hub, self.follower, self.directory, self.claims, outsiders
+        )
+        self.silence = membership.AgentSilence(
+            self.directory, self.mesh, self.ownership, outsiders, own
+        )
+
+    def _build_routing(self, rng: random.Random) -> None:
+        self.keys = routing.OwnedKeys(self.hub, self.ownership)
+        key_service = routing.KeyService(self.hub, self.keys, self.owner_of)
+        self.router = routing.RequestRouter(
+            self.hub,
+            key_service,
+            self.directory.agents,
+            lambda: self.follower.settings,
+            data_centre=identifiers.DataCentreName(self._cfg.data_centre),
+            rng=rng,
+        )
+
+    def _application(self) -> _application.Application:
+        cfg = self._cfg
+        app = _application.Application(cfg.node_id, cfg.times.drain_s)
+        callers = parts.HttpPort(
+            adapters.caller_app(self.router, lambda: app.ready),
+            cfg.addresses.callers,
+            'callers',
+            cfg.times.drain_s,
+        )
+        operators = parts.HttpPort(
+            _entry_commands.operators_app(self, lambda: app.ready),
+            cfg.addresses.operators,
+            'operators',
+            cfg.times.drain_s,
+        )
+        app.add('peers', self.hub.run)
+        app.add('settings', self.follower.run)
+        app.add('directory', self.directory.run, self._stop_acknowledging)
+        app.add('mesh', self.mesh.run)
+        app.add('shards', self.shards.run)
+        app.add('ownership', self.ownership.run, self.ownership.drain)
+        app.add('silence', self.silence.run)
+        app.add('connections', self._follow_entries)
+        app.add('commands', self.commands.run, self.commands.drain)
+        app.add('requests', self.router.run)
+        app.add('operators port', operators.run, operators.drain)
+        app.add('callers port', callers.run, callers.drain)
+        app.add('balancer', parts.idle, self._await_balancer)
+        app.add('feeds', parts.idle, self.router.drain)
+        return app
+
+    # What the parts ask of each other
+
+    def claims(self) -> tuple[messages.RangeClaim, ...]:
+        """Return the ranges that this entry owns and may commit for."""
+        return tuple(
+            messages.RangeClaim(owned.range_id, owned.fencing)
+            for owned in self.ownership.owned()
+        )
+
+    def entry_addresses(self) -> tuple[messages.EntryAddress, ...]:
+        """Return the members as last read from the store."""
+        return tuple(
+            messages.EntryAddress(entry.node_id, entry.boot_id, entry.address)
+            for entry in self.ownership.entries()
+            if not entry.draining
+        )
+
+    def owner_of(
+        self, range_id: identifiers.RangeId
+    ) -> identifiers.NodeId | None:
+        """Return the entry that owns a range, by the freshest source."""
+        if self.ownership.find(range_id) is not None:
+            return self.hub.node_id
+        heard = self.mesh.owner_of(range_id)
+        return heard or self.ownership.owner_of(range_id)
+
+    def _introduce(self) -> messages.Hello:
+        cfg = self._cfg
+        return messages.Hello(
+            node_id=identifiers.NodeId(cfg.node_id),
+            boot_id=self._boot_id,
+            role='entry',
+            clock=0.0,
+            data_centre=identifiers.DataCentreName(cfg.data_centre),
+            rack=cfg.rack,
+            address=f'tcp://{cfg.addresses.peer}',
+        )
+
+    async def _follow_entries(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Keep connections to exactly the members."""
+        task_status.started()
+        while True:
+            entries = self.ownership.entries()
+            self.mesh.forget({entry.node_id for entry in entries})
+            self.hub.set_entries([entry.address for entry in entries])
+            await trio.sleep(CONNECT_INTERVAL_S)
+
+    # Planned stop
+
+    async def _await_balancer(self) -> None:
+        """Wait until the load balancer has seen that readiness is down."""
+        await trio.sleep(self._cfg.times.load_balancer_wait_s)
+
+    async def _stop_acknowledging(self) -> None:
+        self.directory.stop_acknowledging()
--- a/citronrail/daemon/_ports_of_settings.py
+++ b/citronrail/daemon/_ports_of_settings.py
@@ -107,3 +107,11 @@
         """Accept no connection and wait for requests in progress."""
         self._shutdown.set()
         await self._closed.wait()
+
+
+async def idle(
+    *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Run nothing; for parts that only drain."""
+    task_status.started()
+    await trio.sleep_forever()
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -28,3 +28,6 @@
 SETTINGS_BEHIND = _events.EventKind(
     1010, 'WARNING', 'other entries know settings version {version}'
 )
+WORKER_NOT_READY = _events.EventKind(
+    1011, 'WARNING', 'worker gave no answer: {reason}'
+)
