Authenticate peers with CURVE and guard the hub by tests

Cause: peers must prove which node they are, and a bad peer must not disturb others. Change: CURVE with a server key and a directory of allowed keys; the hub is split by job; tests with real sockets for order, garbage, stalls, restarts, silence and foreign keys.

--- a/citronrail/adapters/_curve.py
+++ b/citronrail/adapters/_curve.py
@@ -64,6 +64,8 @@
         sock.curve_secretkey = self._server_secret
         sock.curve_publickey = self._server_public
         sock.curve_server = True
+        sock.setsockopt(zmq.ZAP_DOMAIN, b'citronrail')
+        sock.setsockopt(zmq.ZAP_ENFORCE_DOMAIN, 1)
 
     def secure_client(self, sock: zmq.Socket[bytes]) -> None:
         """Connect only to the holder of the server key.
@@ -81,16 +83,26 @@
         """
         return self._nodes.get(public_key, '')
 
-    async def authenticate(self, ctx: zmq.Context[zmq.Socket[bytes]]) -> None:
+    async def authenticate(
+        self,
+        ctx: zmq.Context[zmq.Socket[bytes]],
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
         """Answer libzmq's questions about keys until cancelled.
 
         :param ctx: context of the sockets.
+        :param task_status: started when questions are answered; before that,
+            libzmq would accept any key.
         """
         authenticator = zmq.auth.Authenticator(ctx)
         authenticator.start()
         try:
-            authenticator.configure_curve(domain='*', location=self._directory)
+            authenticator.configure_curve(
+                domain='citronrail', location=self._directory
+            )
             sock = authenticator.zap_socket
+            task_status.started()
             while True:
                 while int(sock.getsockopt(zmq.EVENTS)) & zmq.POLLIN:
                     await authenticator.handle_zap_message(
--- /dev/null
+++ b/citronrail/adapters/_peer_connections.py
@@ -0,0 +1,139 @@
+"""Connections that this process makes to entries."""
+
+import collections.abc
+import random
+
+import trio
+import zmq
+
+from citronrail.adapters import _curve
+from citronrail.adapters import _peer_inbox
+from citronrail.adapters import _peer_links
+from citronrail.adapters import _zmq_sockets
+from citronrail.model import messages
+
+_FULL_QUEUE_PAUSE_S = 0.002
+
+
+class EntryConnections:
+    """Keeps one connection to each entry.
+
+    :param ctx: context of the sockets.
+    :param inbox: takes the messages of peers.
+    :param table: the links in use.
+    :param introduce: returns this process's Hello with the present time.
+    :param keys: keys of the connections; None without keys.
+    :param limits: bounds of the connections.
+    :param rng: spreads reconnects in time.
+    """
+
+    def __init__(
+        self,
+        ctx: zmq.Context[zmq.Socket[bytes]],
+        inbox: _peer_inbox.PeerInbox,
+        table: _peer_links.LinkTable,
+        introduce: collections.abc.Callable[[], messages.Hello],
+        keys: _curve.CurveKeys | None,
+        limits: _zmq_sockets.PeerLimits,
+        rng: random.Random,
+    ) -> None:
+        self._ctx = ctx
+        self._inbox = inbox
+        self._table = table
+        self._introduce = introduce
+        self._keys = keys
+        self._limits = limits
+        self._rng = rng
+        self._scopes: dict[str, trio.CancelScope] = {}
+
+    def apply(
+        self, wanted: collections.abc.Set[str], nursery: trio.Nursery
+    ) -> None:
+        """Connect to these entries and disconnect from all others.
+
+        :param wanted: addresses as ``tcp://IP:PORT``.
+        :param nursery: where each connection gets its task.
+        """
+        for address in self._scopes.keys() - wanted:
+            self._scopes.pop(address).cancel()
+        for address in sorted(wanted - self._scopes.keys()):
+            scope = self._scopes[address] = trio.CancelScope()
+            nursery.start_soon(self._stay_connected, address, scope)
+
+    async def _stay_connected(
+        self, address: str, scope: trio.CancelScope
+    ) -> None:
+        with scope:
+            while True:
+                await self._connect(address)
+                pause = self._limits.reconnect_s
+                await trio.sleep(pause * self._rng.uniform(0.5, 1.5))
+
+    async def _connect(self, address: str) -> None:
+        """Use one connection to an entry until it breaks."""
+        me = self._introduce()
+        routing_id = f'{me.node_id}/{me.boot_id}'.encode()
+        raw = _zmq_sockets.open_dealer(self._ctx, self._limits, routing_id)
+        sock = _zmq_sockets.TrioSocket(raw)
+        link = None
+        try:
+            if self._keys is not None:
+                self._keys.secure_client(raw)
+            broken = raw.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+            raw.connect(address)
+            with trio.move_on_after(self._limits.hello_wait_s):
+                link = await self._greet(sock, address)
+            if link is not None:
+                await self._read(sock, link, _zmq_sockets.TrioSocket(broken))
+        except zmq.ZMQError as exc:
+            _peer_inbox.refuse(address, 'connection failed', str(exc))
+        finally:
+            if link is not None:
+                link.close('the connection broke')
+                self._table.remove(link)
+            raw.disable_monitor()
+            sock.close()
+
+    async def _greet(
+        self, sock: _zmq_sockets.TrioSocket, address: str
+    ) -> _peer_links.Link | None:
+        while not sock.send([messages.pack(self._introduce())]):
+            await trio.sleep(_FULL_QUEUE_PAUSE_S)
+        frames = await sock.receive()
+        hello = _peer_inbox.decode(frames, address)
+        if not isinstance(hello, messages.Hello):
+            _peer_inbox.refuse(address, 'no hello', type(hello).__name__)
+            return None
+        if hello.node_id == self._introduce().node_id:
+            await trio.sleep_forever()  # an address of this process itself
+        return self._inbox.start(sock, None, hello)
+
+    async def _read(
+        self,
+        sock: _zmq_sockets.TrioSocket,
+        link: _peer_links.Link,
+        broken: _zmq_sockets.TrioSocket,
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_close_when_broken, link, broken)
+            nursery.start_soon(self._read_messages, sock, link)
+            await link.gone.wait()
+            nursery.cancel_scope.cancel()
+
+    async def _read_messages(
+        self, sock: _zmq_sockets.TrioSocket, link: _peer_links.Link
+    ) -> None:
+        while True:
+            frames = await sock.receive()
+            message = _peer_inbox.decode(frames, link.peer.node_id)
+            if isinstance(message, messages.UnknownMessage):
+                _peer_inbox.tell(link, str(message))
+            else:
+                self._inbox.deliver(link, message, frames)
+
+
+async def _close_when_broken(
+    link: _peer_links.Link, broken: _zmq_sockets.TrioSocket
+) -> None:
+    await broken.receive()
+    link.close('the connection broke')
--- /dev/null
+++ b/citronrail/adapters/_peer_inbox.py
@@ -0,0 +1,199 @@
+"""Messages of peers: decoding, checks and the tasks that handle them."""
+
+import collections
+
+import trio
+import zmq
+
+from citronrail.adapters import _metrics
+from citronrail.adapters import _peer_links
+from citronrail.adapters import _zmq_sockets
+from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import adapters as events
+from citronrail import ports
+
+HELLO_EXPECTED = 'hello expected'
+_MAX_REASON = 300
+
+
+def decode(frames: list[zmq.Frame], sender: str) -> object:
+    """Decode a message.
+
+    :param frames: one or two frames.
+    :param sender: who sent it, for the event.
+    :returns: the message, or UnknownMessage after noting it.
+    """
+    if len(frames) not in (1, 2):
+        exc = messages.UnknownMessage('wrong number of frames')
+    else:
+        try:
+            return messages.unpack(frames[0].bytes)
+        except messages.UnknownMessage as caught:
+            exc = caught
+    refuse(sender, 'undecodable', str(exc))
+    return exc
+
+
+def refuse(sender: str, reason: str, detail: str) -> None:
+    """Count and log a message that is dropped.
+
+    :param sender: who sent it.
+    :param reason: one of a few words, for the metric.
+    :param detail: more about it.
+    """
+    _metrics.PEER_MESSAGES_REFUSED.labels(reason).inc()
+    observability.emit(
+        events.PEER_MESSAGE_REFUSED,
+        peer=sender[:80],
+        reason=f'{reason}: {detail}'[:_MAX_REASON],
+    )
+
+
+def tell(link: _peer_links.Link, reason: str) -> None:
+    """Tell a peer that its message can't be used, if that is possible.
+
+    :param link: the link to the peer.
+    :param reason: what is wrong with it.
+    """
+    error = messages.ProtocolError(reason[:_MAX_REASON])
+    try:
+        link.try_send([messages.pack(error)])
+    except zmq.ZMQError:
+        return
+
+
+class PeerInbox:
+    """Passes the messages of each peer to the handlers, in order.
+
+    :param table: the links in use.
+    :param limits: bounds of the port.
+    """
+
+    def __init__(
+        self,
+        table: _peer_links.LinkTable,
+        limits: _zmq_sockets.PeerLimits,
+    ) -> None:
+        self._table = table
+        self._limits = limits
+        self._nursery: trio.Nursery | None = None
+        self._handlers: dict[type, list[ports.Handler]] = (
+            collections.defaultdict(list)
+        )
+
+    def subscribe(self, kind: type, handler: ports.Handler) -> None:
+        """Call ``handler(peer, message, payload)`` for each ``kind``.
+
+        :param kind: a registered message class.
+        :param handler: awaited in the peer's own task.
+        """
+        self._handlers[kind].append(handler)
+
+    def open(self, nursery: trio.Nursery) -> None:
+        """Take a nursery for the tasks of peers.
+
+        :param nursery: where each link gets its task.
+        """
+        self._nursery = nursery
+
+    def start(
+        self,
+        sock: _zmq_sockets.TrioSocket,
+        routing_id: bytes | None,
+        hello: messages.Hello,
+    ) -> _peer_links.Link:
+        """Make a link to a peer that introduced itself.
+
+        :param sock: socket of the connection.
+        :param routing_id: address of the peer at a ROUTER, None at a DEALER.
+        :param hello: how it introduced itself.
+        :returns: a link that is in use, with a task for its messages.
+        """
+        assert self._nursery is not None
+        peer = _peer_of(hello)
+        link = _peer_links.Link(sock, routing_id, peer, self._limits)
+        self._table.add(link)
+        self._table.observe_clock(link, hello.clock)
+        link.inbox.send_nowait((hello, b''))
+        self._nursery.start_soon(self._handle, link)
+        return link
+
+    def deliver(
+        self,
+        link: _peer_links.Link,
+        message: object,
+        frames: list[zmq.Frame],
+    ) -> None:
+        """Check a message and pass it to the task of its peer.
+
+        :param link: where it came from.
+        :param message: the message.
+        :param frames: its frames, of which the second is the payload.
+        """
+        link.heard_at = trio.current_time()
+        sender = str(link.peer.node_id)
+        if isinstance(message, messages.ProtocolError):
+            observability.emit(
+                events.PEER_REPORTED_ERROR, peer=sender, reason=message.reason
+            )
+            if message.reason == HELLO_EXPECTED:
+                link.close('the peer no longer knows this connection')
+            return
+        boot_id = getattr(message, 'boot_id', link.peer.boot_id)
+        if boot_id != link.peer.boot_id:
+            refuse(sender, 'wrong boot', type(message).__name__)
+            tell(link, 'the boot id is not that of Hello')
+            return
+        clock = getattr(message, 'clock', None)
+        if clock is not None:
+            self._table.observe_clock(link, clock)
+        payload = frames[1].bytes if len(frames) == 2 else b''
+        try:
+            link.inbox.send_nowait((message, payload))
+        except trio.WouldBlock:
+            observability.emit(events.PEER_QUEUE_FULL, peer=sender)
+            _metrics.PEER_MESSAGES_REFUSED.labels('inbox full').inc()
+            link.close('too many unhandled messages')
+
+    async def _handle(self, link: _peer_links.Link) -> None:
+        """Await the handlers of one peer's messages, in order."""
+        try:
+            with link.scope:
+                async for message, payload in link.received:
+                    for handler in self._handlers.get(type(message), ()):
+                        await self._call(handler, link, message, payload)
+        finally:
+            link.close('closed')
+            self._table.remove(link)
+
+    async def _call(
+        self,
+        handler: ports.Handler,
+        link: _peer_links.Link,
+        message: object,
+        payload: bytes,
+    ) -> None:
+        try:
+            await handler(link.peer, message, payload)
+        except Exception as exc:  # noqa: BLE001
+            # A fault in one handler must not end the peer's connection.
+            _metrics.PEER_MESSAGES_REFUSED.labels('handler failed').inc()
+            observability.emit(
+                events.PEER_HANDLER_FAILED,
+                message=type(message).__name__,
+                peer=link.peer.node_id,
+                error=repr(exc),
+            )
+
+
+def _peer_of(hello: messages.Hello) -> ports.Peer:
+    return ports.Peer(
+        hello.node_id,
+        hello.boot_id,
+        hello.role,
+        hello.data_centre,
+        hello.rack,
+        hello.capacity,
+        hello.address,
+    )
--- /dev/null
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -0,0 +1,313 @@
+"""Guards the connections between processes, over real sockets."""
+
+import contextlib
+
+import prometheus_client
+import pytest
+import trio
+import zmq
+import zmq.auth
+
+from citronrail import adapters
+from citronrail.adapters.tests import path as paths
+from citronrail import errors
+from citronrail.model import messages
+
+QUICK = adapters.PeerLimits(
+    queue_messages=8,
+    max_message_bytes=100_000,
+    send_wait_s=0.1,
+    hello_wait_s=0.3,
+    keep_alive_s=0.1,
+    silence_s=0.5,
+    reconnect_s=0.05,
+)
+
+
+@contextlib.asynccontextmanager
+async def hubs(*agents, entry=None):
+    """Run an entry's hub and those of agents that connect to it."""
+    entry = entry or paths.hub(
+        'entry-1', 'entry', listen='tcp://127.0.0.1:0', limits=QUICK
+    )
+    async with trio.open_nursery() as nursery:
+        address = await nursery.start(entry.run)
+        for agent in agents:
+            await nursery.start(agent.run)
+            agent.set_entries([address])
+        yield entry
+        nursery.cancel_scope.cancel()
+
+
+@contextlib.contextmanager
+def raw_dealer(address, routing_id, prepare=lambda sock: None):
+    """Open a socket that speaks to the peer port without a hub."""
+    ctx = zmq.Context()
+    sock = ctx.socket(zmq.DEALER)
+    sock.linger = 0
+    sock.routing_id = routing_id
+    prepare(sock)
+    sock.connect(address)
+    try:
+        yield sock
+    finally:
+        ctx.destroy(linger=0)
+
+
+async def receive(sock, seconds=3.0):
+    """Return the next message of a raw socket, None if there is none."""
+    with trio.move_on_after(seconds):
+        while True:
+            try:
+                return messages.unpack(sock.recv_multipart(zmq.NOBLOCK)[0])
+            except zmq.Again:
+                await trio.sleep(0.01)
+    return None
+
+
+async def until(condition):
+    """Wait for a condition that must come true."""
+    with trio.fail_after(8):
+        while not condition():
+            await trio.sleep(0.01)
+
+
+def agent(name='agent-1', **options):
+    """Return an agent's hub."""
+    return paths.hub(name, 'agent', **{'limits': QUICK, **options})
+
+
+def refused(reason):
+    """Return how many messages were refused for a reason."""
+    name = 'citronrail_adapters_peer_messages_refused_total'
+    value = prometheus_client.REGISTRY.get_sample_value(
+        name, {'reason': reason}
+    )
+    return value or 0.0
+
+
+async def test_messages_arrive_whole_and_in_order():
+    """Guards against lost wake-ups of the socket's descriptor."""
+    one = agent()
+    got = []
+
+    async def on_chunk(peer, message, payload):
+        got.append((peer.node_id, message.seq, payload))
+        if message.seq % 7 == 0:  # sending consumes the descriptor's signal
+            await one.send('entry-1', messages.Credit('r', 1, 1))
+
+    async with hubs(one) as entry:
+        one.subscribe(messages.ResponseChunk, on_chunk)
+        await until(lambda: entry.peers('agent') and one.peers('entry'))
+        for seq in range(500):
+            chunk = messages.ResponseChunk('r', 1, seq)
+            with trio.fail_after(5):
+                while True:
+                    with contextlib.suppress(errors.PeerUnreachable):
+                        await entry.send('agent-1', chunk, b'%d' % seq)
+                        break
+        await until(lambda: len(got) == 500)
+    assert got == [('entry-1', seq, b'%d' % seq) for seq in range(500)]
+
+
+async def test_unusable_messages_disturb_nobody():
+    """Guards against a peer that can crash or silence the port."""
+    one = agent()
+    before = refused('undecodable')
+    async with hubs(one) as entry:
+        await until(lambda: entry.peers('agent'))
+        with raw_dealer(entry.address, b'stray') as stray:
+            for frames in ([b'?'], [b''], [b'1', b'2', b'3'], [b'\x92']):
+                stray.send_multipart(frames)
+                answer = await receive(stray)
+                assert isinstance(answer, messages.ProtocolError)
+            stray.send(messages.pack(messages.Credit('r', 1, 1)))
+            answer = await receive(stray)
+            assert answer == messages.ProtocolError('hello expected')
+            hello = paths.hello('agent-1', 'agent')()
+            stray.send(messages.pack(hello))
+            answer = await receive(stray)
+            assert isinstance(answer, messages.ProtocolError)
+            stray.send(b'x' * 200_000)  # the connection is closed for it
+            assert await receive(stray, 0.3) is None
+        await entry.send('agent-1', messages.Credit('r', 1, 1))
+        assert [peer.node_id for peer in entry.peers('agent')] == ['agent-1']
+    assert refused('undecodable') == before + 4
+
+
+async def test_message_of_another_boot_is_refused():
+    """Guards against a heartbeat that a restarted agent's past had sent."""
+    one = agent()
+    seen = []
+
+    async def on_update(peer, message, payload):
+        seen.append(message.boot_id)
+
+    async with hubs(one) as entry:
+        entry.subscribe(messages.BackendUpdate, on_update)
+        await until(lambda: one.peers('entry'))
+        await one.send('entry-1', messages.BackendUpdate('old', ()))
+        await one.send('entry-1', messages.BackendUpdate(one.boot_id, ()))
+        await until(lambda: seen)
+        assert seen == [one.boot_id]
+
+
+async def test_stalled_peer_blocks_no_other():
+    """Guards against one full queue that stops sends to all peers."""
+    one = agent()
+    got = []
+
+    async def on_credit(peer, message, payload):
+        got.append(message.chunks)
+
+    async with hubs(one) as entry:
+        one.subscribe(messages.Credit, on_credit)
+        hello = paths.hello('stalled', 'agent')()
+        routing_id = f'stalled/{hello.boot_id}'.encode()
+
+        def small(sock):
+            sock.rcvhwm = 1
+            sock.rcvbuf = 4096
+
+        with raw_dealer(entry.address, routing_id, small) as stalled:
+            stalled.send(messages.pack(hello))
+            await until(lambda: len(entry.peers('agent')) == 2)
+            failed = trio.Event()
+
+            async def flood():
+                chunk = messages.ResponseChunk('r', 1, 0)
+                with contextlib.suppress(errors.PeerUnreachable):
+                    while True:
+                        await entry.send('stalled', chunk, b'x' * 90_000)
+                failed.set()
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(flood)
+                count = 0
+                while not failed.is_set():
+                    await entry.send('agent-1', messages.Credit('r', 1, count))
+                    count += 1
+                    await trio.sleep(0.005)
+            await until(lambda: got == list(range(count)))
+            assert count > 5
+
+
+async def test_restarted_peer_replaces_its_predecessor():
+    """Guards against deadlines in the clock of an earlier boot."""
+    first = agent()
+    gone = []
+    async with hubs(first) as entry:
+        entry.listen(lambda _: None, lambda peer: gone.append(peer.boot_id))
+        await until(lambda: entry.peers('agent'))
+        assert entry.to_peer_clock('agent-1', trio.current_time() + 5)
+        async with trio.open_nursery() as nursery:
+            second = agent()
+            await nursery.start(second.run)
+            second.set_entries([entry.address])
+            await until(lambda: gone == [first.boot_id])
+            assert entry.peer('agent-1').boot_id == second.boot_id
+            nursery.cancel_scope.cancel()
+
+
+async def test_silent_peer_is_dropped_and_may_return():
+    """Guards against requests to a peer that froze, and a lost return."""
+    async with hubs() as entry:
+        hello = paths.hello('frozen', 'agent')()
+        routing_id = f'frozen/{hello.boot_id}'.encode()
+        with raw_dealer(entry.address, routing_id) as sock:
+            sock.send(messages.pack(hello))
+            await until(lambda: entry.peers('agent'))
+            await until(lambda: not entry.peers('agent'))
+            with pytest.raises(errors.PeerUnreachable):
+                await entry.send('frozen', messages.Credit('r', 1, 1))
+            with pytest.raises(errors.PeerUnreachable):
+                entry.to_peer_clock('frozen', 1.0)
+            sock.send(messages.pack(messages.Credit('r', 1, 1)))
+            answer = None
+            while not isinstance(answer, messages.ProtocolError):
+                answer = await receive(sock)
+            assert answer.reason == 'hello expected'
+            sock.send(messages.pack(hello))
+            await until(lambda: entry.peers('agent'))
+
+
+async def test_agent_reconnects_to_a_restarted_entry():
+    """Guards against a connection that outlives the entry's boot."""
+    one = agent()
+    async with hubs(one) as entry:
+        await until(lambda: one.peers('entry'))
+        address, boot_id = entry.address, entry.boot_id
+        async with trio.open_nursery() as nursery:
+            other = paths.hub(
+                'entry-2', 'entry', listen='tcp://127.0.0.1:0', limits=QUICK
+            )
+            other_address = await nursery.start(other.run)
+            one.set_entries([address, other_address])
+            await until(lambda: len(one.peers('entry')) == 2)
+            one.set_entries([other_address])
+            await until(lambda: len(one.peers('entry')) == 1)
+            nursery.cancel_scope.cancel()
+        await until(lambda: not one.peers('entry'))
+        async with trio.open_nursery() as nursery:
+            again = paths.hub(
+                'entry-2', 'entry', listen=other_address, limits=QUICK
+            )
+            await nursery.start(again.run)
+            await until(lambda: one.peers('entry'))
+            assert one.peer('entry-2').boot_id not in (
+                boot_id,
+                other.boot_id,
+            )
+            nursery.cancel_scope.cancel()
+
+
+@pytest.fixture
+def keys(tmp_path):
+    """Make keys for the entry and two agents, one of them not allowed."""
+    allowed, secret = tmp_path / 'allowed', tmp_path / 'secret'
+    allowed.mkdir()
+    secret.mkdir()
+    for name in ('server', 'entry-1', 'agent-1', 'agent-2', 'stranger'):
+        zmq.auth.create_certificates(secret, name)
+        if name.startswith(('entry', 'agent')):
+            (secret / f'{name}.key').rename(allowed / f'{name}.key')
+
+    def files(name, server='server.key'):
+        return adapters.CurveFiles(
+            secret / f'{name}.key_secret', secret / server, allowed
+        )
+
+    return files
+
+
+async def test_only_the_owner_of_a_key_gets_an_answer(keys):
+    """Guards against foreign processes and borrowed node ids."""
+    entry = paths.hub(
+        'entry-1',
+        'entry',
+        listen='tcp://127.0.0.1:0',
+        limits=QUICK,
+        curve=keys('entry-1', 'server.key_secret'),
+    )
+    good = agent(curve=keys('agent-1'))
+    unknown = agent('stranger', curve=keys('stranger'))
+    borrowed = agent('agent-1', curve=keys('agent-2'))
+    plain = agent('agent-2')
+    async with hubs(unknown, borrowed, plain, entry=entry):
+        await trio.sleep(1)
+        assert not entry.peers('agent')
+        for hub in (unknown, borrowed, plain):
+            assert not hub.peers('entry')
+        async with trio.open_nursery() as nursery:
+            await nursery.start(good.run)
+            good.set_entries([entry.address])
+            await until(lambda: good.peers('entry'))
+            peer = entry.peer('agent-1')
+            assert peer is not None and peer.boot_id == good.boot_id
+            nursery.cancel_scope.cancel()
+
+
+async def test_keys_can_be_left_out_only_on_purpose():
+    """Guards against an open port by a forgotten setting."""
+    with pytest.raises(errors.ConfigError):
+        paths.hub('entry-1', 'entry', insecure=False)
