--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -1,16 +1,18 @@
 """The entry role: callers' requests, commands and job shards."""
 
 import random
+import time
 
 import trio
 
 from citronrail import adapters
 from citronrail import coordination
 from citronrail.daemon import _application
-from citronrail.daemon import _entry_commands
 from citronrail.daemon import _entry_shards
+from citronrail.daemon import _entry_views
 from citronrail.daemon import _ports_of_settings as parts
 from citronrail.daemon import _process_settings
+from citronrail import language
 from citronrail import membership
 from citronrail.model import identifiers
 from citronrail.model import messages
@@ -74,8 +76,15 @@
         )
         self._build_membership(address)
         self._build_routing(rng)
-        self.shards = _entry_shards.make_scheduler(self, rng)
-        self.commands = _entry_commands.make_commands(self, cfg)
+        self.shards = _entry_shards.make_scheduler(
+            self.hub,
+            self.follower,
+            self.silence,
+            self.ownership,
+            self.store.for_use(coordination.StoreUse.SHARD),
+            rng,
+        )
+        self.commands = self._make_commands()
         self.ownership.add_listener(self.keys)
         self.ownership.add_listener(self.shards)
         self.app = self._application()
@@ -113,6 +122,33 @@
             rng=rng,
         )
 
+    def _make_commands(self) -> language.CommandService:
+        writer = coordination.SettingsWriter(
+            self.store.for_use(coordination.StoreUse.SETTINGS), self.follower
+        )
+        views = _entry_views.EntryViews(
+            self._cfg,
+            self.hub,
+            self.follower,
+            self.directory,
+            self.mesh,
+            self.claims,
+        )
+        facts = language.FleetFacts(
+            self.directory.agents,
+            self._cfg.known_data_centres,
+            _entry_views.check_policy,
+            time.time,
+        )
+        return language.CommandService(
+            self.hub,
+            writer,
+            _entry_shards.OperatorShards(self.shards),
+            _entry_shards.RangeDirectory(self.owner_of, self.shards),
+            views,
+            facts,
+        )
+
     def _application(self) -> _application.Application:
         cfg = self._cfg
         app = _application.Application(cfg.node_id, cfg.times.drain_s)
@@ -123,25 +159,24 @@
             cfg.times.drain_s,
         )
         operators = parts.HttpPort(
-            _entry_commands.operators_app(self, lambda: app.ready),
+            adapters.operators_app(self.commands, lambda: app.ready),
             cfg.addresses.operators,
             'operators',
             cfg.times.drain_s,
         )
         app.add('peers', self.hub.run)
         app.add('settings', self.follower.run)
-        app.add('directory', self.directory.run, self._stop_acknowledging)
+        app.add('directory', self.directory.run)
         app.add('mesh', self.mesh.run)
         app.add('shards', self.shards.run)
         app.add('ownership', self.ownership.run, self.ownership.drain)
-        app.add('silence', self.silence.run)
+        app.add('silence', self.silence.run, self._stop_acknowledging)
         app.add('connections', self._follow_entries)
         app.add('commands', self.commands.run, self.commands.drain)
-        app.add('requests', self.router.run)
         app.add('operators port', operators.run, operators.drain)
         app.add('callers port', callers.run, callers.drain)
+        app.add('requests', self.router.run, self.router.drain)
         app.add('balancer', parts.idle, self._await_balancer)
-        app.add('feeds', parts.idle, self.router.drain)
         return app
 
     # What the parts ask of each other
--- /dev/null
+++ b/citronrail/daemon/_entry_shards.py
@@ -0,0 +1,207 @@
+"""Connects the job shards to the store and to operators' commands."""
+
+import collections.abc
+import random
+import typing
+
+from citronrail import coordination
+from citronrail import errors
+from citronrail import membership
+from citronrail.model import identifiers
+from citronrail.model import ranges
+from citronrail.model import rows as row_models
+from citronrail.model import specs
+from citronrail import ports
+from citronrail import scheduling
+
+SHARD_KEY = '/citronrail/shards/{}'
+
+
+class ShardDocuments:
+    """Makes the shard documents of owned ranges.
+
+    :param store: store for shard commits.
+    :param ownership: tells whether a range is still owned.
+    :param rng: source of commit ids.
+    """
+
+    def __init__(
+        self,
+        store: ports.KeyValueStore,
+        ownership: coordination.RangeOwnership,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._ownership = ownership
+        self._rng = rng
+
+    def make(
+        self, owned: coordination.OwnedRange
+    ) -> coordination.GroupCommitDocument[scheduling.ShardState]:
+        """Return the document of a range under its present ownership.
+
+        :param owned: the range as acquired.
+        :returns: a document that commits only while the range is owned.
+        """
+
+        def holds() -> bool:
+            found = self._ownership.find(owned.range_id)
+            return (
+                found is not None
+                and found.fencing == owned.fencing
+                and found.commits_allowed
+            )
+
+        return coordination.GroupCommitDocument(
+            self._store,
+            SHARD_KEY.format(owned.range_id),
+            scheduling.ShardState(),
+            coordination.CommitScope(owned.guard, owned.fencing, holds),
+            self._rng,
+        )
+
+
+class OperatorShards:
+    """The owned job shards as operators' commands see them.
+
+    :param scheduler: the job scheduler of this entry.
+    """
+
+    def __init__(self, scheduler: scheduling.JobScheduler) -> None:
+        self._scheduler = scheduler
+
+    async def submit(
+        self, spec: specs.JobSpec, command_id: identifiers.CommandId
+    ) -> str:
+        """Accept a job; see :class:`citronrail.language.JobShards`."""
+        await self._scheduler.submit(spec, command_id)
+        return f'job {spec.job_id} with {spec.task_count} tasks accepted'
+
+    async def cancel(
+        self,
+        kind: str,
+        predicate: collections.abc.Callable[[typing.Any], bool],
+        command_id: identifiers.CommandId,
+    ) -> int:
+        """Cancel jobs; see :class:`citronrail.language.JobShards`."""
+        if kind != 'jobs':
+            raise errors.CommandRefused(
+                'single tasks cannot be cancelled', step='shards.cancel'
+            )
+        names = {row.job for row in self._job_rows() if predicate(row)}
+        result = await self._scheduler.cancel(
+            lambda spec: spec.job_id in names, command_id
+        )
+        if result.failed:
+            raise errors.StoreOutcomeUnknown(
+                f'ranges {list(result.failed)} did not confirm',
+                step='shards.cancel',
+            )
+        return len(names)
+
+    def rows(
+        self, kind: str
+    ) -> tuple[row_models.TaskRow, ...] | tuple[row_models.JobRow, ...]:
+        """Return the rows of the owned shards."""
+        return self._job_rows() if kind == 'jobs' else self._task_rows()
+
+    def _job_rows(self) -> tuple[row_models.JobRow, ...]:
+        found = self._scheduler.rows('jobs')
+        return tuple(
+            row_models.JobRow(
+                job=row.job,
+                team=row.team,
+                work_class=row.work_class,
+                state=row.state,
+                tasks=row.tasks,
+                pending=row.pending,
+                running=row.running,
+                finished=row.finished,
+                failed=row.failures,
+                cancelled=row.cancelled,
+                priority=row.priority,
+                submitted_at=row.submitted_at,
+                finish_before=row.finish_before,
+                range=ranges.range_of(row.job),
+                reason=row.reason,
+            )
+            for row in found
+            if isinstance(row, scheduling.JobRow)
+        )
+
+    def _task_rows(self) -> tuple[row_models.TaskRow, ...]:
+        found = self._scheduler.rows('tasks')
+        return tuple(
+            row_models.TaskRow(
+                task=row.task,
+                job=row.owner,
+                team=row.team,
+                work_class=row.work_class,
+                state=row.state,
+                attempt=row.attempt,
+                worker=row.node,
+                started_at=row.since,
+                reason=row.reason,
+            )
+            for row in found
+            if isinstance(row, scheduling.TaskRow)
+        )
+
+
+class RangeDirectory:
+    """Which entry owns which range, for commands.
+
+    :param owner_of: gives the owner of a range.
+    :param scheduler: tells which shards are loaded here.
+    """
+
+    def __init__(
+        self,
+        owner_of: collections.abc.Callable[
+            [identifiers.RangeId], identifiers.NodeId | None
+        ],
+        scheduler: scheduling.JobScheduler,
+    ) -> None:
+        self._owner_of = owner_of
+        self._scheduler = scheduler
+
+    def owner_of(
+        self, range_id: identifiers.RangeId
+    ) -> identifiers.NodeId | None:
+        """Return the owner, this entry included, or None."""
+        return self._owner_of(range_id)
+
+    def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
+        """Return the ranges whose shards are loaded here."""
+        return self._scheduler.owned_ranges()
+
+
+def make_scheduler(
+    hub: ports.PeerHub,
+    follower: coordination.SettingsFollower,
+    silence: membership.AgentSilence,
+    ownership: coordination.RangeOwnership,
+    store: ports.KeyValueStore,
+    rng: random.Random,
+) -> scheduling.JobScheduler:
+    """Make the scheduler of an entry's job shards.
+
+    :param hub: connections to the peers.
+    :param follower: the latest settings.
+    :param silence: agents and how long they were not acknowledged.
+    :param ownership: the ranges of this entry.
+    :param store: store for shard commits.
+    :param rng: source of chance.
+    :returns: a component that is also a listener of ownership.
+    """
+    documents = ShardDocuments(store, ownership, rng)
+    return scheduling.JobScheduler(
+        hub,
+        follower,
+        silence,
+        ownership,
+        documents.make,
+        scheduling.default_policies(),
+        ranges.range_of,
+        rng,
+    )
--- a/citronrail/scheduling/_interfaces.py
+++ b/citronrail/scheduling/_interfaces.py
@@ -177,6 +177,6 @@
         """Reserve resources for an attempt if they are free."""
         ...
 
-    def release(self, attempt: specs.AttemptId) -> None:
+    def release(self, attempt: specs.AttemptId) -> object:
         """Give up the reservation of an attempt, if there is one."""
         ...
