--- /dev/null
+++ b/citronrail/daemon/__main__.py
@@ -0,0 +1,8 @@
+"""Run with ``python -m citronrail.daemon``."""
+
+import sys
+
+from citronrail.daemon import _main
+
+if __name__ == '__main__':
+    sys.exit(_main.main())
--- a/standins/backend_server/__main__.py
+++ b/standins/backend_server/__main__.py
@@ -74,25 +74,47 @@
 async def _announce(
     cfg: _app.BackendConfig, address: str, work: _app.Workload
 ) -> None:
-    """Announce each second, then that it leaves."""
+    """Announce each service each second, then that it leaves."""
     incarnation = cfg.incarnation or time.time_ns()
-    url = f'{cfg.agent}/backends/{cfg.service}'
+    announced: set[str] = set()
     async with httpx.AsyncClient(timeout=2.0, trust_env=False) as client:
         while True:
             leaving = work.leaving.is_set()
-            body = {
-                'address': address,
-                'incarnation': incarnation,
-                'leaving': leaving,
-            }
-            try:
-                await client.put(url, json=body)
-            except httpx.HTTPError as exc:
-                print(f'cannot announce: {exc!r}', file=sys.stderr)
+            changed = work.changed
+            for service in announced | work.services:
+                gone = leaving or service not in work.services
+                body = {
+                    'address': address,
+                    'incarnation': incarnation,
+                    'leaving': gone,
+                }
+                await _put(client, f'{cfg.agent}/backends/{service}', body)
+            announced = set(work.services)
             if leaving:
                 return
             with trio.move_on_after(ANNOUNCE_EACH_S):
-                await work.leaving.wait()
+                await _first(work.leaving, changed)
+
+
+async def _put(
+    client: httpx.AsyncClient, url: str, body: dict[str, object]
+) -> None:
+    try:
+        await client.put(url, json=body)
+    except httpx.HTTPError as exc:
+        print(f'cannot announce: {exc!r}', file=sys.stderr)
+
+
+async def _first(*wanted: trio.Event) -> None:
+    """Wait until one of the events is set."""
+    async with trio.open_nursery() as nursery:
+        for event in wanted:
+            nursery.start_soon(_wait_and_cancel, event, nursery.cancel_scope)
+
+
+async def _wait_and_cancel(event: trio.Event, scope: trio.CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
 
 
 if __name__ == '__main__':
--- a/standins/backend_server/_app.py
+++ b/standins/backend_server/_app.py
@@ -20,7 +20,9 @@
 class BackendConfig:
     """Settings of one backend server.
 
-    ``agent`` is the base URL of the agent beside it, '' for none.
+    ``service`` is served from the start; '' leaves it to the worker on the
+    host to tell which services have replicas here, by ``/serve``. ``agent``
+    is the base URL of the agent beside it, '' for none.
     ``service_ms`` is the mean time of a quick answer, drawn from an
     exponential distribution if ``spread`` is true. ``slots`` is the number
     of requests that it works on at once; more are answered with 503.
@@ -51,12 +53,27 @@
     def __init__(self, cfg: BackendConfig) -> None:
         self.cfg = cfg
         self.history = _history.History()
+        self.services = {cfg.service} - {''}
+        self.changed = trio.Event()
         self.leaving = trio.Event()
         self.service_ms = cfg.service_ms
         self.failing = False
         self.refused = 0
         self._rng = random.Random(cfg.seed)
 
+    def serve(self, service: str, wanted: bool) -> None:
+        """Begin or end serving a service.
+
+        :param service: name of the service.
+        :param wanted: whether it is served from now on.
+        """
+        if wanted:
+            self.services.add(service)
+        else:
+            self.services.discard(service)
+        self.changed.set()
+        self.changed = trio.Event()
+
     def seconds(self, asked_ms: str | None) -> float:
         """Return how long an answer takes.
 
@@ -77,7 +94,8 @@
     ``/large?bytes=N`` has one large body, ``/stream?chunks=N&ms=M`` comes in
     parts, ``/feed`` sends numbered events and honours Last-Event-ID,
     ``/fail`` answers 500, ``/hang`` never answers, ``/die?bytes=N`` breaks
-    off after N bytes. ``/admin/history`` returns all runs, and a PUT of
+    off after N bytes. PUT and DELETE of ``/serve/SERVICE`` begin and end
+    serving a service. ``/admin/history`` returns all runs, and a PUT of
     ``{"service_ms": N, "failing": bool}`` to ``/admin/behaviour`` changes it.
 
     :param work: the shared state.
@@ -213,6 +231,16 @@
             json.dumps(data), content_type='application/json'
         )
 
+    @app.put('/serve/<service>')
+    async def serve(service: str) -> tuple[str, int]:
+        work.serve(service, True)
+        return '', 204
+
+    @app.delete('/serve/<service>')
+    async def end_serving(service: str) -> tuple[str, int]:
+        work.serve(service, False)
+        return '', 204
+
     @app.put('/admin/behaviour')
     async def behaviour() -> tuple[str, int]:
         wish = json.loads(await quart.request.get_data(as_text=False))
