--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -9,7 +9,6 @@
 from citronrail import coordination
 from citronrail.daemon import _application
 from citronrail.daemon import _entry_shards
-from citronrail.daemon import _entry_views
 from citronrail.daemon import _ports_of_settings as parts
 from citronrail.daemon import _process_settings
 from citronrail import language
@@ -61,6 +60,7 @@
         assert cfg.store is not None
         self._cfg = cfg
         self._boot_id = boot_id
+        self._rng = rng
         budget = coordination.StoreBudget(
             cfg.store.writes_per_s, cfg.store.reads_per_s
         )
@@ -124,26 +124,31 @@
 
     def _make_commands(self) -> language.CommandService:
         writer = coordination.SettingsWriter(
-            self.store.for_use(coordination.StoreUse.SETTINGS), self.follower
+            self.store.for_use(coordination.StoreUse.SETTINGS),
+            self.follower,
+            self._rng,
         )
-        views = _entry_views.EntryViews(
-            self._cfg,
+        views = language.EntryOverview(
             self.hub,
+            self._cfg.data_centre,
             self.follower,
             self.directory,
             self.mesh,
-            self.claims,
+            lambda: tuple(c.range_id for c in self.claims()),
+        )
+        checks = language.PolicyChecks(
+            {language.PolicyKind.BALANCING: routing.policy_of}
         )
         facts = language.FleetFacts(
             self.directory.agents,
             self._cfg.known_data_centres,
-            _entry_views.check_policy,
+            checks,
             time.time,
         )
         return language.CommandService(
             self.hub,
             writer,
-            _entry_shards.OperatorShards(self.shards),
+            language.SchedulerShards(self.shards),
             _entry_shards.RangeDirectory(self.owner_of, self.shards),
             views,
             facts,
--- a/standins/worker/__main__.py
+++ b/standins/worker/__main__.py
@@ -5,6 +5,7 @@
 import pathlib
 import signal
 import sys
+import time
 
 import httpx
 import hypercorn.config
@@ -42,7 +43,7 @@
         if cfg.checkpoint_url:
             checkpoints = _service.HttpCheckpoints(client, cfg.checkpoint_url)
         worker = _memory_worker.MemoryWorker(
-            cfg, identifiers.new_boot_id(), checkpoints
+            cfg, identifiers.new_boot_id(), checkpoints, time.monotonic
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_service.keep_time, worker)
