--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -143,8 +143,8 @@
         return language.CommandService(
             self.hub,
             writer,
-            _entry_shards.OperatorShards(self.shards),
-            _entry_shards.RangeDirectory(self.owner_of, self.shards),
+            language.SchedulerShards(self.shards),
+            _entry_shards.RangeDirectory(self.owner_of),
             views,
             facts,
         )
--- a/citronrail/daemon/_entry_shards.py
+++ b/citronrail/daemon/_entry_shards.py
@@ -2,15 +2,11 @@
 
 import collections.abc
 import random
-import typing
 
 from citronrail import coordination
-from citronrail import errors
 from citronrail import membership
 from citronrail.model import identifiers
 from citronrail.model import ranges
-from citronrail.model import rows as row_models
-from citronrail.model import specs
 from citronrail import ports
 from citronrail import scheduling
 
@@ -61,98 +57,10 @@
         )
 
 
-class OperatorShards:
-    """The owned job shards as operators' commands see them.
-
-    :param scheduler: the job scheduler of this entry.
-    """
-
-    def __init__(self, scheduler: scheduling.JobScheduler) -> None:
-        self._scheduler = scheduler
-
-    async def submit(
-        self, spec: specs.JobSpec, command_id: identifiers.CommandId
-    ) -> str:
-        """Accept a job; see :class:`citronrail.language.JobShards`."""
-        await self._scheduler.submit(spec, command_id)
-        return f'job {spec.job_id} with {spec.task_count} tasks accepted'
-
-    async def cancel(
-        self,
-        kind: str,
-        predicate: collections.abc.Callable[[typing.Any], bool],
-        command_id: identifiers.CommandId,
-    ) -> int:
-        """Cancel jobs; see :class:`citronrail.language.JobShards`."""
-        if kind != 'jobs':
-            raise errors.CommandRefused(
-                'single tasks cannot be cancelled', step='shards.cancel'
-            )
-        names = {row.job for row in self._job_rows() if predicate(row)}
-        result = await self._scheduler.cancel(
-            lambda spec: spec.job_id in names, command_id
-        )
-        if result.failed:
-            raise errors.StoreOutcomeUnknown(
-                f'ranges {list(result.failed)} did not confirm',
-                step='shards.cancel',
-            )
-        return len(names)
-
-    def rows(
-        self, kind: str
-    ) -> tuple[row_models.TaskRow, ...] | tuple[row_models.JobRow, ...]:
-        """Return the rows of the owned shards."""
-        return self._job_rows() if kind == 'jobs' else self._task_rows()
-
-    def _job_rows(self) -> tuple[row_models.JobRow, ...]:
-        found = self._scheduler.rows('jobs')
-        return tuple(
-            row_models.JobRow(
-                job=row.job,
-                team=row.team,
-                work_class=row.work_class,
-                state=row.state,
-                tasks=row.tasks,
-                pending=row.pending,
-                running=row.running,
-                finished=row.finished,
-                failed=row.failures,
-                cancelled=row.cancelled,
-                priority=row.priority,
-                submitted_at=row.submitted_at,
-                finish_before=row.finish_before,
-                range=ranges.range_of(row.job),
-                reason=row.reason,
-            )
-            for row in found
-            if isinstance(row, scheduling.JobRow)
-        )
-
-    def _task_rows(self) -> tuple[row_models.TaskRow, ...]:
-        found = self._scheduler.rows('tasks')
-        return tuple(
-            row_models.TaskRow(
-                task=row.task,
-                job=row.owner,
-                team=row.team,
-                work_class=row.work_class,
-                state=row.state,
-                attempt=row.attempt,
-                worker=row.node,
-                started_at=row.since,
-                reason=row.reason,
-            )
-            for row in found
-            if isinstance(row, scheduling.TaskRow)
-        )
-
-
 class RangeDirectory:
     """Which entry owns which range, for commands.
 
     :param owner_of: gives the owner of a range.
-    :param scheduler: tells which shards are loaded here.
     """
 
     def __init__(
@@ -160,10 +68,8 @@
         owner_of: collections.abc.Callable[
             [identifiers.RangeId], identifiers.NodeId | None
         ],
-        scheduler: scheduling.JobScheduler,
     ) -> None:
         self._owner_of = owner_of
-        self._scheduler = scheduler
 
     def owner_of(
         self, range_id: identifiers.RangeId
@@ -171,10 +77,6 @@
         """Return the owner, this entry included, or None."""
         return self._owner_of(range_id)
 
-    def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
-        """Return the ranges whose shards are loaded here."""
-        return self._scheduler.owned_ranges()
-
 
 def make_scheduler(
     hub: ports.PeerHub,
--- a/citronrail/daemon/_entry_views.py
+++ b/citronrail/daemon/_entry_views.py
@@ -6,7 +6,6 @@
 
 from citronrail import coordination
 from citronrail.daemon import _process_settings
-from citronrail import errors
 from citronrail import language
 from citronrail import membership
 from citronrail.model import messages
@@ -92,23 +91,9 @@
         )
 
 
-def check_policy(
-    kind: language.PolicyKind, policy: settings_model.PolicySettings
-) -> None:
-    """Refuse a policy that this version doesn't know.
-
-    :param kind: which policy it is.
-    :param policy: its name and parameters.
-    :raises citronrail.errors.CommandRefused: if it is unknown.
-    """
-    try:
-        match kind:
-            case language.PolicyKind.BALANCING:
-                routing.policy_of(policy)
-            case language.PolicyKind.PLACEMENT:
-                return
-    except errors.ConfigError as exc:
-        raise errors.CommandRefused(exc.message, step=exc.step) from exc
+check_policy = language.PolicyChecks(
+    {language.PolicyKind.BALANCING: routing.policy_of}
+)
 
 
 def _range_list(claims: tuple[messages.RangeClaim, ...]) -> str:
--- a/citronrail/language/__init__.py
+++ b/citronrail/language/__init__.py
@@ -1,7 +1,6 @@
 """The operators' query and command language."""
 
 from citronrail.language._changes import changed
-from citronrail.language._entry_overview import EntryOverview
 from citronrail.language._facts import Facts
 from citronrail.language._facts import SeenWorker
 from citronrail.language._fleet_facts import FleetFacts
@@ -69,7 +68,6 @@
     'Condition',
     'Drain',
     'Duration',
-    'EntryOverview',
     'EntryRow',
     'Facts',
     'FleetFacts',
