--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -149,7 +149,7 @@
             self.hub,
             writer,
             language.SchedulerShards(self.shards),
-            _entry_shards.RangeDirectory(self.owner_of, self.shards),
+            _entry_shards.RangeDirectory(self.owner_of),
             views,
             facts,
         )
--- a/citronrail/daemon/_entry_shards.py
+++ b/citronrail/daemon/_entry_shards.py
@@ -61,7 +61,6 @@
     """Which entry owns which range, for commands.
 
     :param owner_of: gives the owner of a range.
-    :param scheduler: tells which shards are loaded here.
     """
 
     def __init__(
@@ -69,10 +68,8 @@
         owner_of: collections.abc.Callable[
             [identifiers.RangeId], identifiers.NodeId | None
         ],
-        scheduler: scheduling.JobScheduler,
     ) -> None:
         self._owner_of = owner_of
-        self._scheduler = scheduler
 
     def owner_of(
         self, range_id: identifiers.RangeId
@@ -80,10 +77,6 @@
         """Return the owner, this entry included, or None."""
         return self._owner_of(range_id)
 
-    def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
-        """Return the ranges whose shards are loaded here."""
-        return self._scheduler.owned_ranges()
-
 
 def make_scheduler(
     hub: ports.PeerHub,
