--- a/standins/task_history.py
+++ b/standins/task_history.py
@@ -5,6 +5,8 @@
 import json
 import pathlib
 
+ENDS = frozenset({'finished', 'failed', 'stopped', 'checkpointed'})
+
 
 @dataclasses.dataclass(frozen=True)
 class Run:
@@ -66,9 +68,7 @@
                     record.get('detail', ''),
                     '',
                 )
-            case 'throttle' | 'renew':
-                continue
-            case event if key in open_runs:
+            case event if event in ENDS and key in open_runs:
                 runs.append(
                     dataclasses.replace(
                         open_runs.pop(key),
@@ -112,7 +112,7 @@
     counts: collections.Counter[int] = collections.Counter(
         run.index
         for run in runs
-        if run.owner == owner and run.event == 'finish'
+        if run.owner == owner and run.event == 'finished'
     )
     return dict(counts)
 
