--- /dev/null
+++ b/citronrail/daemon/_entry_shards.py
@@ -0,0 +1,109 @@
+"""Connects the job shards to the store and to operators' commands."""
+
+import collections.abc
+import random
+
+from citronrail import coordination
+from citronrail import membership
+from citronrail.model import identifiers
+from citronrail.model import ranges
+from citronrail import ports
+from citronrail import scheduling
+
+SHARD_KEY = '/citronrail/shards/{}'
+
+
+class ShardDocuments:
+    """Makes the shard documents of owned ranges.
+
+    :param store: store for shard commits.
+    :param ownership: tells whether a range is still owned.
+    :param rng: source of commit ids.
+    """
+
+    def __init__(
+        self,
+        store: ports.KeyValueStore,
+        ownership: coordination.RangeOwnership,
+        rng: random.Random,
+    ) -> None:
+        self._store = store
+        self._ownership = ownership
+        self._rng = rng
+
+    def make(
+        self, owned: coordination.OwnedRange
+    ) -> coordination.GroupCommitDocument[scheduling.ShardState]:
+        """Return the document of a range under its present ownership.
+
+        :param owned: the range as acquired.
+        :returns: a document that commits only while the range is owned.
+        """
+
+        def holds() -> bool:
+            found = self._ownership.find(owned.range_id)
+            return (
+                found is not None
+                and found.fencing == owned.fencing
+                and found.commits_allowed
+            )
+
+        return coordination.GroupCommitDocument(
+            self._store,
+            SHARD_KEY.format(owned.range_id),
+            scheduling.ShardState(),
+            coordination.CommitScope(owned.guard, owned.fencing, holds),
+            self._rng,
+        )
+
+
+class RangeDirectory:
+    """Which entry owns which range, for commands.
+
+    :param owner_of: gives the owner of a range.
+    """
+
+    def __init__(
+        self,
+        owner_of: collections.abc.Callable[
+            [identifiers.RangeId], identifiers.NodeId | None
+        ],
+    ) -> None:
+        self._owner_of = owner_of
+
+    def owner_of(
+        self, range_id: identifiers.RangeId
+    ) -> identifiers.NodeId | None:
+        """Return the owner, this entry included, or None."""
+        return self._owner_of(range_id)
+
+
+def make_scheduler(
+    hub: ports.PeerHub,
+    follower: coordination.SettingsFollower,
+    silence: membership.AgentSilence,
+    ownership: coordination.RangeOwnership,
+    store: ports.KeyValueStore,
+    rng: random.Random,
+) -> scheduling.JobScheduler:
+    """Make the scheduler of an entry's job shards.
+
+    :param hub: connections to the peers.
+    :param follower: the latest settings.
+    :param silence: agents and how long they were not acknowledged.
+    :param ownership: the ranges of this entry.
+    :param store: store for shard commits.
+    :param rng: source of chance.
+    :returns: a component that is also a listener of ownership.
+    """
+    documents = ShardDocuments(store, ownership, rng)
+    return scheduling.JobScheduler(
+        hub,
+        follower,
+        silence,
+        ownership,
+        documents.make,
+        scheduling.default_policies(),
+        ranges.range_of,
+        rng,
+    )
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -131,6 +131,14 @@
     address: str = ''
 
 
+@_message
+class Alive:
+    """Sent by the peer port on a connection that was idle for a second."""
+
+    boot_id: identifiers.BootId
+    clock: float  # the sender's monotonic clock
+
+
 @_message
 class Heartbeat:
     """Agent to entry, each second."""
@@ -183,7 +191,9 @@
     ``fresh_age_s`` is the time since the settings of ``settings_version``
     were last confirmed to be the latest, counted back from the sending.
     ``echo_seq`` is the last heartbeat received from the addressee and
-    ``echo_age_s`` the time since then; 0 if there was none.
+    ``echo_age_s`` the time since then; 0 if there was none. An entry that is
+    no member in the sender's read of the store at ``view_revision`` may
+    acknowledge agents for at most ``outsiders_for_s`` more.
     """
 
     boot_id: identifiers.BootId
@@ -196,6 +206,8 @@
     draining: bool = False
     echo_seq: int = 0
     echo_age_s: float = 0.0
+    view_revision: int = 0
+    outsiders_for_s: float = 0.0
 
 
 @_message
@@ -348,12 +360,17 @@
 
 @_message
 class RequestRefused:
-    """Agent to entry: the request was not run and never will be."""
+    """Agent to entry: the request was not run and never will be.
+
+    ``leaving`` tells that the agent or its backend servers leave, ``full``
+    that there was no room in time.
+    """
 
     request_id: identifiers.RequestId
     attempt: int
     reason: str
     leaving: bool = False
+    full: bool = False
 
 
 @_message
@@ -593,7 +610,12 @@
 
 @_message
 class CommandReply:
-    """Result of a command or query, with a table for queries."""
+    """Result of a command or query, with a table for queries.
+
+    ``more`` tells that rows were left out. Between entries, ``ranges`` names
+    the ranges that the sender owned from the start of the command to its
+    end, and ``count`` how many tasks or jobs it cancelled in them.
+    """
 
     command_id: identifiers.CommandId
     outcome: outcomes.Outcome
@@ -601,6 +623,9 @@
     settings_version: int = 0
     columns: tuple[str, ...] = ()
     rows: tuple[tuple[Cell, ...], ...] = ()
+    more: bool = False
+    ranges: tuple[identifiers.RangeId, ...] = ()
+    count: int = 0
 
 
 @_message
