Commit once before a new owner concludes anything; lift unknown throttles

A read of the store may be answered from an old state, so a new owner could have acknowledged a report as stale that it had not yet seen the attempt of. A full shard still takes ends of attempts. Workers that failed a task are avoided only while others have room.

--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -299,12 +299,14 @@
 
     An attempt in ``absent`` doesn't run, and a late :class:`StartTask` for it
     is refused. One in neither list is being started or has ended; a
-    :class:`StartReply` or :class:`TaskReport` follows.
+    :class:`StartReply` or :class:`TaskReport` follows. ``throttled`` names
+    those of ``running`` that are limited to a share of their processors.
     """
 
     range_id: identifiers.RangeId
     running: tuple[specs.AttemptId, ...] = ()
     absent: tuple[specs.AttemptId, ...] = ()
+    throttled: tuple[specs.AttemptId, ...] = ()
 
 
 @_message
--- a/citronrail/scheduling/_inbox.py
+++ b/citronrail/scheduling/_inbox.py
@@ -45,7 +45,8 @@
 
     ``acknowledge`` names reports by agent that may be forgotten once the
     changes are committed. ``unknown`` are attempts that run on an agent but
-    aren't in the shard; ``doubtful`` attempts that an agent did not list.
+    aren't in the shard; ``doubtful`` attempts that an agent did not list;
+    ``throttled`` those that run with a share of their processors.
     """
 
     started: tuple[specs.AttemptId, ...] = ()
@@ -54,6 +55,7 @@
     unknown: tuple[tuple[identifiers.NodeId, specs.AttemptId], ...] = ()
     doubtful: tuple[specs.AttemptId, ...] = ()
     stale: tuple[specs.AttemptId, ...] = ()
+    throttled: tuple[specs.AttemptId, ...] = ()
 
 
 class Inbox:
@@ -100,6 +102,7 @@
         tuple(reader.unknown),
         tuple(reader.doubtful),
         tuple(reader.stale),
+        tuple(reader.throttled),
     )
 
 
@@ -112,6 +115,7 @@
         self.unknown: list[tuple[identifiers.NodeId, specs.AttemptId]] = []
         self.doubtful: list[specs.AttemptId] = []
         self.stale: list[specs.AttemptId] = []
+        self.throttled: list[specs.AttemptId] = []
 
     def read(self, item: FromAgent) -> None:
         """Take in one message."""
@@ -189,6 +193,7 @@
         for attempt in reply.running:
             if self._live_on(node, attempt) is not None:
                 self.started.append(attempt)
+        self.throttled.extend(reply.throttled)
         for attempt in reply.absent:
             live = self._live_on(node, attempt)
             if live is not None:
--- a/citronrail/scheduling/_pending.py
+++ b/citronrail/scheduling/_pending.py
@@ -6,6 +6,7 @@
 from citronrail.model import resources
 from citronrail.model import specs
 from citronrail.model import views
+from citronrail.scheduling import _attempt_changes
 from citronrail.scheduling import _index_runs
 from citronrail.scheduling import _policies
 from citronrail.scheduling import _shard_state
@@ -15,6 +16,17 @@
 MAX_REPEATS = 500
 
 
+def is_ready(entry: _shard_state.Waiting, now: float) -> bool:
+    """Tell whether the wait of a task is over.
+
+    :param entry: the task.
+    :param now: Unix time in seconds.
+    :returns: also True if the wall clock was set back since.
+    """
+    left_s = entry.not_before - now
+    return left_s <= 0.0 or left_s > _attempt_changes.MAX_BACKOFF_S
+
+
 def ready_count(group: _shard_state.Group, now: float) -> int:
     """Return how many tasks of a group could start.
 
@@ -24,7 +36,7 @@
     """
     if group.phase is not _shard_state.Phase.ACTIVE:
         return 0
-    count = sum(1 for w in group.waiting.values() if w.not_before <= now)
+    count = sum(1 for w in group.waiting.values() if is_ready(w, now))
     if len(group.waiting) < MAX_REPEATS:
         count += _index_runs.size(group.pending)
     if group.job is not None and group.job.exclusive:
@@ -42,7 +54,7 @@
     :param now: Unix time in seconds.
     :returns: tasks; fresh ones have attempt number 0.
     """
-    ready = [w for w in group.waiting.values() if w.not_before <= now]
+    ready = [w for w in group.waiting.values() if is_ready(w, now)]
     ready.sort(key=lambda entry: entry.index)
     fresh = max(0, count - len(ready))
     if len(group.waiting) >= MAX_REPEATS:
--- a/citronrail/scheduling/_round.py
+++ b/citronrail/scheduling/_round.py
@@ -110,6 +110,13 @@
         found = self._candidates.sample(request.resources, group.data_centres)
         if not found:
             return _NO_ROOM
+        if request.avoid:
+            # Workers that failed the task are left out while there are
+            # others; a small fleet must not leave the task without any.
+            others = tuple(v for v in found if v.node_id not in request.avoid)
+            found = others or found
+            if not others:
+                request = dataclasses.replace(request, avoid=())
         return self._context.policies.placement.choose(
             request, found, self._now
         )
--- a/citronrail/scheduling/_shard_runner.py
+++ b/citronrail/scheduling/_shard_runner.py
@@ -137,6 +137,9 @@
             live=_shard_state.live_count(self.state),
         )
         try:
+            # A read of the store may be answered from an old state; a commit
+            # is not. Nothing is concluded before one has succeeded.
+            await self._document.commit(_unchanged)
             while not self._stopping:
                 await self._wait()
                 if self.owned.deadline <= trio.current_time():
@@ -193,8 +196,12 @@
             self._local_ends = local
             return False
         self._note(reading, before, batch)
+        throttles = self._upkeep.lift_unknown(reading.throttled)
         self._local_ends += await self._dispatch.send_all(
-            self.state, reserved, reading, kept.throttles if kept else ()
+            self.state,
+            reserved,
+            reading,
+            (*throttles, *(kept.throttles if kept else ())),
         )
         if self._local_ends or len(self._inbox):
             self._wake.set()
@@ -219,11 +226,8 @@
         if not batch:
             return True
         begun = trio.current_time()
-        unix_now = self._context.wall_clock()
         try:
-            await self._document.commit(
-                functools.partial(_apply, batch, unix_now)
-            )
+            await self._commit_fitting(batch)
         except (errors.StoreUnavailable, errors.StoreBudgetExceeded) as exc:
             observability.emit(
                 catalogue.COMMIT_FAILED,
@@ -236,6 +240,26 @@
         _metrics.LIVE.labels(label).set(_shard_state.live_count(self.state))
         return True
 
+    async def _commit_fitting(self, batch: _batch.Batch) -> None:
+        """Commit a batch; when the shard is full, only what shrinks it."""
+        unix_now = self._context.wall_clock()
+        try:
+            await self._document.commit(
+                functools.partial(_apply, batch, unix_now)
+            )
+        except errors.DocumentFull as exc:
+            observability.emit(
+                catalogue.COMMIT_FAILED,
+                range=self.owned.range_id,
+                reason=exc.message,
+            )
+            shrinking = dataclasses.replace(
+                batch, assignments=(), services=(), replaced=(), parked=()
+            )
+            await self._document.commit(
+                functools.partial(_apply, shrinking, unix_now)
+            )
+
     def _judged(
         self, ended: tuple[_inbox.Ended, ...]
     ) -> tuple[_attempt_changes.AttemptEnd, ...]:
@@ -298,6 +322,10 @@
                 )
 
 
+def _unchanged(state: _shard_state.ShardState) -> _shard_state.ShardState:
+    return state
+
+
 def _apply(
     batch: _batch.Batch, unix_now: float, state: _shard_state.ShardState
 ) -> _shard_state.ShardState:
--- a/citronrail/scheduling/_task_runner.py
+++ b/citronrail/scheduling/_task_runner.py
@@ -248,7 +248,14 @@
             if attempt in tasks
             and tasks[attempt].state is _local_tasks.LocalState.RUNNING
         )
-        reply = messages.TaskQueryReply(query.range_id, running, absent)
+        throttled = tuple(
+            attempt
+            for attempt in running
+            if tasks[attempt].worker_state == 'throttled'
+        )
+        reply = messages.TaskQueryReply(
+            query.range_id, running, absent, throttled
+        )
         await _task_starter.send_or_drop(self._hub, query.peer, reply)
 
     # Regular work
--- a/citronrail/scheduling/_task_table.py
+++ b/citronrail/scheduling/_task_table.py
@@ -108,6 +108,12 @@
         """
         replies: list[_local_tasks.Finding] = []
         adopted = False
+        for listed in listing.running:
+            task = self.tasks.get(listed.attempt)
+            if task is not None and task.worker_state != listed.state:
+                self.tasks[listed.attempt] = dataclasses.replace(
+                    task, worker_state=listed.state
+                )
         for finding in _local_tasks.compare(self.tasks, listing, asked_at):
             match finding:
                 case _local_tasks.Runs(running):
--- a/citronrail/scheduling/_upkeep.py
+++ b/citronrail/scheduling/_upkeep.py
@@ -47,6 +47,23 @@
         self._due_at = 0.0
         self._shares: dict[str, float] = {}
 
+    def lift_unknown(
+        self, throttled: tuple[specs.AttemptId, ...]
+    ) -> tuple[_policies.Throttle, ...]:
+        """Lift limits that this owner did not set.
+
+        An earlier owner set them; the pressure policy of this one doesn't
+        know of them and would never lift them.
+
+        :param throttled: attempts that agents say are limited.
+        :returns: throttles to send.
+        """
+        return tuple(
+            _policies.Throttle(attempt, 1.0)
+            for attempt in throttled
+            if self._shares.get(str(attempt), 1.0) >= 1.0
+        )
+
     def due(
         self,
         state: _shard_state.ShardState,
