--- a/citronrail/scheduling/tests/_cluster.py
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -308,14 +308,13 @@
         key = '/citronrail/ranges/0'
         while True:
             try:
-                await self.store.txn(
+                written = await self.store.txn(
                     [], [ports.Put(key, str(self.fencing).encode())]
                 )
-                item = await self.store.get(key)
                 break
             except Exception:  # noqa: BLE001 - store faults of the test
                 await trio.sleep(0.2)
-        self.guards[self.fencing] = ports.Compare(key, item.revision)
+        self.guards[self.fencing] = ports.Compare(key, written.revision)
         entry.fencing = self.fencing
         entry.lease_until = trio.current_time() + 5.0
         await entry.scheduler.acquired(
--- a/citronrail/scheduling/tests/test_chaos.py
+++ b/citronrail/scheduling/tests/test_chaos.py
@@ -47,6 +47,7 @@
             self.kill_owner,
             self.store_outage,
             self.lost_answer,
+            self.stale_reads,
             self.slow_worker,
             self.lost_worker_answers,
             self.hung_worker,
@@ -93,6 +94,11 @@
     async def lost_answer(self):
         self.cluster.store.set_faults(lose_answers=self.rng.randint(1, 4))
 
+    async def stale_reads(self):
+        self.cluster.store.set_faults(stale_by=self.rng.randint(1, 8))
+        await trio.sleep(self.rng.uniform(1.0, 10.0))
+        self.cluster.store.set_faults(stale_by=0)
+
     async def _switch(self, seconds, **switches):
         worker = self.agent().worker
         before = {
--- a/citronrail/scheduling/tests/test_mechanisms.py
+++ b/citronrail/scheduling/tests/test_mechanisms.py
@@ -18,6 +18,7 @@
 from citronrail.scheduling import _agent_loss
 from citronrail.scheduling import _attempt_changes
 from citronrail.scheduling import _moves
+from citronrail.scheduling import _shard_runner
 from citronrail.scheduling import _start_guard
 from citronrail.scheduling import _task_runner
 from citronrail.scheduling import _task_table
@@ -358,3 +359,37 @@
         'c',
         0.0,
     )
+
+
+@BOTH
+async def test_new_owner_concludes_nothing_from_an_old_read(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against results dropped after a read from an old state."""
+    if not kept:
+
+        async def skip(self, change):
+            if change is _shard_runner._unchanged:
+                return self.value
+            return await original(self, change)
+
+        original = coordination.GroupCommitDocument.commit
+        monkeypatch.setattr(coordination.GroupCommitDocument, 'commit', skip)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=1.5), 'c'
+        )
+        await trio.sleep(1.0)
+        cluster.kill_entry('entry1')
+        # The next owner reads the shard as it was before the job came.
+        cluster.store.set_faults(stale_by=4)
+        await trio.sleep(20.0)
+        cluster.store.set_faults(stale_by=0)
+        await trio.sleep(20.0)
+        rows.extend(cluster.owner.scheduler.rows('jobs'))
+
+    rows = []
+    cluster = await _run(scenario, entries=2)
+    assert [r.event for r in cluster.history()] == ['start', 'finished']
+    assert ([row.state for row in rows] == ['finished']) is kept
