--- /dev/null
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -0,0 +1,321 @@
+"""Guards what users and operators ask of the scheduler, one path a test."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import resources
+from citronrail.model import specs
+from citronrail import scheduling
+from citronrail.scheduling import _policies
+from citronrail.scheduling.tests import _cluster
+from citronrail.scheduling.tests import _facts
+
+
+class _Relief:
+    """A pressure policy that does what the test says."""
+
+    def __init__(self, decide) -> None:
+        self.decide = decide
+
+    def relieve(self, running, agents, waiting, now):
+        return self.decide(running)
+
+
+async def _run(scenario, agents=3, entries=1, prepare=None):
+    async with trio.open_nursery() as nursery:
+        cluster = _cluster.Cluster(nursery, agents=agents)
+        if prepare is not None:
+            prepare(cluster)
+        await cluster.start()
+        for number in range(1, entries + 1):
+            await cluster.add_entry(f'entry{number}', own=number == 1)
+        await trio.sleep(4.0)
+        await scenario(cluster)
+        nursery.cancel_scope.cancel()
+
+
+def _row(cluster, job='rota'):
+    rows = cluster.owner.scheduler.rows('jobs')
+    return next(row for row in rows if row.job == job)
+
+
+def _service(replicas=2, **fields):
+    return specs.ServiceSpec(
+        identifiers.ServiceName('seats'),
+        identifiers.TeamName('cantabrico'),
+        identifiers.WorkClass('seats'),
+        replicas,
+        resources.Resources(1000, 1000),
+        **fields,
+    )
+
+
+def _answering(cluster):
+    return [a for a in cluster.agents.values() if a.worker.core.services()]
+
+
+async def test_urgent_work_starts_within_3_s_behind_a_queue(autojump_clock):
+    """Guards urgent work against waiting behind thousands of tasks."""
+
+    async def scenario(cluster):
+        scheduler = cluster.owner.scheduler
+        await scheduler.submit(_cluster.job('bulk', 5000, run_s=4.0), 'c1')
+        await trio.sleep(6.0)
+        submitted_at = trio.current_time()
+        await scheduler.submit(
+            _cluster.job('gate', 1, priority=specs.Priority.URGENT), 'c2'
+        )
+        await trio.sleep(6.0)
+        started = [
+            record.at
+            for record in cluster.history()
+            if record.event == 'start' and record.attempt.task.owner == 'gate'
+        ]
+        assert len(started) == 1
+        assert started[0] - submitted_at <= 4.0 + 1.0
+        free_at = min(
+            record.at
+            for record in cluster.history()
+            if record.event == 'finished' and record.at >= submitted_at
+        )
+        assert started[0] - max(submitted_at, free_at) <= 3.0
+
+    await _run(scenario)
+
+
+async def test_impossible_size_is_refused_with_the_reason(autojump_clock):
+    """Guards against a job that would wait for ever without a word."""
+
+    async def scenario(cluster):
+        spec = _cluster.job(size=resources.Resources(5000, 1))
+        with pytest.raises(errors.CommandRefused, match='no worker has'):
+            await cluster.owner.scheduler.submit(spec, 'c')
+        assert cluster.owner.scheduler.rows('jobs') == ()
+
+    await _run(scenario)
+
+
+async def test_cancellation_races_with_starts_and_ends(autojump_clock):
+    """Guards against tasks that start or count twice after a cancel."""
+
+    async def scenario(cluster):
+        scheduler = cluster.owner.scheduler
+        for number in range(20):
+            name = f'job{number}'
+            await scheduler.submit(
+                _cluster.job(name, 12, run_s=0.3 + number * 0.01), name
+            )
+            await trio.sleep(number * 0.05)
+            result = await scheduler.cancel(
+                lambda job, name=name: job.job_id == name, f'x{number}'
+            )
+            again = await scheduler.cancel(
+                lambda job, name=name: job.job_id == name, f'x{number}'
+            )
+            assert (again.tasks, again.failed) == (result.tasks, ())
+        await trio.sleep(10.0)
+        finished = _facts.finishes(cluster.history())
+        for number in range(20):
+            row = _row(cluster, f'job{number}')
+            assert row.running == row.pending == 0
+            assert row.finished + row.cancelled == 12
+            done = [t for t in finished if t.owner == f'job{number}']
+            assert len(done) == row.finished
+        assert not _facts.overlaps(cluster.history(), lambda a: a.task)
+
+    await _run(scenario)
+
+
+async def test_pressure_throttles_and_evicts(autojump_clock):
+    """Guards the way from a relief to the worker, and its undoing."""
+    reliefs = []
+
+    def decide(running):
+        found, reliefs[:] = list(reliefs), []
+        return tuple(make(view) for make, view in zip(found, running))
+
+    def prepare(cluster):
+        cluster.policies = lambda: dataclasses.replace(
+            scheduling.default_policies(), pressure=_Relief(decide)
+        )
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=60.0), 'c'
+        )
+        await trio.sleep(3.0)
+        reliefs.append(lambda view: _policies.Throttle(view.attempt, 0.5))
+        await trio.sleep(3.0)
+        assert _states(cluster) == ['throttled']
+        cluster.kill_entry('entry1')
+        await trio.sleep(15.0)
+        assert _states(cluster) == ['running']
+        reliefs.append(lambda view: _policies.Evict(view.attempt, 'pressure'))
+        await trio.sleep(5.0)
+        resumed = _facts.resumes(cluster.history())
+        assert list(resumed.values()) == [1]
+        assert _states(cluster) == ['running']
+
+    await _run(scenario, entries=2, prepare=prepare)
+
+
+def _states(cluster):
+    return [
+        task.state
+        for agent in cluster.agents.values()
+        for task in agent.worker.core.tasks().running
+    ]
+
+
+async def test_job_that_fails_everywhere_is_parked(autojump_clock):
+    """Guards workers against a job that fails wherever it runs."""
+
+    async def scenario(cluster):
+        argument = '{"run_s": 0.2, "fail": "no headcount"}'
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=2, argument=argument), 'c'
+        )
+        await trio.sleep(40.0)
+        row = _row(cluster)
+        assert row.state == 'parked'
+        assert 'no headcount' in row.reason
+        workers = {
+            agent.name
+            for agent in cluster.agents.values()
+            if agent.worker.core.history
+        }
+        assert len(workers) == 3
+        await cluster.owner.scheduler.resume(identifiers.JobId('rota'))
+        assert _row(cluster).state == 'active'
+
+    await _run(scenario)
+
+
+async def test_drained_worker_is_emptied_and_gets_nothing(autojump_clock):
+    """Guards a drain against tasks that stay or come."""
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=8, run_s=30.0), 'c'
+        )
+        await trio.sleep(4.0)
+        cluster.settings = dataclasses.replace(
+            cluster.settings,
+            version=cluster.settings.version + 1,
+            drained_workers=(identifiers.NodeId('agent1'),),
+        )
+        await trio.sleep(8.0)
+        agent = cluster.agents['agent1']
+        drained_at = trio.current_time()
+        assert agent.worker.core.tasks().running == ()
+        await trio.sleep(60.0)
+        assert _row(cluster).state == 'finished'
+        assert not [
+            record
+            for record in agent.worker.core.history
+            if record.event == 'start' and record.at > drained_at - 5.0
+        ]
+
+    await _run(scenario)
+
+
+async def test_task_without_checkpoints_may_finish_in_a_drain(autojump_clock):
+    """Guards against work thrown away that is about to finish."""
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=6, run_s=30.0, checkpointable=False), 'c'
+        )
+        await trio.sleep(4.0)
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(40.0)
+        assert _row(cluster).state == 'finished'
+        starts = [r for r in cluster.history() if r.event == 'start']
+        assert len(starts) == 6
+
+    await _run(scenario)
+
+
+async def test_replicas_follow_the_configured_count(autojump_clock):
+    """Guards services against too few or too many replicas."""
+
+    async def scenario(cluster):
+        for wanted in (3, 1, 2, 0):
+            cluster.set_service(_service(wanted))
+            await trio.sleep(6.0)
+            assert len(_states(cluster)) == wanted
+        cluster.set_service(_service(3))
+        await trio.sleep(6.0)
+        places = {agent.data_centre for agent in _answering(cluster)}
+        assert len(places) == 3, 'replicas are spread over data centres'
+        cluster.set_service(_service(3, draining=True))
+        await trio.sleep(6.0)
+        assert _states(cluster) == []
+
+    await _run(scenario)
+
+
+async def test_replica_comes_back_after_its_host_is_lost(autojump_clock):
+    """Guards against a service that stays short after a failure."""
+
+    async def scenario(cluster):
+        cluster.set_service(_service(2))
+        await trio.sleep(5.0)
+        lost = _answering(cluster)[0]
+        cluster.nursery.start_soon(cluster.cut_agent, lost, 60.0)
+        await trio.sleep(35.0)
+        assert lost not in _answering(cluster)
+        assert len(_answering(cluster)) == 2
+        await trio.sleep(40.0)
+        assert len(_states(cluster)) == 2
+
+    await _run(scenario)
+
+
+async def test_returned_data_centre_is_filled_step_by_step(autojump_clock):
+    """Guards cold hosts against a burst of work when they return."""
+
+    async def scenario(cluster):
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(3.0)
+        await cluster.owner.scheduler.submit(
+            _cluster.job('bulk', 3000, run_s=3.0), 'c'
+        )
+        await trio.sleep(10.0)
+        cluster.set_data_centre('Leicester', True)
+        await trio.sleep(6.0)
+        here = [
+            agent
+            for agent in cluster.agents.values()
+            if agent.data_centre == 'Leicester'
+        ]
+        busy = [a for a in here if a.worker.core.tasks().running]
+        assert 0 < len(busy) < len(here)
+        await trio.sleep(30.0)
+        busy = [a for a in here if a.worker.core.tasks().running]
+        assert len(busy) == len(here)
+
+    await _run(scenario, agents=12)
+
+
+async def test_drain_hands_over_without_losing_a_report(autojump_clock):
+    """Guards a planned change of owner."""
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=12, run_s=2.0), 'c'
+        )
+        await trio.sleep(2.5)
+        entry = cluster.owner
+        await entry.scheduler.drain()
+        cluster.kill_entry(entry.name)
+        await trio.sleep(30.0)
+        assert _row(cluster).state == 'finished'
+        starts = [r for r in cluster.history() if r.event == 'start']
+        assert len(starts) == 12
+
+    await _run(scenario, entries=2)
