--- a/citronrail/scheduling/tests/_cluster.py
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -100,7 +100,6 @@
     fencing: int = 0
     lease_until: float = 0.0
     frozen: bool = False
-    last_acks: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -142,13 +141,8 @@
 
     def quiet_spans(self, node_id):
         now = trio.current_time()
-        last = max(
-            (
-                entry.last_acks.get(node_id, 0.0)
-                for entry in self._cluster.entries.values()
-            ),
-            default=0.0,
-        )
+        # Also those of entries that have died since, as membership keeps them.
+        last = self._cluster.last_acks.get(node_id, 0.0)
         return (scheduling.QuietSpan(last, now),)
 
     def find(self, range_id):
@@ -187,6 +181,7 @@
         self.limits = scheduling.Limits(replica_ready_s=3.0)
         self.agent_count = agents
         self.exclusive_jobs: set[str] = set()
+        self.last_acks: dict[str, float] = {}
         self.pause_permits = False
         self.owner_settings: settings_model.Settings | None = None
 
@@ -408,7 +403,7 @@
         for entry in self.entries.values():
             if entry.frozen:
                 continue
-            entry.last_acks[agent.name] = now
+            self.last_acks[agent.name] = now
             agent.permits.last_ack_at = now
             if not self.store.faults.outage and not self.pause_permits:
                 agent.permits.permit_until = now + 2.5
