--- a/citronrail/scheduling/tests/test_chaos.py
+++ b/citronrail/scheduling/tests/test_chaos.py
@@ -8,7 +8,9 @@
 import trio.testing
 
 from citronrail import errors
+from citronrail.model import identifiers
 from citronrail.model import resources
+from citronrail.model import specs
 from citronrail.scheduling.tests import _cluster
 from citronrail.scheduling.tests import _facts
 
@@ -58,6 +60,7 @@
             self.submit,
             self.submit,
             self.cancel,
+            self.services,
         )
 
     def agent(self):
@@ -144,6 +147,17 @@
             double_share=self.rng.choice((0.0, 0.3)),
         )
 
+    async def services(self):
+        self.cluster.set_service(
+            specs.ServiceSpec(
+                identifiers.ServiceName('seats'),
+                identifiers.TeamName('cantabrico'),
+                identifiers.WorkClass('seats'),
+                self.rng.randint(0, 3),
+                resources.Resources(300, 300),
+            )
+        )
+
     async def cancel(self):
         owner = self.cluster.owner
         job_id = f'job{self.rng.randint(1, self.commands)}'
@@ -216,8 +230,10 @@
             while not _all_ended(cluster):
                 await trio.sleep(1.0)
         assert _all_ended(cluster), cluster.owner.scheduler.rows('jobs')
+        await trio.sleep(60.0)
         check_promises(cluster, trouble)
         _check_results(cluster)
+        _check_replicas(cluster)
         nursery.cancel_scope.cancel()
 
 
@@ -241,6 +257,17 @@
             assert row.finished == row.tasks
 
 
+def _check_replicas(cluster) -> None:
+    """Check that workers run as many replicas as are configured."""
+    running = [
+        task
+        for agent in cluster.agents.values()
+        for task in agent.worker.core.tasks().running
+    ]
+    wanted = sum(s.replicas for s in cluster.settings.services.values())
+    assert len(running) == wanted
+
+
 @hypothesis.given(st.integers(0, 2**32))
 @hypothesis.settings(max_examples=12)
 def test_promises_hold_through_any_faults(seed):
