--- a/citronrail/coordination/__init__.py
+++ b/citronrail/coordination/__init__.py
@@ -1,5 +1,6 @@
 """Coordination over the key-value store and between processes."""
 
+from citronrail.coordination._budgeted_store import BudgetedStore
 from citronrail.coordination._capacity_ledger import Admission
 from citronrail.coordination._capacity_ledger import CapacityLedger
 from citronrail.coordination._fenced_claim import Member
@@ -29,6 +30,8 @@
 from citronrail.coordination._settings_document import SETTINGS_KEY
 from citronrail.coordination._settings_follower import SettingsFollower
 from citronrail.coordination._settings_writer import SettingsWriter
+from citronrail.coordination._store_budget import StoreBudget
+from citronrail.coordination._store_budget import StoreUse
 from citronrail.coordination._store_lease import StoreLease
 
 __all__ = [
@@ -37,6 +40,7 @@
     'SETTINGS_KEY',
     'Admission',
     'AgeRefusal',
+    'BudgetedStore',
     'CapacityLedger',
     'ClockReading',
     'CommitScope',
@@ -56,7 +60,9 @@
     'SettingsFollower',
     'SettingsWriter',
     'SteadyClock',
+    'StoreBudget',
     'StoreLease',
+    'StoreUse',
     'age_refusal',
     'born_at',
     'lengthened',
--- a/citronrail/coordination/_range_ownership.py
+++ b/citronrail/coordination/_range_ownership.py
@@ -10,6 +10,7 @@
 from citronrail.coordination import _fenced_claim as claims
 from citronrail.coordination import _key_age
 from citronrail.coordination import _listener_calls
+from citronrail.coordination import _metrics
 from citronrail.coordination import _owned_ranges as ranges
 from citronrail.coordination import _ownership_peers
 from citronrail.coordination import _ownership_plan as plans
@@ -227,6 +228,10 @@
             await trio.sleep(self._timing.expiry_interval_s)
             for held in self._held.ended(trio.current_time()):
                 self._tell_lost(held.range_id, 'its deadline has passed')
+            owned = self.owned()
+            by_lease = sum(item.commits_allowed for item in owned)
+            _metrics.RANGES_OWNED.labels('lease').set(by_lease)
+            _metrics.RANGES_OWNED.labels('promises').set(len(owned) - by_lease)
 
     async def _watch(self) -> typing.NoReturn:
         """Look at the ranges early when something changes."""
--- a/citronrail/observability/catalogue/coordination.py
+++ b/citronrail/observability/catalogue/coordination.py
@@ -68,7 +68,7 @@
     1237, 'ERROR', 'listener failed on range {range_id}: {reason}'
 )
 BUDGET_SPENT = _events.EventKind(
-    1240, 'WARNING', 'store budget spent, a {kind} for {use} was held back'
+    1240, 'WARNING', 'store budget spent, a {call} for {use} was held back'
 )
 KEYS_FULL = _events.EventKind(
     1250, 'WARNING', 'key table of range {range_id} is full'
