Add the operators' port and the command-line tool

Cause: operators reach an entry over HTTP from a shell. Change: quart application, relay of timelines between peers, the tool with commands, files, prompt, status, timeline, check-config and completion.

--- a/citronrail/adapters/__init__.py
+++ b/citronrail/adapters/__init__.py
@@ -9,19 +9,25 @@
 from citronrail.adapters._http_servers import AsgiApp
 from citronrail.adapters._http_servers import serve
 from citronrail.adapters._http_worker import HttpWorker
+from citronrail.adapters._operators_server import CommandRequest
+from citronrail.adapters._operators_server import operators_app
+from citronrail.adapters._operators_server import Process
 from citronrail.adapters._zmq_peers import ZmqPeerHub
 from citronrail.adapters._zmq_sockets import PeerLimits
 
 __all__ = [
     'Announcement',
     'AsgiApp',
+    'CommandRequest',
     'CurveFiles',
     'EtcdStore',
     'HttpBackendServer',
     'HttpWorker',
     'PeerLimits',
+    'Process',
     'ZmqPeerHub',
     'agent_app',
     'caller_app',
+    'operators_app',
     'serve',
 ]
--- /dev/null
+++ b/citronrail/cli/_exit_codes.py
@@ -0,0 +1,25 @@
+"""Exit statuses of the command-line tool."""
+
+import enum
+
+
+class ExitCode(enum.IntEnum):
+    """What a script can tell from the exit status.
+
+    After ``UNKNOWN`` repeat the command with ``--command-id``.
+    """
+
+    DONE = 0
+    NOT_RUN = 1
+    USAGE = 2
+    UNKNOWN = 3
+    UNREACHABLE = 4
+
+
+EXPLANATION = """\
+exit status:
+  0  done
+  1  refused, or not run: nothing changed
+  2  wrong usage, syntax or settings
+  3  outcome unknown: repeat with --command-id to find out
+  4  no entry could be reached; nothing was sent"""
--- /dev/null
+++ b/citronrail/cli/_prompt.py
@@ -0,0 +1,95 @@
+"""Asks for commands at a prompt."""
+
+import collections.abc
+import contextlib
+import importlib
+import os
+import pathlib
+import types
+
+import trio
+
+from citronrail.cli import _arguments
+from citronrail.cli import _exit_codes
+from citronrail.cli import _run
+from citronrail import errors
+
+PROMPT = 'citronrail> '
+HISTORY_VARIABLE = 'CITRONRAIL_HISTORY'
+HISTORY_LINES = 1000
+HELP = """\
+show TABLE [where ...] [count by ...] [order by ...] [limit N]
+  tables: tasks jobs services workers backend_servers data_centres teams
+  requests entries settings
+start job NAME team T class C [tasks N] [cores N] [memory 512MB] ...
+start service NAME team T class C [replicas N] ...
+stop job NAME, stop service NAME, cancel tasks where ..., cancel jobs where ...
+drain or return data_centre NAME, worker NAME, service NAME
+change service NAME ..., change team NAME quota ...
+change placement policy NAME ..., change balancing policy NAME ...
+quit
+"""
+_WORDS_TO_LEAVE = ('quit', 'exit')
+
+
+def run_prompt(
+    options: _arguments.Common,
+    streams: _run.Streams,
+    read_line: collections.abc.Callable[[str], str] = input,
+) -> _exit_codes.ExitCode:
+    """Ask for commands until the input ends.
+
+    :param options: entries, form of output and time for each command.
+    :param streams: where to print.
+    :param read_line: gives the next line, EOFError at the end.
+    :returns: the status of the last command.
+    """
+    code = _exit_codes.ExitCode.DONE
+    with _history():
+        while True:
+            try:
+                line = read_line(PROMPT)
+            except EOFError:
+                return code
+            except KeyboardInterrupt:
+                streams.stdout.write('\n')
+                continue
+            word = line.strip().rstrip(';').strip()
+            if word in _WORDS_TO_LEAVE:
+                return code
+            if word == 'help':
+                streams.stdout.write(HELP)
+                continue
+            with contextlib.suppress(KeyboardInterrupt):
+                code = _run_line(line, options, streams)
+
+
+def _run_line(
+    line: str, options: _arguments.Common, streams: _run.Streams
+) -> _exit_codes.ExitCode:
+    try:
+        commands = _run.read_commands(line)
+    except errors.CommandSyntaxError as exc:
+        return _run.explain_syntax(exc, streams)
+    return trio.run(_run.run_commands, commands, options, streams)
+
+
+@contextlib.contextmanager
+def _history() -> collections.abc.Iterator[None]:
+    """Keep the history of the prompt where readline is there."""
+    try:
+        readline: types.ModuleType = importlib.import_module('readline')
+    except ImportError:
+        yield
+        return
+    path = os.environ.get(HISTORY_VARIABLE) or str(
+        pathlib.Path.home() / '.citronrail_history'
+    )
+    with contextlib.suppress(OSError):
+        readline.read_history_file(path)
+    readline.set_history_length(HISTORY_LINES)
+    try:
+        yield
+    finally:
+        with contextlib.suppress(OSError):
+            readline.write_history_file(path)
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -628,6 +628,21 @@
     count: int = 0
 
 
+@_message
+class TimelineQuery:
+    """Entry to any process: send your timeline, at most ``limit`` events."""
+
+    seq: int
+    limit: int
+
+
+@_message
+class TimelineReply:
+    """Answer to a timeline query; frame 1 is the compressed timeline."""
+
+    seq: int
+
+
 @_message
 class ProtocolError:
     """Answer to a message that could not be understood."""
--- a/citronrail/observability/__init__.py
+++ b/citronrail/observability/__init__.py
@@ -20,6 +20,7 @@
 from citronrail.observability._log import set_up_logging
 from citronrail.observability._merged import Collected
 from citronrail.observability._merged import merge
+from citronrail.observability._merged import merged_to_json
 from citronrail.observability._merged import MergedEvent
 from citronrail.observability._merged import MergedTimeline
 from citronrail.observability._timeline import ClockReading
@@ -29,6 +30,8 @@
 from citronrail.observability._timeline import ProcessTimeline
 from citronrail.observability._timeline import snapshot
 from citronrail.observability._timeline import to_json
+from citronrail.observability._timeline_exchange import TimelineExchange
+from citronrail.observability._timeline_exchange import TimelineSource
 from citronrail.observability._trace_events import trace_events
 
 __all__ = [
@@ -46,6 +49,8 @@
     'Offset',
     'ProcessTimeline',
     'Recorder',
+    'TimelineExchange',
+    'TimelineSource',
     'align',
     'catalogued_events',
     'compress',
@@ -55,6 +60,7 @@
     'exposition',
     'from_json',
     'merge',
+    'merged_to_json',
     'metrics',
     'sample_names',
     'set_up_logging',
--- a/citronrail/observability/_merged.py
+++ b/citronrail/observability/_merged.py
@@ -4,6 +4,8 @@
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from citronrail.observability import _alignment
 from citronrail.observability import _events
 from citronrail.observability import _timeline
@@ -84,6 +86,16 @@
     return MergedTimeline(tuple(_ordered(placed)), offsets, tuple(notes))
 
 
+def merged_to_json(merged: MergedTimeline) -> str:
+    """Encode a merged timeline as JSON.
+
+    :param merged: the timeline.
+    :returns: an object with ``events``, ``offsets`` and ``notes``; an
+        unbounded uncertainty is null.
+    """
+    return msgspec.json.encode(merged).decode()
+
+
 def _offsets(
     collected: collections.abc.Sequence[Collected], notes: list[str]
 ) -> dict[str, _alignment.Offset]:
