--- a/citronrail/language/__init__.py
+++ b/citronrail/language/__init__.py
@@ -1,6 +1,7 @@
 """The operators' query and command language."""
 
 from citronrail.language._changes import changed
+from citronrail.language._entry_overview import EntryOverview
 from citronrail.language._facts import Facts
 from citronrail.language._facts import SeenWorker
 from citronrail.language._fleet_facts import FleetFacts
@@ -69,6 +70,7 @@
     'Drain',
     'Duration',
     'EntryRow',
+    'EntryOverview',
     'Facts',
     'FleetFacts',
     'JobCommand',
