--- a/citronrail/daemon/_ports_of_settings.py
+++ b/citronrail/daemon/_ports_of_settings.py
@@ -8,8 +8,8 @@
 from citronrail import adapters
 from citronrail.daemon import _process_settings
 from citronrail.model import identifiers
-from citronrail.observability.catalogue import daemon as events
 from citronrail import observability
+from citronrail.observability.catalogue import daemon as events
 
 
 def split_address(address: str) -> tuple[str, int]:
