Close idle connections at a planned stop

Cause: quart-trio cancels a handler once its last message is out, while hypercorn is still recycling the connection inside that call; the idle watch is then never started. Ruled out: open requests and feeds, none were left. Change: the last message of an answer is shielded from that cancellation.

--- a/citronrail/adapters/_http_servers.py
+++ b/citronrail/adapters/_http_servers.py
@@ -15,6 +15,9 @@
 KEEP_ALIVE_S = 75.0  # longer than usual clients and load balancers keep idle
 DRAIN_S = 30.0
 
+Send = collections.abc.Callable[
+    [dict[str, typing.Any]], collections.abc.Awaitable[None]
+]
 AsgiApp = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 
 
@@ -87,11 +90,28 @@
             await send({**start, 'headers': []})
             await send({'type': 'http.response.body', 'body': b''})
         else:
-            await app(scope, receive, send)
+            await app(scope, receive, _uncut(send))
 
     return checked
 
 
+def _uncut(send: Send) -> Send:
+    """Let the last message of an answer pass as a whole.
+
+    Once it is out, quart-trio cancels the handler, which is still inside the
+    call. Hypercorn would then not watch the connection for idleness: it would
+    stay open until the drain deadline, and without any limit before.
+    """
+
+    async def shielded(message: dict[str, typing.Any]) -> None:
+        body = message['type'] == 'http.response.body'
+        last = body and not message.get('more_body', False)
+        with trio.CancelScope(shield=last):
+            await send(message)
+
+    return shielded
+
+
 def _quiet_log(name: str) -> logging.Logger:
     """Return a logger for hypercorn; answers broken off are no errors."""
     logger = logging.getLogger(f'citronrail.http.{name}')
