--- a/citronrail/scheduling/tests/test_chaos.py
+++ b/citronrail/scheduling/tests/test_chaos.py
@@ -4,13 +4,16 @@
 
 import hypothesis
 from hypothesis import strategies as st
+import pytest
 import trio
 import trio.testing
 
 from citronrail import errors
 from citronrail.model import identifiers
 from citronrail.model import resources
+from citronrail.model import settings as settings_model
 from citronrail.model import specs
+from citronrail.scheduling import _decision_adapters
 from citronrail.scheduling.tests import _cluster
 from citronrail.scheduling.tests import _facts
 
@@ -213,11 +216,16 @@
     assert owner is not None
 
 
-async def run_chaos(seed: int) -> None:
+async def run_chaos(seed: int, learned: bool = False) -> None:
     """Run one seed: faults, then recovery until every job ended."""
     rng = random.Random(seed)
     async with trio.open_nursery() as nursery:
         cluster = _cluster.Cluster(nursery, seed, agents=4)
+        if learned:
+            chosen = settings_model.PolicySettings('learned')
+            cluster.policies = lambda: _decision_adapters.build_policies(
+                chosen, random.Random(seed)
+            )
         await cluster.start()
         for name in ('entry1', 'entry2', 'entry3'):
             await cluster.add_entry(name, own=name == 'entry1')
@@ -268,10 +276,14 @@
     assert len(running) == wanted
 
 
-@hypothesis.given(st.integers(0, 2**32))
-@hypothesis.settings(max_examples=12)
-def test_promises_hold_through_any_faults(seed):
+@pytest.mark.parametrize('learned', [False, True])
+def test_promises_hold_through_any_faults(learned):
     """Guards against over-full hosts, doubled, lost and misplaced work."""
-    trio.run(
-        run_chaos, seed, clock=trio.testing.MockClock(autojump_threshold=0)
-    )
+
+    @hypothesis.given(st.integers(0, 2**32))
+    @hypothesis.settings(max_examples=8)
+    def check(seed):
+        clock = trio.testing.MockClock(autojump_threshold=0)
+        trio.run(run_chaos, seed, learned, clock=clock)
+
+    check()
