--- /dev/null
+++ b/citronrail/scheduling/_document_task.py
@@ -0,0 +1,33 @@
+"""Runs the document of a shard beside the work on the shard."""
+
+import trio
+
+from citronrail.scheduling import _interfaces
+
+
+async def run_document(
+    document: _interfaces.ShardDocument,
+    loaded: trio.Event,
+    scope: trio.CancelScope,
+) -> None:
+    """Run a document; when it ends, so does the work on the shard.
+
+    :param document: the shard's document.
+    :param loaded: set once the shard is loaded.
+    :param scope: cancelled when the document ends.
+    """
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_start_document, nursery, document, loaded)
+    scope.cancel()
+
+
+async def _start_document(
+    nursery: trio.Nursery,
+    document: _interfaces.ShardDocument,
+    loaded: trio.Event,
+) -> None:
+    try:
+        await nursery.start(document.run)
+    except RuntimeError:
+        return  # the ownership ended before the shard was loaded
+    loaded.set()
--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -17,6 +17,7 @@
 from citronrail.ports import peers
 from citronrail.scheduling import _candidates
 from citronrail.scheduling import _context
+from citronrail.scheduling import _document_task
 from citronrail.scheduling import _inbox
 from citronrail.scheduling import _interfaces
 from citronrail.scheduling import _job_changes
@@ -197,7 +198,10 @@
             async with trio.open_nursery() as nursery:
                 loaded = trio.Event()
                 nursery.start_soon(
-                    _run_document, document, loaded, nursery.cancel_scope
+                    _document_task.run_document,
+                    document,
+                    loaded,
+                    nursery.cancel_scope,
                 )
                 await loaded.wait()
                 runner = _shard_runner.ShardRunner(
@@ -381,26 +385,3 @@
         by_node = self._context.usage.by_node
         for node in [node for node in by_node if node not in known]:
             del by_node[node]
-
-
-async def _run_document(
-    document: _interfaces.ShardDocument,
-    loaded: trio.Event,
-    scope: trio.CancelScope,
-) -> None:
-    """Run a document; when it ends, so does the work on the shard."""
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_start_document, nursery, document, loaded)
-    scope.cancel()
-
-
-async def _start_document(
-    nursery: trio.Nursery,
-    document: _interfaces.ShardDocument,
-    loaded: trio.Event,
-) -> None:
-    try:
-        await nursery.start(document.run)
-    except RuntimeError:
-        return  # the ownership ended before the shard was loaded
-    loaded.set()
