--- a/citronrail/adapters/tests/test_etcd_store.py
+++ b/citronrail/adapters/tests/test_etcd_store.py
@@ -248,3 +248,13 @@
             assert bad.status_code == 400
             counts = (await admin.get(f'{url}/counts')).json()
             assert counts == {'get': 1}
+
+
+async def test_abandoned_write_takes_effect_later(served):
+    """Guards the stand-in: a caller that gives up can't recall its write."""
+    served.memory.set_faults(hang=True)
+    with trio.move_on_after(0.2):
+        await served.client.txn([], [ports.Put('/k', b'v')])
+    served.memory.set_faults(hang=False)
+    await trio.sleep(0.2)
+    assert (await served.client.get('/k')).value == b'v'
--- a/standins/key_value/_memory_store.py
+++ b/standins/key_value/_memory_store.py
@@ -21,7 +21,9 @@
     """An in-memory :class:`citronrail.ports.KeyValueStore`.
 
     ``faults`` may be changed at any time. ``calls`` counts the calls by
-    kind; a watch counts once however long it waits.
+    kind; a watch counts once however long it waits. A write whose caller
+    gives up waiting takes effect later, when the delay has passed and the
+    store answers again.
 
     :param history_events: number of events kept for watches.
     """
@@ -33,6 +35,9 @@
         self._writes = 0
         self._changed = trio.Event()
         self._watches_dropped = 0
+        self._late: list[
+            tuple[float, collections.abc.Callable[[], object]]
+        ] = []
 
     async def get(self, key: str) -> ports.KeyValue | None:
         """Read one key; see the port."""
@@ -144,7 +149,13 @@
         self, kind: str, action: collections.abc.Callable[[], R]
     ) -> R:
         self.calls[kind] += 1
-        await self._meet_faults(kind)
+        due_at = trio.current_time() + self.faults.delay_s
+        try:
+            await self._meet_faults(kind)
+        except trio.Cancelled:
+            # The caller gave up, but its request is on the way.
+            self._late.append((due_at, action))
+            raise
         result = action()
         self._notify()
         self._writes += 1
@@ -175,7 +186,13 @@
 
     def _expire(self) -> None:
         before = self.state.revision
-        self.state.expire_leases(trio.current_time())
+        now = trio.current_time()
+        self.state.expire_leases(now)
+        due = [action for due_at, action in self._late if due_at <= now]
+        self._late = [late for late in self._late if late[0] > now]
+        for action in due:
+            with contextlib.suppress(errors.CitronrailError):
+                action()
         if self.state.revision != before:
             self._notify()
 
