--- a/citronrail/adapters/_zmq_peers.py
+++ b/citronrail/adapters/_zmq_peers.py
@@ -119,7 +119,7 @@
         """
         return self._table.peers(role)
 
-    def peer(self, node_id: identifiers.NodeId) -> ports.Peer | None:
+    def find_peer(self, node_id: identifiers.NodeId) -> ports.Peer | None:
         """Return a connected peer, None if it is not connected.
 
         :param node_id: the peer.
--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -205,7 +205,7 @@
             await nursery.start(second.run)
             second.set_entries([entry.address])
             await until(lambda: gone == [first.boot_id])
-            assert entry.peer('agent-1').boot_id == second.boot_id
+            assert entry.find_peer('agent-1').boot_id == second.boot_id
             nursery.cancel_scope.cancel()
 
 
@@ -254,7 +254,7 @@
             )
             await nursery.start(again.run)
             await until(lambda: one.peers('entry'))
-            assert one.peer('entry-2').boot_id not in (
+            assert one.find_peer('entry-2').boot_id not in (
                 boot_id,
                 other.boot_id,
             )
@@ -302,7 +302,7 @@
             await nursery.start(good.run)
             good.set_entries([entry.address])
             await until(lambda: good.peers('entry'))
-            peer = entry.peer('agent-1')
+            peer = entry.find_peer('agent-1')
             assert peer is not None and peer.boot_id == good.boot_id
             nursery.cancel_scope.cancel()
 
--- a/citronrail/ports/peers.py
+++ b/citronrail/ports/peers.py
@@ -83,7 +83,7 @@
         """Return the connected peers of a role."""
         ...
 
-    def peer(self, node_id: identifiers.NodeId) -> Peer | None:
+    def find_peer(self, node_id: identifiers.NodeId) -> Peer | None:
         """Return a connected peer, None if it is not connected."""
         ...
 
--- a/citronrail/routing/_answer_stream.py
+++ b/citronrail/routing/_answer_stream.py
@@ -103,7 +103,7 @@
                 return
 
     def _entry_is_connected(self) -> bool:
-        return self._hub.peer(self._run.run_id.entry) is not None
+        return self._hub.find_peer(self._run.run_id.entry) is not None
 
 
 async def pass_on(
--- a/citronrail/routing/_balancing.py
+++ b/citronrail/routing/_balancing.py
@@ -10,6 +10,9 @@
 
 DEFAULT_DISTANCE_MS = 1.5  # one way between data centres
 DEFAULT_LATENCY_MS = 5.0  # for agents that have not answered anything yet
+# Averages of a few answers differ by this factor between equal agents. An
+# agent that always lost for such a difference would get no new answers.
+NOISE_FACTOR = 1.25
 STALE_S = 3.0  # three lost heartbeats
 
 
@@ -153,7 +156,10 @@
     match policy:
         case TwoChoices(distance_ms):
             pair = rng.sample(pool, min(2, len(pool)))
-            return min(pair, key=lambda one: cost_ms(one, distance_ms))
+            costs = [cost_ms(one, distance_ms) for one in pair]
+            if max(costs) < NOISE_FACTOR * min(costs):
+                return pair[0]
+            return pair[costs.index(min(costs))]
         case LeastLoaded(distance_ms):
             return min(pool, key=lambda one: cost_ms(one, distance_ms))
         case RoundRobin():
--- a/citronrail/routing/_dispatch.py
+++ b/citronrail/routing/_dispatch.py
@@ -54,7 +54,7 @@
         :param finish_before: local time at which it is of no use any more.
         :returns: the exchange to watch, or why nothing was sent.
         """
-        peer = self._hub.peer(agent)
+        peer = self._hub.find_peer(agent)
         if peer is None:
             return _verdicts.NotSent('not connected')
         exchange = _exchanges.Exchange(req.request_id, attempt, peer)
--- a/citronrail/routing/_router.py
+++ b/citronrail/routing/_router.py
@@ -252,7 +252,8 @@
         """Note how a request without a whole answer ended."""
         has_keys = bool(progress.opts.key or progress.opts.exclusive)
         for exchange in progress.exchanges:
-            if not exchange.closed and not (has_keys and exchange.started):
+            # With a key the caller can come back for the answer.
+            if not exchange.closed and not progress.opts.key:
                 await self._dispatch.cancel(exchange)
             if exchange.ended or not has_keys:
                 self._attempts.note_end(exchange)
--- a/citronrail/routing/_runner.py
+++ b/citronrail/routing/_runner.py
@@ -23,6 +23,7 @@
 DEFAULT_MAX_RUN_S = 30.0
 _TICK_S = 0.25
 _LATENCY_WEIGHT = 0.1  # of the newest answer in the moving average
+_LATENCY_HALF_S = 5.0
 _DRAIN_POLL_S = 0.02
 _FULL = 'no connection is free'
 _CANCELLED = 'it was cancelled'
@@ -71,6 +72,7 @@
         self._runs = _runs.RunTable()
         self._open: dict[_runs.RunId, _runs.Run] = {}
         self._latency_ms = 0.0
+        self._answered_at = 0.0
         self._leaving = False
         self._nursery: trio.Nursery | None = None
         hub.subscribe(messages.RunRequest, self._on_run)
@@ -121,7 +123,7 @@
             slots_used=self._slots.used,
             connections_used=len(self._open),
             queued=self._slots.queued,
-            latency_ms=self._latency_ms,
+            latency_ms=self._recent_latency_ms(),
             slots=self._limits.slots,
             connections=self._limits.connections,
         )
@@ -372,8 +374,17 @@
             ),
         )
 
+    def _recent_latency_ms(self) -> float:
+        """Return the average, halved for each time without answers.
+
+        An agent that was slow once gets requests again, to be measured anew.
+        """
+        idle_s = trio.current_time() - self._answered_at
+        return float(self._latency_ms * 0.5 ** (idle_s / _LATENCY_HALF_S))
+
     def _note_latency(self, started_at: float) -> None:
-        taken_ms = (trio.current_time() - started_at) * 1000
+        self._answered_at = trio.current_time()
+        taken_ms = (self._answered_at - started_at) * 1000
         if self._latency_ms == 0.0:
             self._latency_ms = taken_ms
         self._latency_ms += _LATENCY_WEIGHT * (taken_ms - self._latency_ms)
--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -57,12 +57,20 @@
 
     def add(self, hub: 'MemoryHub') -> None:
         """Connect a hub; one of the same node id is replaced."""
+        old = self._hubs.get(hub.node_id)
+        if old is not None:
+            self.remove(old)
         self._hubs[hub.node_id] = hub
+        for other in self.hubs():
+            if other is not hub:
+                other.connected(hub.peer)
 
     def remove(self, hub: 'MemoryHub') -> None:
         """Disconnect a hub, as if its process had died."""
         if self._hubs.get(hub.node_id) is hub:
             del self._hubs[hub.node_id]
+            for other in self.hubs():
+                other.disconnected(hub.peer)
 
     def hubs(self) -> tuple['MemoryHub', ...]:
         """Return the connected hubs."""
@@ -115,6 +123,7 @@
         self.peer = peer
         self._network = network
         self._handlers: dict[type, list[ports.Handler]] = {}
+        self._listeners: list[tuple[ports.Listener, ports.Listener]] = []
         self._frozen = False
         self._queue: list[tuple[ports.Peer, typing.Any, bytes]] = []
         network.add(self)
@@ -133,6 +142,32 @@
         """Call a handler for each message of a kind."""
         self._handlers.setdefault(kind, []).append(handler)
 
+    def listen(
+        self, on_connect: ports.Listener, on_disconnect: ports.Listener
+    ) -> None:
+        """Call functions when other hubs connect and disconnect."""
+        self._listeners.append((on_connect, on_disconnect))
+        for hub in self._network.hubs():
+            if hub is not self:
+                on_connect(hub.peer)
+
+    def connected(self, peer: ports.Peer) -> None:
+        """Tell the listeners of a hub that connected."""
+        for on_connect, _ in self._listeners:
+            on_connect(peer)
+
+    def disconnected(self, peer: ports.Peer) -> None:
+        """Tell the listeners of a hub that is gone."""
+        for _, on_disconnect in self._listeners:
+            on_disconnect(peer)
+
+    def find_peer(self, node_id: identifiers.NodeId) -> ports.Peer | None:
+        """Return another process, None if it is not connected."""
+        for hub in self._network.hubs():
+            if hub is not self and hub.node_id == node_id:
+                return hub.peer
+        return None
+
     async def send(
         self,
         peer: identifiers.NodeId,
