--- a/citronrail/daemon/_process_settings.py
+++ b/citronrail/daemon/_process_settings.py
@@ -83,9 +83,10 @@
 class KeyFiles(_Part, frozen=True):
     """CURVE keys for the connections between processes.
 
-    ``own`` is the secret key file of this process, ``entries`` the file with
-    the public key of the entries, and ``accepted`` a directory with the
-    public key files of the processes that may connect (entries only).
+    ``own`` is the secret key file of this process. ``entries`` is the key
+    file of the entries' peer ports: the secret one at an entry, the public
+    one at an agent. ``accepted`` is a directory with one public key file
+    ``<node id>.key`` for each process that may connect (entries only).
     """
 
     own: str
--- a/citronrail/language/tests/fakes.py
+++ b/citronrail/language/tests/fakes.py
@@ -171,7 +171,9 @@
         if (self.node_id, type(message)) in self._network.lost:
             return
         data = messages.pack(message)
-        self._network.hubs[peer].queue.send_nowait((self.node_id, data))
+        self._network.hubs[peer].queue.send_nowait(
+            (self.node_id, data, payload or b'')
+        )
 
     def peers(self, role):
         """Return the peers that are not cut off."""
@@ -190,10 +192,10 @@
 
     async def run(self):
         """Deliver messages in the order of their arrival."""
-        async for sender, data in self._incoming:
+        async for sender, data, payload in self._incoming:
             message = messages.unpack(data)
             peer = ports.Peer(sender, f'{sender}-boot', 'entry', 'leon')
-            await self.handlers[type(message)](peer, message, b'')
+            await self.handlers[type(message)](peer, message, payload)
 
 
 class FakeViews:
@@ -203,6 +205,7 @@
         self._store = store
         self._node_id = node_id
         self.stale = None
+        self.workers = {'w0': 'leon', 'w1': 'leon', 'w2': 'gijon'}
 
     @property
     def settings(self):
@@ -210,10 +213,10 @@
         return self.stale or self._store.settings
 
     def agents(self):
-        """Three workers in two data centres."""
+        """The workers; by default three in two data centres."""
         return tuple(
             views.AgentView(
-                f'w{number}',
+                name,
                 'boot',
                 centre,
                 'r1',
@@ -223,7 +226,7 @@
                 (messages.BackendState('seats', 1),),
                 heard_at=trio.current_time(),
             )
-            for number, centre in enumerate(['leon', 'leon', 'gijon'])
+            for name, centre in self.workers.items()
         )
 
     def entries(self):
--- a/citronrail/observability/_timeline_exchange.py
+++ b/citronrail/observability/_timeline_exchange.py
@@ -13,11 +13,10 @@
 from citronrail import ports
 
 _STEP = 'timeline.fetch'
-# 2,000 events make about 100 KB compressed, a small part of the largest
-# message between peers, and take a few milliseconds to encode.
+# Keeps replies far below the largest message between peers.
 MAX_EVENTS_RELAYED = 2000
 TIMEOUT_S = 3.0
-# Encoding holds up the process, so only one timeline is sent at a time.
+# Further queries are dropped; one timeline is sent at a time.
 MAX_QUEUED = 16
 _Query = tuple[identifiers.NodeId, int, int]
 
@@ -52,7 +51,9 @@
         """Answer queries until cancelled."""
         task_status.started()
         async for node_id, seq, limit in self._queries:
-            data = _timeline.compress(self.own(min(limit, MAX_EVENTS_RELAYED)))
+            timeline = self.own(max(0, min(limit, MAX_EVENTS_RELAYED)))
+            # In a thread, since compressing takes longer than a request may.
+            data = await trio.to_thread.run_sync(_timeline.compress, timeline)
             try:
                 await self._hub.send(
                     node_id, messages.TimelineReply(seq), data
