--- a/citronrail/scheduling/_interfaces.py
+++ b/citronrail/scheduling/_interfaces.py
@@ -180,3 +180,9 @@
     def release(self, attempt: specs.AttemptId) -> object:
         """Give up the reservation of an attempt, if there is one."""
         ...
+
+    def observe(
+        self, attempt: specs.AttemptId, usage: resources.Resources
+    ) -> None:
+        """Raise a reservation to the memory that was measured."""
+        ...
