Measure the decisions against baselines

Cause: the targets of placement had no measurement. Change: a small in-memory fleet, eight scenarios, five contenders; estimates choose between ratios and values of a team's class.

--- a/citronrail/scheduling/_estimates.py
+++ b/citronrail/scheduling/_estimates.py
@@ -1,9 +1,11 @@
 """Size and run time of tasks, estimated from what was observed.
 
 Observations are kept for each job and for each team and class. For a job
-without observations, the declared value is corrected by the ratio of observed
-to declared values of the same team and class, so that a team whose
-declarations are wrong by a constant factor is corrected from its first jobs.
+without observations there are two predictions from its team and class: the
+declared value times the observed ratio, which is right for a team whose
+declarations are wrong by a constant factor, and the observed values
+themselves, which are right when declarations say nothing. The one whose
+observations agree better is taken.
 """
 
 from collections.abc import Mapping
@@ -65,6 +67,19 @@
         """
         return Samples((*self.values, value)[-WINDOW:])
 
+    def spread(self) -> float:
+        """Return how far the values lie apart.
+
+        :returns: logarithm of the ratio of the 0.9 to the 0.1 quantile.
+        """
+        ordered = sorted(max(value, 1e-6) for value in self.values)
+        if not ordered:
+            return 0.0
+        last = len(ordered) - 1
+        return math.log(ordered[round(0.9 * last)]) - math.log(
+            ordered[round(0.1 * last)]
+        )
+
     def quantile(self, share: float, prior: float, weight: float) -> float:
         """Return a quantile; the prior counts as ``weight`` samples.
 
@@ -90,15 +105,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class WorkSamples:
-    """Observations of one key.
-
-    For a job the values are absolute; for a team and class they are ratios
-    of the observed to the declared value.
-    """
+    """Observations of one key, with their ratios to the declared values."""
 
     millicores: Samples = Samples()
     memory: Samples = Samples()
     run: Samples = Samples()
+    millicores_ratio: Samples = Samples()
+    memory_ratio: Samples = Samples()
+    run_ratio: Samples = Samples()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,12 +151,12 @@
     :returns: the new observations.
     """
     samples = dict(estimates.samples)
+    keys = [WorkKey(key.team, key.work_class)]
     if key.job:
-        own = samples.pop(key, WorkSamples())
-        samples[key] = _added(own, seen, Declared(resources.Resources(), 0.0))
-    group = WorkKey(key.team, key.work_class)
-    shared = samples.pop(group, WorkSamples())
-    samples[group] = _added(shared, seen, declared)
+        keys.append(key)
+    for item in keys:
+        known = samples.pop(item, WorkSamples())
+        samples[item] = _added(known, seen, declared)
     while len(samples) > MAX_JOBS:
         del samples[next(iter(samples))]
     return dataclasses.replace(estimates, samples=samples)
@@ -164,9 +178,15 @@
     :returns: seconds.
     """
     share = estimates.settings.run_quantile if quantile is None else quantile
-    own = _own(estimates, key).run
-    group = _group(estimates, key).run
-    return _estimate(estimates, own, group, declared_run_s, share)
+    group = _group(estimates, key)
+    return _estimate(
+        estimates,
+        _own(estimates, key).run,
+        group.run,
+        group.run_ratio,
+        declared_run_s,
+        share,
+    )
 
 
 def expected_size(
@@ -184,10 +204,20 @@
     group = _group(estimates, key)
     share = estimates.settings.size_quantile
     millicores = _estimate(
-        estimates, own.millicores, group.millicores, declared.millicores, share
+        estimates,
+        own.millicores,
+        group.millicores,
+        group.millicores_ratio,
+        declared.millicores,
+        share,
     )
     memory = _estimate(
-        estimates, own.memory, group.memory, declared.memory_mb, share
+        estimates,
+        own.memory,
+        group.memory,
+        group.memory_ratio,
+        declared.memory_mb,
+        share,
     )
     return resources.Resources(
         math.ceil(millicores),
@@ -226,33 +256,42 @@
     estimates: Estimates,
     own: Samples,
     group: Samples,
+    ratios: Samples,
     declared: float,
     share: float,
 ) -> float:
     weight = estimates.settings.prior_weight
-    ratio = group.quantile(share, 1.0, weight)
-    return own.quantile(share, declared * ratio, weight)
+    if group.spread() < ratios.spread():
+        prior = group.quantile(share, declared, weight)
+    else:
+        prior = declared * ratios.quantile(share, 1.0, weight)
+    return own.quantile(share, prior, weight)
 
 
 def _added(
     samples: WorkSamples, seen: Observed, declared: Declared
 ) -> WorkSamples:
-    """Add absolute values, or ratios where something was declared."""
-    run = samples.run
+    used = seen.resources
+    run, run_ratio = samples.run, samples.run_ratio
     if seen.run_s is not None:
-        run = run.add(_ratio(seen.run_s, declared.run_s))
+        run = run.add(seen.run_s)
+        run_ratio = run_ratio.add(_ratio(seen.run_s, declared.run_s))
+    declared_size = declared.resources
     return WorkSamples(
-        samples.millicores.add(
-            _ratio(seen.resources.millicores, declared.resources.millicores)
+        samples.millicores.add(used.millicores),
+        samples.memory.add(used.memory_mb),
+        run,
+        samples.millicores_ratio.add(
+            _ratio(used.millicores, declared_size.millicores)
         ),
-        samples.memory.add(
-            _ratio(seen.resources.memory_mb, declared.resources.memory_mb)
+        samples.memory_ratio.add(
+            _ratio(used.memory_mb, declared_size.memory_mb)
         ),
-        run,
+        run_ratio,
     )
 
 
 def _ratio(seen: float, declared: float) -> float:
     if declared <= 0.0:
-        return seen
+        return 1.0
     return min(max(seen / declared, MIN_RATIO), MAX_RATIO)
--- /dev/null
+++ b/measure/_cluster.py
@@ -0,0 +1,359 @@
+"""A small in-memory fleet under a virtual clock.
+
+Hosts run tasks whose speed depends on their co-runners; replicas answer
+requests with 8 slots each. Only lagged and noisy usage records leave it.
+"""
+
+import collections
+import dataclasses
+import heapq
+import math
+import random
+
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import resources
+from citronrail.model import specs
+from measure import _workload as workload
+
+SLOTS = 8
+CONNECTIONS = 64
+# Deadline of the callers, counted for a request that no replica accepts.
+REFUSED_S = 2.0
+SERVICE_START_S = 5.0
+CHECKPOINT_S = 2.0
+# Memory of a task grows to its full size over this time.
+MEMORY_GROWTH_S = 30.0
+FAIL_AFTER_S = 2.0
+USAGE_EVERY_S = 2
+SERVICE_TIME_SIGMA = 0.4
+CROSS_DATA_CENTRE_S = 0.003
+NOISE_SIGMA = 0.1
+MIN_LAG_S = 4.0
+MAX_LAG_S = 8.0
+
+
+@dataclasses.dataclass
+class Task:
+    """One piece of work; ``done_s`` is progress in undisturbed seconds."""
+
+    work: workload.Work
+    ready_at: float
+    done_s: float = 0.0
+    saved_s: float = 0.0
+    node_id: str = ''
+    reservation: resources.Resources = resources.Resources()
+    share: float = 1.0
+    started_at: float = 0.0
+    stops_at: float | None = None
+    slots: list[float] = dataclasses.field(default_factory=list)
+    attempt: int = 0
+
+
+@dataclasses.dataclass
+class Host:
+    """A worker; ``broken`` ones fail all batch tasks quickly."""
+
+    node_id: identifiers.NodeId
+    data_centre: identifiers.DataCentreName
+    rack: str
+    capacity: resources.Resources
+    tasks: dict[specs.TaskId, Task] = dataclasses.field(default_factory=dict)
+    up: bool = True
+    broken: bool = False
+    load: float = 0.0
+    contention: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Ended:
+    """A task that left its host; ``state`` as in a task report."""
+
+    task: Task
+    node_id: str
+    state: str
+    run_s: float
+
+
+class Cluster:
+    """The fleet of one run.
+
+    :param load: what happens in the run.
+    :param seed: for service times, request arrivals and noise.
+    :param round_robin: route requests in turn in place of two choices.
+    """
+
+    def __init__(
+        self, load: workload.Workload, seed: int, round_robin: bool
+    ) -> None:
+        self.load = load
+        self.round_robin = round_robin
+        self._rng = random.Random(f'cluster/{seed}')
+        self._turn = 0
+        self.hosts = _hosts(load.deployment)
+        self.latencies: list[tuple[float, float]] = []
+        self.work_done = 0.0
+        self.work_lost = 0.0
+        self._reports: list[
+            tuple[float, int, str, tuple[messages.TaskUsage, ...]]
+        ] = []
+        self._report_number = 0
+
+    def start(
+        self,
+        task: Task,
+        node_id: str,
+        reservation: resources.Resources,
+        now: float,
+    ) -> None:
+        """Start a task on a host."""
+        task.node_id = node_id
+        task.reservation = reservation
+        task.share = 1.0
+        task.started_at = now
+        task.stops_at = None
+        task.attempt += 1
+        if task.work.service:
+            task.slots = [now + SERVICE_START_S] * SLOTS
+        self.hosts[node_id].tasks[task.work.task] = task
+
+    def stop(self, task: Task, checkpoint: bool, now: float) -> None:
+        """Ask a task to stop, after a checkpoint if it can write one."""
+        writes = checkpoint and task.work.checkpointable
+        task.stops_at = now + (CHECKPOINT_S if writes else 0.0)
+
+    def advance(self, now: float, step_s: float) -> list[Ended]:
+        """Run all tasks for a while and return those that ended."""
+        ended: list[Ended] = []
+        for host in self.hosts.values():
+            if not host.up:
+                continue
+            self._measure_load(host, now)
+            for task in list(host.tasks.values()):
+                state = self._advance_task(host, task, now, step_s)
+                if state:
+                    ended.append(self._remove(host, task, state, now))
+            ended += self._out_of_memory(host, now)
+            if int(now) % USAGE_EVERY_S == 0:
+                self._report(host, now)
+        return ended
+
+    def lose(self, host: Host, now: float) -> list[Ended]:
+        """Fail a host with all it runs."""
+        host.up = False
+        return [
+            self._remove(host, task, 'lost', now)
+            for task in list(host.tasks.values())
+        ]
+
+    def reports(
+        self, now: float
+    ) -> list[tuple[str, tuple[messages.TaskUsage, ...]]]:
+        """Return the usage records that have arrived by now."""
+        arrived = []
+        while self._reports and self._reports[0][0] <= now:
+            _, _, node_id, usage = heapq.heappop(self._reports)
+            arrived.append((node_id, usage))
+        return arrived
+
+    def serve(self, now: float, step_s: float) -> None:
+        """Answer the requests that arrive in the next ``step_s`` seconds."""
+        for index, name in enumerate(self.load.deployment.services):
+            replicas = [
+                (host, task, self.slowdown(host, task))
+                for host in self.hosts.values()
+                if host.up
+                for task in host.tasks.values()
+                if task.work.service == name
+                and now >= task.started_at + SERVICE_START_S
+            ]
+            rate = self.load.rate(index, now)
+            at = now + self._rng.expovariate(rate)
+            while at < now + step_s:
+                self._answer(replicas, at)
+                at += self._rng.expovariate(rate)
+
+    def slowdown(self, host: Host, task: Task) -> float:
+        """Return the true slowdown of a task by its co-runners."""
+        unit = host.capacity.millicores / 8
+        total = 0.0
+        for other in host.tasks.values():
+            if other is task:
+                continue
+            size = other.work.true.millicores * other.share / unit
+            pair = (task.work.work_class, other.work.work_class)
+            total += size * self.load.excess[pair].at(host.load)
+        # Services have the larger processor weight, so that contention
+        # reaches them only in part.
+        weight = 0.3 if task.work.service else 1.0
+        contention = 1.0 + weight * (host.contention - 1.0)
+        return (1.0 + total * (1.0 + 0.25 * total)) * contention
+
+    def _answer(
+        self, replicas: list[tuple[Host, Task, float]], at: float
+    ) -> None:
+        rng = self._rng
+        data_centres = self.load.deployment.data_centres
+        entry = data_centres[int(rng.random() * len(data_centres))]
+        chosen = self._routed(replicas, at)
+        if chosen is None:
+            # Refused everywhere: the caller sees its deadline pass.
+            self.latencies.append((at, REFUSED_S))
+            return
+        host, task, slowed = chosen
+        start = max(at, task.slots[0])
+        sigma = SERVICE_TIME_SIGMA
+        service_s = workload.SERVICE_TIME_S * math.exp(
+            sigma * rng.gauss(0.0, 1.0) - sigma * sigma / 2
+        )
+        end = start + service_s * slowed
+        heapq.heapreplace(task.slots, end)
+        far = CROSS_DATA_CENTRE_S if host.data_centre != entry else 0.0
+        self.latencies.append((at, end - at + far))
+
+    def _routed(
+        self, replicas: list[tuple[Host, Task, float]], at: float
+    ) -> tuple[Host, Task, float] | None:
+        """Choose by turns or two choices; a full replica is passed over."""
+        count = len(replicas)
+        if count == 0:
+            return None
+        self._turn += 1
+        if self.round_robin or count == 1:
+            order = [replicas[(self._turn + i) % count] for i in range(count)]
+        else:
+            first = int(self._rng.random() * count)
+            second = (
+                first + 1 + int(self._rng.random() * (count - 1))
+            ) % count
+            order = [replicas[first], replicas[second]]
+            if _queue(order[0], at) > _queue(order[1], at):
+                order.reverse()
+            if _queue(order[0], at) >= CONNECTIONS:
+                order = replicas
+        for item in order:
+            if _queue(item, at) < CONNECTIONS:
+                return item
+        return None
+
+    def _measure_load(self, host: Host, now: float) -> None:
+        demand = 0.0
+        for task in host.tasks.values():
+            use = task.work.true.millicores * task.share
+            if task.work.service:
+                use *= _busy(task, now) / SLOTS
+            demand += use
+        ratio = demand / host.capacity.millicores
+        host.load = min(1.0, ratio)
+        host.contention = max(1.0, ratio)
+
+    def _advance_task(
+        self, host: Host, task: Task, now: float, step_s: float
+    ) -> str:
+        """Return the state in which the task ended, or ''."""
+        if task.work.service:
+            return 'stopped' if _is_due(task.stops_at, now) else ''
+        progress = step_s * task.share / self.slowdown(host, task)
+        task.done_s += progress
+        self.work_done += progress * task.work.true.millicores
+        if host.broken and now >= task.started_at + FAIL_AFTER_S:
+            return 'failed'
+        if task.done_s >= task.work.run_s:
+            return 'finished'
+        if _is_due(task.stops_at, now):
+            kept = task.stops_at and task.work.checkpointable
+            return 'checkpointed' if kept else 'stopped'
+        return ''
+
+    def _remove(self, host: Host, task: Task, state: str, now: float) -> Ended:
+        del host.tasks[task.work.task]
+        task.node_id = ''
+        task.ready_at = now
+        if state == 'checkpointed':
+            task.saved_s = task.done_s
+        elif state != 'finished' and not task.work.service:
+            lost_s = task.done_s - task.saved_s
+            self.work_lost += lost_s * task.work.true.millicores
+            task.done_s = task.saved_s
+        return Ended(task, host.node_id, state, now - task.started_at)
+
+    def _out_of_memory(self, host: Host, now: float) -> list[Ended]:
+        """The host kills the task furthest above its reservation."""
+        ended = []
+        used = sum(_memory_mb(task, now) for task in host.tasks.values())
+        while used > host.capacity.memory_mb:
+            batch = [t for t in host.tasks.values() if not t.work.service]
+            victim = max(
+                batch,
+                key=lambda item: (
+                    _memory_mb(item, now) - item.reservation.memory_mb,
+                    item.work.task,
+                ),
+            )
+            used -= _memory_mb(victim, now)
+            ended.append(self._remove(host, victim, 'out of memory', now))
+        return ended
+
+    def _report(self, host: Host, now: float) -> None:
+        usage = []
+        for task in host.tasks.values():
+            others = [t for t in host.tasks.values() if t is not task]
+            noise = self._rng.lognormvariate(0.0, NOISE_SIGMA)
+            usage.append(
+                messages.TaskUsage(
+                    specs.AttemptId(task.work.task, task.attempt),
+                    task.work.work_class,
+                    dataclasses.replace(
+                        task.work.true, memory_mb=int(_memory_mb(task, now))
+                    ),
+                    max(1.0, self.slowdown(host, task) * noise),
+                    tuple(other.work.work_class for other in others),
+                    now,
+                    tuple(other.share for other in others),
+                    host.load,
+                )
+            )
+        self._report_number += 1
+        arrival = now + self._rng.uniform(MIN_LAG_S, MAX_LAG_S)
+        heapq.heappush(
+            self._reports,
+            (arrival, self._report_number, host.node_id, tuple(usage)),
+        )
+
+
+def _queue(replica: tuple[Host, Task, float], at: float) -> float:
+    """Requests in slots and, from the waiting time, in the queue."""
+    _, task, slowed = replica
+    wait_s = task.slots[0] - at
+    if wait_s <= 0.0:
+        return _busy(task, at)
+    return SLOTS * (1.0 + wait_s / (workload.SERVICE_TIME_S * slowed))
+
+
+def _busy(task: Task, at: float) -> int:
+    return sum(free_at > at for free_at in task.slots)
+
+
+def _memory_mb(task: Task, now: float) -> float:
+    grown = min(1.0, 0.3 + 0.7 * (now - task.started_at) / MEMORY_GROWTH_S)
+    return task.work.true.memory_mb * grown
+
+
+def _is_due(at: float | None, now: float) -> bool:
+    return at is not None and now >= at
+
+
+def _hosts(deployment: workload.Deployment) -> dict[str, Host]:
+    hosts: dict[str, Host] = collections.OrderedDict()
+    names = deployment.data_centres
+    for index in range(workload.WORKERS):
+        # 4, 3 and 3 workers; the racks hold three.
+        data_centre = names[min(index // 3, len(names) - 1)]
+        node_id = identifiers.NodeId(f'{deployment.name}-{index}')
+        hosts[node_id] = Host(
+            node_id,
+            identifiers.DataCentreName(data_centre),
+            f'rack-{index // 3}',
+            deployment.capacity,
+        )
+    return hosts
