Stop tasks without a checkpoint in the measured fleet

Change: stops keep work only if a checkpoint was asked for; slots are a sorted list, samples keep their order, requests take 120 ms.

--- a/citronrail/scheduling/_estimates.py
+++ b/citronrail/scheduling/_estimates.py
@@ -8,8 +8,10 @@
 observations agree better is taken.
 """
 
+import bisect
 from collections.abc import Mapping
 import dataclasses
+import functools
 import math
 
 from citronrail.model import identifiers
@@ -67,17 +69,22 @@
         """
         return Samples((*self.values, value)[-WINDOW:])
 
+    @functools.cached_property
+    def _ordered(self) -> tuple[float, ...]:
+        return tuple(sorted(self.values))
+
+    @functools.cached_property
     def spread(self) -> float:
-        """Return how far the values lie apart.
+        """How far the values lie apart.
 
-        :returns: logarithm of the ratio of the 0.9 to the 0.1 quantile.
+        The logarithm of the ratio of the 0.9 to the 0.1 quantile.
         """
         ordered = sorted(max(value, 1e-6) for value in self.values)
         if not ordered:
             return 0.0
         last = len(ordered) - 1
-        return math.log(ordered[round(0.9 * last)]) - math.log(
-            ordered[round(0.1 * last)]
+        return math.log(
+            ordered[round(0.9 * last)] / ordered[round(0.1 * last)]
         )
 
     def quantile(self, share: float, prior: float, weight: float) -> float:
@@ -91,12 +98,12 @@
         """
         count = len(self.values)
         prior_weight = max(0.0, weight - count)
-        weighted = [(value, 1.0) for value in self.values]
+        weighted = [(value, 1.0) for value in self._ordered]
         if prior_weight > 0.0:
-            weighted.append((prior, prior_weight))
+            bisect.insort(weighted, (prior, prior_weight))
         target = share * (count + prior_weight)
         passed = 0.0
-        for value, part in sorted(weighted):
+        for value, part in weighted:
             passed += part
             if passed >= target - 1e-9:
                 return value
@@ -261,7 +268,7 @@
     share: float,
 ) -> float:
     weight = estimates.settings.prior_weight
-    if group.spread() < ratios.spread():
+    if group.spread < ratios.spread:
         prior = group.quantile(share, declared, weight)
     else:
         prior = declared * ratios.quantile(share, 1.0, weight)
--- a/measure/_cluster.py
+++ b/measure/_cluster.py
@@ -4,6 +4,7 @@
 requests with 8 slots each. Only lagged and noisy usage records leave it.
 """
 
+import bisect
 import collections
 import dataclasses
 import heapq
@@ -46,6 +47,7 @@
     share: float = 1.0
     started_at: float = 0.0
     stops_at: float | None = None
+    checkpoints: bool = False
     slots: list[float] = dataclasses.field(default_factory=list)
     attempt: int = 0
 
@@ -119,8 +121,8 @@
 
     def stop(self, task: Task, checkpoint: bool, now: float) -> None:
         """Ask a task to stop, after a checkpoint if it can write one."""
-        writes = checkpoint and task.work.checkpointable
-        task.stops_at = now + (CHECKPOINT_S if writes else 0.0)
+        task.checkpoints = checkpoint and task.work.checkpointable
+        task.stops_at = now + (CHECKPOINT_S if task.checkpoints else 0.0)
 
     def advance(self, now: float, step_s: float) -> list[Ended]:
         """Run all tasks for a while and return those that ended."""
@@ -207,7 +209,8 @@
             sigma * rng.gauss(0.0, 1.0) - sigma * sigma / 2
         )
         end = start + service_s * slowed
-        heapq.heapreplace(task.slots, end)
+        task.slots.pop(0)
+        bisect.insort(task.slots, end)
         far = CROSS_DATA_CENTRE_S if host.data_centre != entry else 0.0
         self.latencies.append((at, end - at + far))
 
@@ -226,11 +229,11 @@
             second = (
                 first + 1 + int(self._rng.random() * (count - 1))
             ) % count
-            order = [replicas[first], replicas[second]]
-            if _queue(order[0], at) > _queue(order[1], at):
-                order.reverse()
-            if _queue(order[0], at) >= CONNECTIONS:
-                order = replicas
+            one, two = replicas[first], replicas[second]
+            queues = _queue(one, at), _queue(two, at)
+            if min(queues) < CONNECTIONS:
+                return one if queues[0] <= queues[1] else two
+            order = replicas
         for item in order:
             if _queue(item, at) < CONNECTIONS:
                 return item
@@ -261,8 +264,7 @@
         if task.done_s >= task.work.run_s:
             return 'finished'
         if _is_due(task.stops_at, now):
-            kept = task.stops_at and task.work.checkpointable
-            return 'checkpointed' if kept else 'stopped'
+            return 'checkpointed' if task.checkpoints else 'stopped'
         return ''
 
     def _remove(self, host: Host, task: Task, state: str, now: float) -> Ended:
@@ -331,7 +333,7 @@
 
 
 def _busy(task: Task, at: float) -> int:
-    return sum(free_at > at for free_at in task.slots)
+    return SLOTS - bisect.bisect_right(task.slots, at)
 
 
 def _memory_mb(task: Task, now: float) -> float:
--- a/measure/_workload.py
+++ b/measure/_workload.py
@@ -121,8 +121,8 @@
         return BASE_RATE * factor
 
 
-# With 4 replicas of 8 slots and 80 ms a request, 45% of the slots are busy.
-SERVICE_TIME_S = 0.08
+# 45% of the slots of 4 replicas are busy when nothing disturbs them.
+SERVICE_TIME_S = 0.12
 BASE_RATE = 0.45 * REPLICAS * 8 / SERVICE_TIME_S
 
 
