--- a/citronrail/observability/catalogue/scheduling.py
+++ b/citronrail/observability/catalogue/scheduling.py
@@ -16,9 +16,6 @@
 )
 JOB_ENDED = observability.EventKind(1404, 'INFO', 'job {job} {outcome}')
 JOB_RESUMED = observability.EventKind(1405, 'INFO', 'job {job} resumed')
-ATTEMPT_ASSIGNED = observability.EventKind(
-    1410, 'DEBUG', 'attempt {attempt} assigned to {node}'
-)
 ATTEMPT_SENT = observability.EventKind(
     1411, 'DEBUG', 'start of attempt {attempt} sent to {node}'
 )
--- a/citronrail/scheduling/_interfaces.py
+++ b/citronrail/scheduling/_interfaces.py
@@ -27,6 +27,11 @@
         """The latest committed state."""
         ...
 
+    @property
+    def size(self) -> int:
+        """Stored size in bytes."""
+        ...
+
     async def commit(self, change: ShardChange) -> _shard_state.ShardState:
         """Apply a change; it is durable when the call returns.
 
--- a/citronrail/scheduling/_pending.py
+++ b/citronrail/scheduling/_pending.py
@@ -27,6 +27,14 @@
     return left_s <= 0.0 or left_s > _attempt_changes.MAX_BACKOFF_S
 
 
+def pending_count(state: _shard_state.ShardState) -> int:
+    """Return how many tasks of a shard wait for an attempt."""
+    return sum(
+        _index_runs.size(group.pending) + len(group.waiting)
+        for group in state.groups.values()
+    )
+
+
 def ready_count(group: _shard_state.Group, now: float) -> int:
     """Return how many tasks of a group could start.
 
--- a/citronrail/scheduling/_shard_runner.py
+++ b/citronrail/scheduling/_shard_runner.py
@@ -20,6 +20,7 @@
 from citronrail.scheduling import _job_changes
 from citronrail.scheduling import _metrics
 from citronrail.scheduling import _ownership
+from citronrail.scheduling import _pending
 from citronrail.scheduling import _round
 from citronrail.scheduling import _shard_state
 from citronrail.scheduling import _upkeep
@@ -238,6 +239,8 @@
         _metrics.COMMIT_SECONDS.observe(trio.current_time() - begun)
         label = str(self.owned.range_id)
         _metrics.LIVE.labels(label).set(_shard_state.live_count(self.state))
+        _metrics.SHARD_BYTES.labels(label).set(self._document.size)
+        _metrics.PENDING.labels(label).set(_pending.pending_count(self.state))
         return True
 
     async def _commit_fitting(self, batch: _batch.Batch) -> None:
@@ -302,8 +305,22 @@
                 node=move.node,
                 reason=move.reason,
             )
+        for task in batch.ready:
+            self._note_replaced(before, task)
         self._note_groups(before)
 
+    def _note_replaced(
+        self, before: _shard_state.ShardState, task: specs.TaskId
+    ) -> None:
+        live = before.groups[task.owner].live.get(task.index)
+        if live is not None and live.replaces >= 0:
+            observability.emit(
+                catalogue.REPLICA_REPLACED,
+                replica=task.index,
+                owner=task.owner,
+                replaced=live.replaces,
+            )
+
     def _note_groups(self, before: _shard_state.ShardState) -> None:
         if self.state is before:
             return
