--- a/citronrail/scheduling/tests/test_mechanisms.py
+++ b/citronrail/scheduling/tests/test_mechanisms.py
@@ -17,10 +17,13 @@
 from citronrail.model import specs
 from citronrail.scheduling import _agent_loss
 from citronrail.scheduling import _attempt_changes
+from citronrail.scheduling import _dispatch
+from citronrail.scheduling import _inbox
 from citronrail.scheduling import _moves
 from citronrail.scheduling import _shard_runner
 from citronrail.scheduling import _start_guard
 from citronrail.scheduling import _task_runner
+from citronrail.scheduling import _task_starter
 from citronrail.scheduling import _task_table
 from citronrail.scheduling.tests import _cluster
 from citronrail.scheduling.tests import _facts
@@ -393,3 +396,82 @@
     cluster = await _run(scenario, entries=2)
     assert [r.event for r in cluster.history()] == ['start', 'finished']
     assert ([row.state for row in rows] == ['finished']) is kept
+
+
+@BOTH
+async def test_attempt_unknown_to_the_shard_is_stopped(
+    kept, monkeypatch, autojump_clock
+):
+    """Guards against a run that no owner counts or will ever collect."""
+    if not kept:
+        monkeypatch.setattr(
+            _inbox._Reader, '_hello', lambda self, node, hello: None
+        )
+    stray = specs.AttemptId(specs.TaskId('gone', 0), 1)
+    states = []
+
+    async def scenario(cluster):
+        agent = cluster.agents['agent0']
+        now = trio.current_time()
+        agent.worker.core.start(
+            stray,
+            _cluster.SHARD,
+            specs.TaskSpec(
+                identifiers.TeamName('harrowfield'),
+                identifiers.WorkClass('batch'),
+                resources.Resources(1000, 1000),
+                3600.0,
+            ),
+            now + 5.0,
+            now + 10.0,
+        )
+        await cluster.restart_agent(agent)
+        await trio.sleep(20.0)
+        states.extend(t.attempt for t in agent.worker.core.tasks().running)
+
+    await _run(scenario)
+    assert (states == []) is kept
+
+
+@BOTH
+async def test_thawed_owner_starts_nothing(kept, monkeypatch, autojump_clock):
+    """Guards against the late messages of an owner that was frozen.
+
+    The naive version has no deadline on starts, and agents neither compare
+    fencing tokens nor remember what they were asked about.
+    """
+    # In a process that is really frozen, the timeout has no chance to run.
+    monkeypatch.setattr(_dispatch, 'SEND_TIMEOUT_S', math.inf)
+    if not kept:
+        monkeypatch.setattr(
+            _start_guard.StartGuard, 'fenced', lambda *args: False
+        )
+        monkeypatch.setattr(
+            _start_guard.StartGuard, 'seen', lambda *args: False
+        )
+        monkeypatch.setattr(
+            _start_guard.StartGuard, 'refusal', lambda *args: ''
+        )
+        monkeypatch.setattr(
+            _task_starter, 'min', lambda *args: max(args) + 60.0, raising=False
+        )
+
+    def prepare(cluster):
+        cluster.limits = dataclasses.replace(cluster.limits, round_s=0.05)
+
+    async def scenario(cluster):
+        owner = cluster.owner
+        await owner.scheduler.submit(
+            _cluster.job(tasks=1, run_s=120.0, exclusive=True), 'c'
+        )
+        while not owner.scheduler.rows('tasks'):
+            # Stops the process between its commit and the start message.
+            owner.hub.stopped = True
+            await trio.sleep(0.001)
+        await cluster.freeze_entry(owner, 20.0)
+        await trio.sleep(10.0)
+
+    cluster = await _run(scenario, entries=2, prepare=prepare)
+    starts = [r for r in cluster.history() if r.event == 'start']
+    assert starts
+    assert bool(_doubled(cluster)) is not kept
