Hand keys over only once the successor is connected

Cause: an entry that had just joined got its first range 0.2 s later, before it was connected; without the records it refused exclusive keys for 30 s. Ruled out: the lock itself, which was free. Change: the leaving owner waits up to 2.5 s for the connection, granting keys until then.

--- a/citronrail/routing/_owned_keys.py
+++ b/citronrail/routing/_owned_keys.py
@@ -16,7 +16,9 @@
 from citronrail import ports
 from citronrail.routing import _keys
 
-HANDOVER_WAIT_S = 3.0
+HANDOVER_WAIT_S = 2.0
+CONNECT_WAIT_S = 2.5
+CONNECT_POLL_S = 0.02
 MAX_RECORDS_A_MESSAGE = 500
 MAX_BODY_BYTES_A_MESSAGE = 512 * 1024
 
@@ -131,6 +133,8 @@
         keeper = self._keepers.get(owned.range_id)
         if keeper is None:
             return
+        if successor:
+            await self._await_connection(successor)
         records = keeper.handover(self._clock.now())
         if not successor:
             return
@@ -176,6 +180,19 @@
 
     # Handover
 
+    async def _await_connection(self, successor: identifiers.NodeId) -> None:
+        """Wait a while for a connection, granting keys until then.
+
+        An entry that has just joined gets its first range before it is
+        connected; without its records, it would refuse exclusive keys for
+        the longest run of a service.
+        """
+        with trio.move_on_after(CONNECT_WAIT_S):
+            while not any(
+                peer.node_id == successor for peer in self._hub.peers('entry')
+            ):
+                await trio.sleep(CONNECT_POLL_S)
+
     async def _hand_over(
         self,
         owned: coordination.OwnedRange,
