Let disturbing batch work wait for a host without services

Cause: with a backlog every freed slot beside a service went to the head of the queue, whatever its class. Change: a batch task that would raise a service's mean expected slowdown above 1.7 waits up to 90 s, so that harmless work behind it takes the slot; a weight for keeping hosts free of services exists but is 0.

--- a/citronrail/scheduling/_placement_score.py
+++ b/citronrail/scheduling/_placement_score.py
@@ -12,6 +12,8 @@
 
 # Old placements lose half their weight in the trial share after this many.
 TRIAL_MEMORY_PLACEMENTS = 200.0
+# A task that adds less to a service is not worth waiting for.
+MATERIAL_EXCESS = 0.05
 
 
 @dataclasses.dataclass(frozen=True)
@@ -22,7 +24,9 @@
     service and of a batch task. Slowdown of a service counts with its square
     added, since queueing turns it into more than proportional latency.
     ``rack_weight`` and ``data_centre_weight`` are the costs of each further
-    replica in one rack or data centre. ``packing_weight`` prefers hosts that
+    replica in one rack or data centre. ``isolation_weight`` is the cost of
+    putting a replica on a host without services: batch work can keep away
+    from services only if some hosts have none. ``packing_weight`` prefers hosts that
     are already in use among equal ones. ``trial_share`` bounds the part of
     placements that may test unmeasured pairs, ``sample`` the number of hosts
     compared. While every host would bring a service above
@@ -33,11 +37,12 @@
     batch_weight: float = 0.5
     rack_weight: float = 1.0
     data_centre_weight: float = 0.5
+    isolation_weight: float = 0.0
     packing_weight: float = 0.02
     trial_share: float = 0.05
     sample: int = 32
-    service_slowdown_limit: float = 3.0
-    defer_s: float = 20.0
+    service_slowdown_limit: float = 1.7
+    defer_s: float = 90.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -52,6 +57,7 @@
     newcomer_slowdown: float
     worst_service_slowdown: float
     unmeasured: bool
+    slows_service: bool = False
 
 
 def cheapest(
@@ -115,6 +121,7 @@
     total = _own_weight(cfg, request) * _harm(request.service, newcomer)
     worst = own.slowdown(0.0) if request.service is not None else 1.0
     unmeasured = False
+    slows = False
     for (work_class, service), number in candidate.victims.items():
         pair = (work_class, request.work_class)
         before = model.beside(work_class, counts, candidate.load, 1.0)
@@ -126,14 +133,16 @@
         weight = cfg.service_weight if service else cfg.batch_weight
         total += number * weight * added
         if service:
-            worst = max(worst, after.slowdown(0.0))
+            slowed = after.slowdown(0.0)
+            worst = max(worst, slowed)
+            slows = slows or slowed - before.slowdown(0.0) > MATERIAL_EXCESS
             unmeasured = unmeasured or not interference.is_measured(
                 context.interference, pair, context.now
             )
     total += _spread_cost(cfg, request, candidate, context.service_hosts)
     free = candidate.free.millicores / max(1, candidate.capacity.millicores)
     total += cfg.packing_weight * free
-    return HostCost(total, newcomer, worst, unmeasured)
+    return HostCost(total, newcomer, worst, unmeasured, slows)
 
 
 def record_placement(
@@ -171,6 +180,7 @@
         request.service is None
         and not request.urgent
         and request.waited_s < cfg.defer_s
+        and cost.slows_service
         and cost.worst_service_slowdown > cfg.service_slowdown_limit
     )
 
@@ -212,4 +222,7 @@
         return 0.0
     places = service_hosts.get(request.service, {})
     in_rack, in_data_centre = admission.spread_counts(places, candidate)
-    return cfg.rack_weight * in_rack + cfg.data_centre_weight * in_data_centre
+    cost = cfg.rack_weight * in_rack + cfg.data_centre_weight * in_data_centre
+    if not any(service for _, service in candidate.victims):
+        cost += cfg.isolation_weight
+    return cost
