Keep hosts free of services and count deferral from its start

Cause: replicas on nearly every host leave batch work nowhere harmless to go, and in a backlog the waiting time alone ended every deferral. Change: a replica prefers hosts that already run services; the deferral is counted from the first time there was room; a returned data centre is filled over 20 s from one half. Two tests take the waiting time from the settings, one of them now also checks that the deferral lasts as long as set.

--- a/citronrail/scheduling/_decision_adapters.py
+++ b/citronrail/scheduling/_decision_adapters.py
@@ -121,7 +121,8 @@
     ) -> identifiers.NodeId | None:
         memory = self._memory
         placed = isinstance(decision, types.Placed)
-        memory.note_decision(request.task, placed, now)
+        if isinstance(decision, types.Placed) or decision.deferred:
+            memory.note_decision(request.task, placed, now)
         result = 'placed' if placed else 'deferred'
         metrics.PLACEMENTS.labels(self.policy.name, result).inc()
         if not isinstance(decision, types.Placed):
--- a/citronrail/scheduling/_placement_score.py
+++ b/citronrail/scheduling/_placement_score.py
@@ -26,18 +26,19 @@
     ``rack_weight`` and ``data_centre_weight`` are the costs of each further
     replica in one rack or data centre. ``isolation_weight`` is the cost of
     putting a replica on a host without services: batch work can keep away
-    from services only if some hosts have none. ``packing_weight`` prefers hosts that
-    are already in use among equal ones. ``trial_share`` bounds the part of
-    placements that may test unmeasured pairs, ``sample`` the number of hosts
-    compared. While every host would bring a service above
-    ``service_slowdown_limit``, a batch task waits up to ``defer_s`` seconds.
+    from services only if some hosts have none. ``packing_weight`` prefers
+    hosts that are already in use among equal ones. ``trial_share`` bounds the
+    part of placements that may test unmeasured pairs, ``sample`` the number
+    of hosts compared. While every host would bring a service above
+    ``service_slowdown_limit``, a batch task that adds to it waits up to
+    ``defer_s`` seconds, and others may take the room.
     """
 
     service_weight: float = 4.0
     batch_weight: float = 0.5
     rack_weight: float = 1.0
     data_centre_weight: float = 0.5
-    isolation_weight: float = 0.0
+    isolation_weight: float = 6.0
     packing_weight: float = 0.02
     trial_share: float = 0.05
     sample: int = 32
@@ -87,7 +88,9 @@
     if best is None or best_cost is None:
         return types.NotPlaced('no worker has room now')
     if _defers(cfg, request, best_cost):
-        return types.NotPlaced('every worker with room would slow a service')
+        return types.NotPlaced(
+            'every worker with room would slow a service', deferred=True
+        )
     return types.Placed(
         best.node_id,
         reservation,
--- a/citronrail/scheduling/_placement_types.py
+++ b/citronrail/scheduling/_placement_types.py
@@ -89,7 +89,7 @@
     ``declared`` and ``estimated`` are its declared size and the estimate
     from observation. ``avoid`` names workers on which it must not run, for
     instance because its job failed there. ``waited_s`` is the time since it
-    became ready. An empty ``data_centres`` allows all.
+    was first deferred, 0 if it was not. An empty ``data_centres`` allows all.
     """
 
     task: specs.TaskId
@@ -166,9 +166,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class NotPlaced:
-    """No host was chosen now; ``reason`` is shown to operators."""
+    """No host was chosen now; ``reason`` is shown to operators.
+
+    ``deferred`` is True if there was room and the task waits for a better
+    host.
+    """
 
     reason: str
+    deferred: bool = False
 
 
 Decision = Placed | NotPlaced
--- a/citronrail/scheduling/_return_ramp.py
+++ b/citronrail/scheduling/_return_ramp.py
@@ -15,8 +15,8 @@
     of its hosts.
     """
 
-    first_share: float = 0.25
-    ramp_s: float = 40.0
+    first_share: float = 0.5
+    ramp_s: float = 20.0
     starts_per_s: float = 1.0
 
 
--- a/citronrail/scheduling/tests/test_decision_adapters.py
+++ b/citronrail/scheduling/tests/test_decision_adapters.py
@@ -13,6 +13,7 @@
 from citronrail.model import specs
 from citronrail.model import views
 from citronrail.scheduling import _decision_adapters as adapters
+from citronrail.scheduling import _placement_score as score
 from citronrail.scheduling import _policies as protocols
 
 SEAT = identifiers.WorkClass('seat')
@@ -94,8 +95,11 @@
     assert policies.placement.choose(_request(1), agents, 32.0) == 'w1'
     only = (_agent(0),)
     assert policies.placement.choose(_request(2), only, 32.0) is None
-    later = policies.placement.choose(_request(2), only, 60.0)
-    assert later == 'w0'
+    end = 32.0 + score.ScoreSettings().defer_s
+    for observer in policies.observers:
+        observer.observe_usage('w0', _usage(0, end - 2.0, 3.5), end - 1.0)
+    assert policies.placement.choose(_request(2), only, end - 1.0) is None
+    assert policies.placement.choose(_request(2), only, end) == 'w0'
 
 
 def test_unknown_policy_is_refused_and_the_old_one_stays():
--- a/citronrail/scheduling/tests/test_round_time.py
+++ b/citronrail/scheduling/tests/test_round_time.py
@@ -8,6 +8,7 @@
 from citronrail.model import specs
 from citronrail.scheduling import _interference as interference
 from citronrail.scheduling import _placement as placement
+from citronrail.scheduling import _placement_score as score
 from citronrail.scheduling import _placement_types as types
 
 # One round measured 0.3 to 0.7 s on a busy machine; this bound only notices
@@ -58,7 +59,7 @@
             identifiers.TeamName('team'),
             rng.choice(classes),
             resources.Resources(2000, 8000),
-            waited_s=60.0,
+            waited_s=score.ScoreSettings().defer_s,
         )
         for i in range(180)
     ]
--- a/measure/_control.py
+++ b/measure/_control.py
@@ -76,6 +76,7 @@
         self._ramps: dict[str, return_ramp.ReturnRamp] = {}
         self._out: str | None = None
         self._replaced = 0
+        self._deferred: dict[specs.TaskId, float] = {}
         self._teams = _teams(load.deployment)
         for item in workload.replicas(load.deployment):
             self._pending[item.task] = cluster.Task(item, 0.0)
@@ -351,7 +352,10 @@
             context.continued(self._trials, admission.count_replicas(hosts)),
         )
         if isinstance(decision, types.NotPlaced):
+            if decision.deferred:
+                self._deferred.setdefault(request.task, now)
             return False
+        self._deferred.pop(request.task, None)
         self._trials = score.record_placement(self._trials, decision)
         index = [h.node_id for h in hosts].index(decision.node_id)
         del self._pending[request.task]
@@ -391,7 +395,7 @@
             work.service,
             work.priority is specs.Priority.URGENT,
             avoid=worker_health.avoided_workers(self._health, work.task),
-            waited_s=now - task.ready_at,
+            waited_s=now - self._deferred.get(work.task, now),
         )
 
     def _expected_run_s(self, task: cluster.Task) -> float:
