--- a/citronrail/adapters/_caller_app.py
+++ b/citronrail/adapters/_caller_app.py
@@ -18,6 +18,7 @@
 from citronrail import routing
 
 MAX_BODY_BYTES = 4 * 1024 * 1024  # a body is one message to an agent
+MAX_DROPPED_BYTES = 16 * MAX_BODY_BYTES
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 16 * 1024
 BODY_TIMEOUT_S = 30
@@ -51,8 +52,7 @@
     :returns: an ASGI application.
     """
     app = quart_trio.QuartTrio(__name__, static_folder=None)
-    app.config['MAX_CONTENT_LENGTH'] = MAX_BODY_BYTES
-    app.config['BODY_TIMEOUT'] = BODY_TIMEOUT_S
+    app.config['MAX_CONTENT_LENGTH'] = None  # limited in _body
     app.config['RESPONSE_TIMEOUT'] = None
     app.config['PROPAGATE_EXCEPTIONS'] = True
     app.config['PROVIDE_AUTOMATIC_OPTIONS'] = False
@@ -113,18 +113,39 @@
     scope: dict[str, typing.Any] = dict(quart.request.scope)
     headers = _headers(scope['headers'])
     target = _target(scope)
-    try:
-        data = await quart.request.get_data(as_text=False)
-    except werkzeug.exceptions.RequestEntityTooLarge as exc:
+    body = await _body()
+    return routing.CallerRequest(
+        request_id, service, scope['method'], target, headers, body
+    )
+
+
+async def _body() -> bytes:
+    """Read the body; what exceeds the limit is read and dropped.
+
+    A caller that is still sending would otherwise see a reset connection in
+    place of the answer.
+    """
+    kept, size = bytearray(), 0
+    with trio.move_on_after(BODY_TIMEOUT_S) as scope:
+        async for data in quart.request.body:
+            size += len(data)
+            if size <= MAX_BODY_BYTES:
+                kept += data
+            elif size > MAX_DROPPED_BYTES:
+                break
+    if scope.cancelled_caught:
+        raise _Malformed(
+            408,
+            'The body did not arrive',
+            f'A body must arrive within {BODY_TIMEOUT_S} s.',
+        )
+    if size > MAX_BODY_BYTES:
         raise _Malformed(
             413,
             'The body is too large',
             f'At most {MAX_BODY_BYTES} bytes are accepted.',
-        ) from exc
-    body = data if isinstance(data, bytes) else data.encode()
-    return routing.CallerRequest(
-        request_id, service, scope['method'], target, headers, body
-    )
+        )
+    return bytes(kept)
 
 
 def _headers(
@@ -230,7 +251,7 @@
     async def finish(self) -> None:
         """End the answer normally."""
         self._whole = True
-        await self._send.aclose()
+        self._send.close()
 
     async def problem(self, problem: routing.Problem) -> None:
         """Send a whole answer that describes a problem."""
@@ -249,4 +270,5 @@
                 )
                 raise BrokenOff(self._request_id)
         finally:
-            self._scope.cancel()
+            if not self._whole:
+                self._scope.cancel()
--- a/citronrail/adapters/_http_servers.py
+++ b/citronrail/adapters/_http_servers.py
@@ -14,6 +14,7 @@
 MAX_HEADER_BYTES = 16 * 1024
 KEEP_ALIVE_S = 75.0  # longer than usual clients and load balancers keep idle
 DRAIN_S = 30.0
+_RESPONSE_START = 'http.response.start'
 
 AsgiApp = collections.abc.Callable[..., collections.abc.Awaitable[None]]
 
@@ -45,13 +46,13 @@
     config.bind = [f'{host}:{port}']
     config.graceful_timeout = drain_s
     config.keep_alive_timeout = KEEP_ALIVE_S
-    config.h11_max_incomplete_size = MAX_HEADER_BYTES
+    config.h11_max_incomplete_size = 2 * MAX_HEADER_BYTES
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = _quiet_log(name)
     async with trio.open_nursery() as nursery:
         binds = await nursery.start(
-            _serve, _http_1_only(app), config, shutdown
+            _serve, _checked(app, shutdown), config, shutdown
         )
         address = binds[0]
         observability.emit(events.HTTP_PORT_OPEN, name=name, address=address)
@@ -74,20 +75,30 @@
     )
 
 
-def _http_1_only(app: AsgiApp) -> AsgiApp:
-    """Refuse HTTP/2, where hypercorn can't break a stream off visibly."""
+def _checked(app: AsgiApp, shutdown: trio.Event) -> AsgiApp:
+    """Refuse HTTP/2, and end kept connections at a planned stop.
+
+    hypercorn can't break an HTTP/2 stream off visibly. A client that is told
+    of the end of its connection sends no further request into it.
+    """
 
     async def checked(
         scope: dict[str, typing.Any],
         receive: typing.Any,
         send: typing.Any,
     ) -> None:
+        async def send_closing(message: dict[str, typing.Any]) -> None:
+            if shutdown.is_set() and message['type'] == _RESPONSE_START:
+                headers = [*message['headers'], (b'connection', b'close')]
+                message = {**message, 'headers': headers}
+            await send(message)
+
         if scope['type'] == 'http' and scope['http_version'][0] != '1':
-            start = {'type': 'http.response.start', 'status': 505}
+            start = {'type': _RESPONSE_START, 'status': 505}
             await send({**start, 'headers': []})
             await send({'type': 'http.response.body', 'body': b''})
         else:
-            await app(scope, receive, send)
+            await app(scope, receive, send_closing)
 
     return checked
 
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -377,13 +377,15 @@
 class RequestFailed:
     """Agent to entry: the run broke off; its effect is unknown.
 
-    ``ended`` is True when no run of it can still be in progress.
+    ``ended`` is True when no run of it can still be in progress, and
+    ``timed_out`` when its time was over.
     """
 
     request_id: identifiers.RequestId
     attempt: int
     reason: str
     ended: bool = False
+    timed_out: bool = False
 
 
 @_message
--- a/citronrail/routing/_attempts.py
+++ b/citronrail/routing/_attempts.py
@@ -48,6 +48,7 @@
     numbers: int = 0
     free_retries: int = 0
     stopped_because: str = ''
+    completed: bool = False  # the owners of its keys know its whole answer
 
     @property
     def verdicts(self) -> list[_verdicts.Verdict]:
@@ -119,9 +120,12 @@
             case _verdicts.Complete(status) if status < 500:
                 self._book.succeeded(agent)
                 self._budget = _retry_budget.with_success(self._budget)
-            case _verdicts.Complete() | _verdicts.Failed():
+            case _verdicts.Complete():
                 self._book.failed(agent, now)
-            case _verdicts.Lost(timed_out=timed_out):
+            case (
+                _verdicts.Failed(timed_out=timed_out)
+                | _verdicts.Lost(timed_out=timed_out)
+            ):
                 if not timed_out or now - exchange.sent_at > HANGING_S:
                     self._book.failed(agent, now)
             case _verdicts.Refused(leaving=leaving, full=full):
--- a/citronrail/routing/_exchanges.py
+++ b/citronrail/routing/_exchanges.py
@@ -109,8 +109,12 @@
                 if started:
                     return 'the answer has begun'
                 self._end(_verdicts.Refused(reason, leaving, full))
-            case messages.RequestFailed(reason=reason, ended=ended):
-                self._end(_verdicts.Failed(reason, ended))
+            case messages.RequestFailed():
+                self._end(
+                    _verdicts.Failed(
+                        message.reason, message.ended, message.timed_out
+                    )
+                )
             case messages.ResponseChunk(seq=seq):
                 return self._offer_chunk(seq, payload, started)
             case messages.ResponseEnd(chunks=chunks):
--- a/citronrail/routing/_problems.py
+++ b/citronrail/routing/_problems.py
@@ -49,7 +49,8 @@
     if _verdicts.outcome_of(attempts) is outcomes.Outcome.NOT_RUN:
         return not_run(text)
     timed_out = any(
-        isinstance(attempt, _verdicts.Lost) and attempt.timed_out
+        isinstance(attempt, _verdicts.Lost | _verdicts.Failed)
+        and attempt.timed_out
         for attempt in attempts
     )
     return _requests.Problem(
--- a/citronrail/routing/_router.py
+++ b/citronrail/routing/_router.py
@@ -177,15 +177,14 @@
         self, progress: _attempts.Progress, respond: _requests.Respond
     ) -> _requests.Problem | None:
         """Run a request whose keys are reserved."""
-        completed = False
         try:
             exchange = await self._attempts.until_started(progress)
             if exchange is not None:
                 with contextlib.suppress(trio.TooSlowError):
-                    completed = await self._relay(progress, exchange, respond)
+                    await self._relay(progress, exchange, respond)
                 return None
         finally:
-            if not completed:
+            if not progress.completed:
                 with trio.CancelScope(shield=True):
                     await self._settle(progress)
         return _problems.after_attempts(
@@ -197,56 +196,55 @@
         progress: _attempts.Progress,
         exchange: _exchanges.Exchange,
         respond: _requests.Respond,
-    ) -> bool:
-        """Pass an answer on; tell whether it was passed on wholly."""
+    ) -> None:
+        """Pass an answer on; end it normally only if it is whole."""
         assert exchange.started is not None
         relay = relays.AnswerRelay(self._dispatch, exchange, respond)
         if _requests.is_feed(exchange.started.headers):
-            return await self._relay_feed(progress, relay)
+            await self._relay_feed(progress, relay)
+            return
         with trio.move_on_at(progress.deadline):
-            if not await relay.all_but_end(progress):
-                return False
-            await self._complete(progress, relay.stored_answer())
-            await respond.finish()
-            _metrics.REQUESTS.labels('done').inc()
-            return True
-        return False
+            if await relay.all_but_end(progress):
+                await self._complete(progress, relay.stored_answer())
+                await respond.finish()
 
     async def _relay_feed(
         self, progress: _attempts.Progress, relay: relays.AnswerRelay
-    ) -> bool:
+    ) -> None:
         """Pass a feed on until it ends or this entry leaves."""
         self._attempts.note_feed(relay.exchange)
         feed = relays.FeedRelay(relay, self._draining)
         self._feeds.add(feed)
         try:
             with trio.move_on_at(progress.finish_before):
-                if not await feed.relay():
-                    return False
-                await self._complete(progress, None)
-                await relay.respond.finish()
-                _metrics.REQUESTS.labels('done').inc()
-                return relay.exchange.ended
+                if await feed.relay():
+                    await self._dispatch.cancel(relay.exchange)
+                    await self._complete(progress, None)
+                    await relay.respond.finish()
         finally:
             self._feeds.discard(feed)
-        return False
 
     async def _complete(
         self,
         progress: _attempts.Progress,
         answer: _keys.StoredAnswer | None,
     ) -> None:
-        """Note a whole answer, before the caller sees its end."""
-        for exchange in progress.exchanges:
-            if exchange.ended:
+        """Note a whole answer, before the caller sees its end.
+
+        Callers may go away at any moment, also while the end is noted.
+        """
+        with trio.CancelScope(shield=True):
+            for exchange in progress.exchanges:
                 self._attempts.note_end(exchange)
-        await self._keys.complete(
-            progress.req,
-            progress.opts,
-            outcomes.Outcome.DONE,
-            ended=_verdicts.certainly_ended(progress.verdicts),
-            answer=answer,
-        )
+            await self._keys.complete(
+                progress.req,
+                progress.opts,
+                outcomes.Outcome.DONE,
+                ended=_verdicts.certainly_ended(progress.verdicts),
+                answer=answer,
+            )
+            progress.completed = True
+        _metrics.REQUESTS.labels('done').inc()
 
     async def _settle(self, progress: _attempts.Progress) -> None:
         """Note how a request without a whole answer ended."""
--- a/citronrail/routing/_runner.py
+++ b/citronrail/routing/_runner.py
@@ -15,6 +15,8 @@
 from citronrail import ports
 from citronrail.routing import _answer_stream
 from citronrail.routing import _backends
+from citronrail.routing import _entry_news
+from citronrail.routing import _latency
 from citronrail.routing import _metrics
 from citronrail.routing import _requests
 from citronrail.routing import _runs
@@ -22,8 +24,6 @@
 
 DEFAULT_MAX_RUN_S = 30.0
 _TICK_S = 0.25
-_LATENCY_WEIGHT = 0.1  # of the newest answer in the moving average
-_LATENCY_HALF_S = 5.0
 _DRAIN_POLL_S = 0.02
 _FULL = 'no connection is free'
 _CANCELLED = 'it was cancelled'
@@ -71,8 +71,7 @@
         self._slots = _slots.SlotQueue(self._limits.slots)
         self._runs = _runs.RunTable()
         self._open: dict[_runs.RunId, _runs.Run] = {}
-        self._latency_ms = 0.0
-        self._answered_at = 0.0
+        self._latencies = _latency.LatencyBook()
         self._leaving = False
         self._nursery: trio.Nursery | None = None
         hub.subscribe(messages.RunRequest, self._on_run)
@@ -123,7 +122,9 @@
             slots_used=self._slots.used,
             connections_used=len(self._open),
             queued=self._slots.queued,
-            latency_ms=self._recent_latency_ms(),
+            latency_ms=self._latencies.ms(
+                _latency.ALL_SERVICES, trio.current_time()
+            ),
             slots=self._limits.slots,
             connections=self._limits.connections,
         )
@@ -251,12 +252,34 @@
             return _LEAVING
         if len(self._open) >= self._limits.connections:
             return _FULL
-        if now > message.start_before:
+        start_before = self._latest_start(message)
+        wait_s = self._expected_wait_s(message.service, start_before)
+        if now + wait_s > start_before:
             return _TOO_LATE
         if self._backends.choose(message.service, now) is None:
             return _NO_BACKEND
         return ''
 
+    def _latest_start(self, message: messages.RunRequest) -> float:
+        """Return the local time after which a run would not end in time.
+
+        A run that starts just before its deadline wastes a slot and leaves
+        the caller with an unknown outcome.
+        """
+        needed_s = self._needed_s(message.service)
+        return min(message.start_before, message.finish_before - needed_s)
+
+    def _needed_s(self, service: identifiers.ServiceName) -> float:
+        return self._latencies.ms(service, trio.current_time()) / 1000
+
+    def _expected_wait_s(
+        self, service: identifiers.ServiceName, start_before: float
+    ) -> float:
+        if self._slots.used < self._slots.slots:
+            return 0.0
+        turns = (self._slots.ahead_of(start_before) + 1) / self._slots.slots
+        return turns * self._needed_s(service)
+
     async def _refuse(
         self, run: _runs.Run, reason: str, *, leaving: bool = False
     ) -> None:
@@ -283,7 +306,7 @@
     ) -> None:
         try:
             with run.scope:
-                slot = await self._slots.acquire(message.start_before)
+                slot = await self._slots.acquire(self._latest_start(message))
                 if slot is None:
                     await self._refuse(run, _TOO_LATE)
                     return
@@ -292,7 +315,7 @@
                 finally:
                     slot.release()
         finally:
-            del self._open[run.run_id]
+            self._open.pop(run.run_id, None)
             if run.state is _runs.RunState.STARTED:
                 run.state = _runs.RunState.ENDED
             run.forget_at = max(
@@ -310,7 +333,7 @@
             return  # the cancellation was answered with `not run`
         now = trio.current_time()
         backend = self._backends.choose(message.service, now)
-        if now > message.start_before:
+        if now > self._latest_start(message):
             await self._refuse(run, _TOO_LATE)
             return
         if backend is None or self._leaving:
@@ -344,19 +367,22 @@
             message.headers,
             body,
         )
-        ended = False
+        ended = timed_out = False
         failure = 'the time is over'
         try:
             with trio.move_on_at(until):
                 async with self._backend_server.run(request) as response:
-                    self._note_latency(started_at)
+                    self._note_latency(message.service, started_at)
                     if _requests.is_feed(response.headers):
                         slot.release()
                     stream = _answer_stream.AnswerStream(self._hub, run)
                     await _answer_stream.pass_on(response, stream, run)
                 _metrics.RUNS.labels('done').inc()
                 return
-            ended = run.exclusive
+            ended, timed_out = run.exclusive, True
+            self._note_latency(
+                message.service, started_at
+            )  # it would have taken longer
         except errors.BackendNotReached as exc:
             self._backends.not_reached(backend, trio.current_time())
             await self._refuse(run, str(exc))
@@ -370,24 +396,15 @@
         await self._answer(
             run,
             messages.RequestFailed(
-                ident.request_id, ident.attempt, failure, ended
+                ident.request_id, ident.attempt, failure, ended, timed_out
             ),
         )
 
-    def _recent_latency_ms(self) -> float:
-        """Return the average, halved for each time without answers.
-
-        An agent that was slow once gets requests again, to be measured anew.
-        """
-        idle_s = trio.current_time() - self._answered_at
-        return float(self._latency_ms * 0.5 ** (idle_s / _LATENCY_HALF_S))
-
-    def _note_latency(self, started_at: float) -> None:
-        self._answered_at = trio.current_time()
-        taken_ms = (self._answered_at - started_at) * 1000
-        if self._latency_ms == 0.0:
-            self._latency_ms = taken_ms
-        self._latency_ms += _LATENCY_WEIGHT * (taken_ms - self._latency_ms)
+    def _note_latency(
+        self, service: identifiers.ServiceName, started_at: float
+    ) -> None:
+        now = trio.current_time()
+        self._latencies.note(service, now - started_at, now)
 
     # Announcements to entries
 
@@ -403,18 +420,9 @@
             self._nursery.start_soon(self._push_backends)
 
     async def _push_backends(self) -> None:
-        update = messages.BackendUpdate(
-            self._hub.boot_id, self._backends.states(), self._leaving
+        await _entry_news.push_backends(
+            self._hub, self._backends.states(), self._leaving
         )
-        async with trio.open_nursery() as nursery:
-            for entry in self._hub.peers('entry'):
-                nursery.start_soon(self._push, entry.node_id, update)
-
-    async def _push(
-        self, entry: identifiers.NodeId, update: messages.BackendUpdate
-    ) -> None:
-        with contextlib.suppress(errors.PeerUnreachable):
-            await self._hub.send(entry, update)
 
 
 def _is_exclusive(message: messages.RunRequest) -> bool:
--- a/citronrail/routing/_slots.py
+++ b/citronrail/routing/_slots.py
@@ -28,6 +28,17 @@
         """Number of requests that wait for a slot."""
         return sum(1 for _, _, slot in self._waiting if slot.waits)
 
+    def ahead_of(self, start_before: float) -> int:
+        """Return how many requests get a slot before a new one.
+
+        :param start_before: deadline of the new one.
+        """
+        return sum(
+            1
+            for deadline, _, slot in self._waiting
+            if slot.waits and deadline <= start_before
+        )
+
     async def acquire(self, start_before: float) -> 'Slot | None':
         """Wait for a slot; the earliest deadline gets the next one.
 
--- a/citronrail/routing/_verdicts.py
+++ b/citronrail/routing/_verdicts.py
@@ -42,6 +42,7 @@
 
     reason: str
     ended: bool
+    timed_out: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
