Test keys, leases, commits and ownership under faults

Cause: each promise needs a check that fails without its mechanism. Change: drawn faults against keeper, lease, document and ownership, and naive variants; fixes found by them: a fenced commit with a lost answer retried until its lease ended, stale reads made commits loop without pause, and a reassigned takeover waited its margin twice.

--- a/citronrail/coordination/_group_commit.py
+++ b/citronrail/coordination/_group_commit.py
@@ -206,6 +206,8 @@
             await trio.sleep(RETRY_S)
 
     def _take(self, item: ports.KeyValue | None) -> None:
+        if (item.revision if item else 0) < self._revision:
+            raise errors.StoreError('an old state was read', step='shard.load')
         if item is None:
             self._value, self._revision, self._size = self._empty, 0, 0
             return
@@ -224,6 +226,7 @@
                 revision = await self._write(data, commit_id)
                 if revision is not None:
                     break
+                await trio.sleep(RETRY_S)
                 await self._load()
         except (errors.Fenced, errors.StoreOutcomeUnknown) as exc:
             for item in batch:
@@ -315,9 +318,11 @@
                 )
                 if result.succeeded:
                     return result.revision
-                revision = await self._find_commit(commit_id, unresolved)
+                revision = await self._find_commit(commit_id)
                 if revision != 0:
                     return revision
+            except errors.Fenced as exc:
+                raise self._fenced(unresolved, exc.message) from exc
             except errors.StoreOutcomeUnknown:
                 unresolved = True
                 observability.emit(events.COMMIT_LOST_ANSWER, key=self._key)
@@ -325,13 +330,12 @@
                 observability.emit(events.STORE_CALL_FAILED, reason=exc)
             await trio.sleep(RETRY_S)
 
-    async def _find_commit(
-        self, commit_id: str, unresolved: bool
-    ) -> int | None:
+    async def _find_commit(self, commit_id: str) -> int | None:
         """Find out why a commit was refused.
 
         :returns: the revision of this commit, None if the document changed
             otherwise, 0 if an old state was read.
+        :raises citronrail.errors.Fenced: if the ownership has ended.
         """
         item = await _store_calls.bounded(
             self._store.get(self._key), 'shard.read_back'
@@ -343,8 +347,8 @@
             self._store.txn([self._scope.guard], []), 'shard.read_back'
         )
         if not guarded.succeeded:
-            raise self._fenced(unresolved, 'another owner took over')
-        if (item.revision if item else 0) != self._revision:
+            raise errors.Fenced('another owner took over', step='shard.commit')
+        if (item.revision if item else 0) > self._revision:
             return None
         return 0
 
--- a/citronrail/coordination/_range_ownership.py
+++ b/citronrail/coordination/_range_ownership.py
@@ -281,7 +281,10 @@
             range_id = identifiers.RangeId(number)
             if place.holder is not None and place.holder.owner != self._me:
                 self._tracker.held(range_id)
-            elif self._claims.continues(range_id, place) or (
+                continue
+            if place.holder is None and place.record is not None:
+                self._tracker.free(range_id, place.record, trio.current_time())
+            if self._claims.continues(range_id, place) or (
                 range_id in wanted and await self._may_take(range_id, place)
             ):
                 await self._claim(range_id)
--- a/citronrail/coordination/_takeover.py
+++ b/citronrail/coordination/_takeover.py
@@ -42,6 +42,23 @@
             for claim in [c for c in known if c.range_id == range_id]:
                 del known[claim]
 
+    def free(
+        self,
+        range_id: identifiers.RangeId,
+        record: claims.OwnerRecord,
+        now: float,
+    ) -> None:
+        """Take note that a range has no holder, whoever is to claim it.
+
+        :param range_id: the range.
+        :param record: its record in the store.
+        :param now: local time in seconds.
+        """
+        claim = messages.RangeClaim(range_id, record.fencing)
+        if claim not in self._free_since:
+            self.held(range_id)
+            self._free_since[claim] = now
+
     def answered(
         self,
         claim: messages.RangeClaim,
@@ -78,9 +95,7 @@
         if record.released:
             return TakeoverDecision(True)
         claim = messages.RangeClaim(range_id, record.fencing)
-        if claim not in self._free_since:
-            self.held(range_id)
-            self._free_since[claim] = now
+        self.free(range_id, record, now)
         free_since = self._free_since[claim]
         if now < free_since + TAKEOVER_MARGIN_S:
             return TakeoverDecision(False, 'the owner may be paused')
--- /dev/null
+++ b/citronrail/coordination/tests/test_group_commit.py
@@ -0,0 +1,259 @@
+"""Guards job shards: what is reported as committed is, exactly once."""
+
+import dataclasses
+import random
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+import trio
+
+from citronrail import coordination
+from citronrail.coordination import _group_commit
+from citronrail.coordination.tests import _simulated
+from citronrail import errors
+from citronrail.model import codec
+from citronrail import ports
+from standins import key_value
+
+OWNER_KEY = '/citronrail/ranges/0'
+KEY = '/citronrail/shards/0'
+
+
+@dataclasses.dataclass(frozen=True)
+class Names:
+    """A document that shows doubled and lost changes."""
+
+    names: tuple[str, ...] = ()
+
+
+def _add(name):
+    return lambda doc: Names((*doc.names, name))
+
+
+def _stored(memory):
+    item = memory.state.get(KEY)
+    if item is None:
+        return ()
+    envelope = codec.decode(item.value, _group_commit.Envelope)
+    return codec.decode(envelope.body, Names).names
+
+
+def _take_ownership(memory, fencing, guarded=True):
+    """Give the range to a new owner at once."""
+    value = str(fencing).encode()
+    result = memory.state.txn([], [ports.Put(OWNER_KEY, value)])
+    guard = ports.Compare(OWNER_KEY, result.revision)
+    if not guarded:
+        guard = ports.Compare('/never written', 0)
+    return coordination.CommitScope(guard, fencing, lambda: True)
+
+
+async def _commit_many(doc, owner, told, rng):
+    async def commit(name):
+        try:
+            await doc.commit(_add(name))
+            told[name] = 'done'
+        except errors.CitronrailError as exc:
+            told[name] = exc.outcome.value
+
+    async with trio.open_nursery() as nursery:
+        for number in range(12):
+            nursery.start_soon(commit, f'{owner}{number}')
+            await trio.sleep(rng.random() * 0.5)
+
+
+async def _two_owners(faults, seed, guarded=True):
+    """Let a second owner take over while the first goes on.
+
+    :returns: what callers were told, what was stored when the second owner
+        had loaded, and what is stored in the end.
+    """
+    memory = key_value.MemoryStore()
+    told = {}
+    rng = random.Random(seed)
+    found = ()
+
+    async def own(fencing, owner):
+        nonlocal found
+        scope = _take_ownership(memory, fencing, guarded)
+        doc = coordination.GroupCommitDocument(
+            memory, KEY, Names(), scope, random.Random(f'{seed}{owner}')
+        )
+        async with trio.open_nursery() as nursery:
+            await nursery.start(doc.run)
+            if fencing == 2:
+                found = doc.value.names
+            await _commit_many(doc, owner, told, rng)
+            await doc.drain()
+            nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_simulated.play, memory, faults)
+        async with trio.open_nursery() as owners:
+            owners.start_soon(own, 1, 'a')
+            await trio.sleep(rng.random() * 4)
+            owners.start_soon(own, 2, 'b')
+        await trio.sleep(60)
+        nursery.cancel_scope.cancel()
+    memory.set_faults(**_simulated.CALM)
+    await memory.get(KEY)  # lets late writes take effect
+    return told, found, _stored(memory)
+
+
+def _violations(told, found, stored):
+    wrong = [f'{x} doubled' for x in stored if stored.count(x) > 1]
+    for name, outcome in told.items():
+        if outcome == 'done' and name not in stored:
+            wrong.append(f'{name} committed but lost')
+        if outcome == 'not run' and name in stored:
+            wrong.append(f'{name} reported as not run but stored')
+    late = [x for x in stored if x.startswith('a') and x not in found]
+    return wrong + [f'{x} committed by a fenced owner' for x in late]
+
+
+@hypothesis.given(_simulated.FAULTS, st.integers(0, 99))
+def test_commits_under_faults_and_takeover(faults, seed):
+    """Guards against lost, doubled and fenced commits."""
+    stale = any('stale_by' in switches for _, switches in faults)
+    told, found, stored = _simulated.run(_two_owners, faults, seed)
+    wrong = _violations(told, found, stored)
+    if stale:  # the second owner may first have loaded an old state
+        wrong = [x for x in wrong if 'fenced' not in x]
+    assert wrong == []
+    assert len(told) == 24
+
+
+@pytest.mark.parametrize('naive', ['no guard', 'no commit id'])
+def test_naive_commits_fail(naive, monkeypatch):
+    """Shows that the check above finds a missing guard and read-back."""
+    if naive == 'no commit id':
+        find = coordination.GroupCommitDocument._find_commit
+
+        async def find_nothing(self, commit_id):
+            return await find(self, 'another id')
+
+        monkeypatch.setattr(
+            coordination.GroupCommitDocument, '_find_commit', find_nothing
+        )
+    wrong = _violations(
+        *_simulated.run(
+            _two_owners,
+            [(0.1, {'lose_every': 3}), (9.0, {})],
+            5,
+            naive != 'no guard',
+        )
+    )
+    expected = 'fenced' if naive == 'no guard' else 'doubled'
+    assert any(expected in text for text in wrong)
+
+
+def _document(memory, holds=lambda: True, **options):
+    scope = _take_ownership(memory, 1)
+    scope = dataclasses.replace(scope, holds=holds)
+    return coordination.GroupCommitDocument(
+        memory, KEY, Names(), scope, random.Random(1), **options
+    )
+
+
+async def test_changes_of_an_interval_are_one_call(nursery, autojump_clock):
+    """Guards the store's write rate against one call for each change."""
+    memory = key_value.MemoryStore()
+    doc = _document(memory)
+    await nursery.start(doc.run)
+    async with trio.open_nursery() as callers:
+        for number in range(100):
+            callers.start_soon(doc.commit, _add(str(number)))
+            await trio.sleep(0.01)
+    assert len(doc.value.names) == 100
+    assert memory.calls['txn'] <= 7
+
+
+async def test_failing_change_harms_no_other(nursery, autojump_clock):
+    """Guards against one bad change that fails a whole group."""
+    doc = _document(key_value.MemoryStore())
+    await nursery.start(doc.run)
+    results = []
+
+    def bad(doc):
+        raise ValueError('bad')
+
+    async def commit(change):
+        try:
+            results.append((await doc.commit(change)).names)
+        except ValueError:
+            results.append('bad')
+
+    async with trio.open_nursery() as callers:
+        for change in (_add('a'), bad, _add('b')):
+            callers.start_soon(commit, change)
+    assert 'bad' in results and sorted(doc.value.names) == ['a', 'b']
+
+
+async def test_large_document_is_refused_before_the_limit(
+    nursery, autojump_clock
+):
+    """Guards a shard against a document that the store won't take."""
+    memory = key_value.MemoryStore()
+    doc = _document(memory, limit_bytes=1000)
+    await nursery.start(doc.run)
+    await doc.commit(_add('x' * 800))
+    with pytest.raises(errors.DocumentFull):
+        await doc.commit(_add('y' * 300))
+    assert (await doc.commit(_add('z'))).names[1] == 'z'
+    assert (await doc.commit(lambda doc: Names())).names == ()
+
+
+@pytest.mark.parametrize(
+    'faults, outcome',
+    [
+        ({'outage': True}, errors.Fenced),
+        ({'hang': True}, errors.StoreOutcomeUnknown),
+    ],
+)
+async def test_outage_longer_than_the_ownership(
+    nursery, autojump_clock, faults, outcome
+):
+    """Guards callers against waiting for ever, and against a false end."""
+    memory = key_value.MemoryStore()
+    ends_at = trio.current_time() + 5
+    doc = _document(memory, holds=lambda: trio.current_time() < ends_at)
+    await nursery.start(doc.run)
+    memory.set_faults(**faults)
+    with pytest.raises(outcome), trio.fail_after(20):
+        await doc.commit(_add('a'))
+    with pytest.raises(errors.Fenced):
+        await doc.commit(_add('b'))
+
+
+async def test_outage_shorter_than_the_ownership(nursery, autojump_clock):
+    """Guards a commit that only has to wait."""
+    memory = key_value.MemoryStore()
+    doc = _document(memory)
+    await nursery.start(doc.run)
+    memory.set_faults(outage=True)
+    with trio.move_on_after(3):
+        await doc.commit(_add('a'))
+    memory.set_faults(outage=False)
+    assert (await doc.commit(_add('b'))).names == ('a', 'b')
+
+
+async def test_waiting_changes_are_bounded(
+    nursery, autojump_clock, monkeypatch
+):
+    """Guards the owner's memory during a long outage."""
+    monkeypatch.setattr(_group_commit, 'MAX_WAITING', 10)
+    memory = key_value.MemoryStore()
+    doc = _document(memory)
+    await nursery.start(doc.run)
+    memory.set_faults(outage=True)
+    nursery.start_soon(doc.commit, _add('first'))
+    await trio.sleep(0.05)
+    for number in range(10):
+        nursery.start_soon(doc.commit, _add(str(number)))
+    await trio.sleep(0.05)
+    with pytest.raises(errors.StoreUnavailable):
+        await doc.commit(_add('too many'))
+    memory.set_faults(outage=False)
+    await doc.drain()
+    assert len(doc.value.names) == 11
