Serve timelines and processes from entry and agent

Cause: a trial with real processes had no view of agents' events. Change: the relay of timelines and the list of processes are wired in.

--- a/citronrail/adapters/__init__.py
+++ b/citronrail/adapters/__init__.py
@@ -10,6 +10,7 @@
 from citronrail.adapters._http_servers import serve
 from citronrail.adapters._http_worker import HttpWorker
 from citronrail.adapters._operators_server import CommandRequest
+from citronrail.adapters._operators_server import connected_processes
 from citronrail.adapters._operators_server import operators_app
 from citronrail.adapters._operators_server import Process
 from citronrail.adapters._zmq_peers import ZmqPeerHub
@@ -28,6 +29,7 @@
     'ZmqPeerHub',
     'agent_app',
     'caller_app',
+    'connected_processes',
     'operators_app',
     'serve',
 ]
--- a/citronrail/adapters/_agent_app.py
+++ b/citronrail/adapters/_agent_app.py
@@ -12,6 +12,7 @@
 from citronrail.adapters import _problem_json
 from citronrail import errors
 from citronrail.model import identifiers
+from citronrail import observability
 from citronrail import routing
 
 MAX_BODY_BYTES = 64 * 1024
@@ -27,17 +28,26 @@
     leaving: bool = False
 
 
+def _no_timeline() -> observability.ProcessTimeline:
+    return observability.snapshot('', '', 'agent')
+
+
 def agent_app(
-    runner: routing.RequestRunner, ready: collections.abc.Callable[[], bool]
+    runner: routing.RequestRunner,
+    ready: collections.abc.Callable[[], bool],
+    timeline: collections.abc.Callable[
+        [], observability.ProcessTimeline
+    ] = _no_timeline,
 ) -> quart_trio.QuartTrio:
     """Make the application of the agent's local port.
 
     ``PUT /backends/<service>`` announces a backend server, to be repeated
     each second; ``DELETE`` withdraws it. ``/metrics``, ``/livez`` and
-    ``/readyz`` are for the platform.
+    ``/readyz`` are for the platform, ``/timeline`` for operators.
 
     :param runner: keeps the announcements.
     :param ready: whether this agent accepts work.
+    :param timeline: gives the events of this process.
     :returns: an ASGI application.
     """
     app = quart_trio.QuartTrio(__name__, static_folder=None)
@@ -67,6 +77,12 @@
             content_type=prometheus_client.CONTENT_TYPE_LATEST,
         )
 
+    @app.get('/timeline')
+    async def show_timeline() -> quart.Response:
+        return quart.Response(
+            observability.to_json(timeline()), content_type='application/json'
+        )
+
     @app.get('/livez')
     async def livez() -> str:
         return 'ok\n'
--- a/citronrail/adapters/_operators_server.py
+++ b/citronrail/adapters/_operators_server.py
@@ -16,6 +16,7 @@
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
 from citronrail import observability
+from citronrail import ports
 
 MAX_BODY_BYTES = 256 * 1024
 # A body that comes more slowly is given up, so that idle senders don't hold
@@ -76,6 +77,40 @@
     processes: collections.abc.Callable[[], tuple[Process, ...]] = tuple
 
 
+def connected_processes(
+    hub: ports.PeerHub, hello: messages.Hello
+) -> tuple[Process, ...]:
+    """List a process and its peers, for ``GET /peers``.
+
+    :param hub: connections of the process.
+    :param hello: how the process introduces itself.
+    :returns: the process first, then entries and agents.
+    """
+    own = Process(
+        hub.node_id,
+        hub.boot_id,
+        hello.role,
+        hello.data_centre,
+        hello.rack,
+        hello.address,
+    )
+    peers = (*hub.peers('entry'), *hub.peers('agent'))
+    return (
+        own,
+        *(
+            Process(
+                peer.node_id,
+                peer.boot_id,
+                peer.role,
+                peer.data_centre,
+                peer.rack,
+                peer.address,
+            )
+            for peer in peers
+        ),
+    )
+
+
 def operators_app(
     commands: Commands,
     ready: collections.abc.Callable[[], bool],
--- a/citronrail/daemon/_agent.py
+++ b/citronrail/daemon/_agent.py
@@ -107,8 +107,9 @@
     def _application(self) -> _application.Application:
         cfg = self._cfg
         app = _application.Application(cfg.node_id, cfg.times.drain_s)
+        timelines = observability.TimelineExchange(self.hub, 'agent')
         local_port = parts.HttpPort(
-            adapters.agent_app(self.requests, self._ready),
+            adapters.agent_app(self.requests, self._ready, timelines.own),
             cfg.addresses.local,
             'local',
             cfg.times.drain_s,
@@ -116,6 +117,7 @@
         assert self._tasks is not None
         app.add('peers', self.hub.run)
         app.add('links', self.links.run)
+        app.add('timelines', timelines.run)
         app.add('local port', local_port.run)
         app.add('tasks', self._tasks.run, self._tasks.drain)
         app.add('requests', self.requests.run, self.requests.drain)
--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -15,6 +15,7 @@
 from citronrail import membership
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail import observability
 from citronrail import routing
 
 CONNECT_INTERVAL_S = 0.25
@@ -163,8 +164,16 @@
             'callers',
             cfg.times.drain_s,
         )
+        timelines = observability.TimelineExchange(self.hub, 'entry')
         operators = parts.HttpPort(
-            adapters.operators_app(self.commands, lambda: app.ready),
+            adapters.operators_app(
+                self.commands,
+                lambda: app.ready,
+                timelines,
+                lambda: adapters.connected_processes(
+                    self.hub, self._introduce()
+                ),
+            ),
             cfg.addresses.operators,
             'operators',
             cfg.times.drain_s,
@@ -177,6 +186,7 @@
         app.add('ownership', self.ownership.run, self.ownership.drain)
         app.add('silence', self.silence.run, self._stop_acknowledging)
         app.add('connections', self._follow_entries)
+        app.add('timelines', timelines.run)
         app.add('commands', self.commands.run, self.commands.drain)
         app.add('operators port', operators.run, operators.drain)
         app.add('callers port', callers.run, callers.drain)
