--- a/citronrail/adapters/_operators_server.py
+++ b/citronrail/adapters/_operators_server.py
@@ -16,6 +16,7 @@
 from citronrail.model import messages
 from citronrail.model import outcome as outcomes
 from citronrail import observability
+from citronrail import ports
 
 MAX_BODY_BYTES = 256 * 1024
 # A body that comes more slowly is given up, so that idle senders don't hold
@@ -76,11 +77,46 @@
     processes: collections.abc.Callable[[], tuple[Process, ...]] = tuple
 
 
+def connected_processes(
+    hub: ports.PeerHub, hello: messages.Hello
+) -> tuple[Process, ...]:
+    """List a process and its peers, for ``GET /peers``.
+
+    :param hub: connections of the process.
+    :param hello: how the process introduces itself.
+    :returns: the process first, then entries and agents.
+    """
+    own = Process(
+        hub.node_id,
+        hub.boot_id,
+        hello.role,
+        hello.data_centre,
+        hello.rack,
+        hello.address,
+    )
+    peers = (*hub.peers('entry'), *hub.peers('agent'))
+    return (
+        own,
+        *(
+            Process(
+                peer.node_id,
+                peer.boot_id,
+                peer.role,
+                peer.data_centre,
+                peer.rack,
+                peer.address,
+            )
+            for peer in peers
+        ),
+    )
+
+
 def operators_app(
     commands: Commands,
     ready: collections.abc.Callable[[], bool],
     timelines: observability.TimelineSource | None = None,
     processes: collections.abc.Callable[[], tuple[Process, ...]] = tuple,
+    max_body_bytes: int = MAX_BODY_BYTES,
 ) -> quart_trio.QuartTrio:
     """Make the application of an entry's operators' port.
 
@@ -96,11 +132,12 @@
     :param ready: whether this entry takes work.
     :param timelines: timelines of this process and its peers, or None.
     :param processes: gives this process and its peers.
+    :param max_body_bytes: longest body taken.
     :returns: an ASGI application.
     """
     port = OperatorsPort(commands, ready, timelines, processes)
     app = quart_trio.QuartTrio(__name__, static_folder=None)
-    app.config['MAX_CONTENT_LENGTH'] = MAX_BODY_BYTES
+    app.config['MAX_CONTENT_LENGTH'] = max_body_bytes
     app.config['BODY_TIMEOUT'] = BODY_TIMEOUT_S
     _add_commands(app, port)
     _add_views(app, port)
--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -15,6 +15,7 @@
 from citronrail import membership
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail import observability
 from citronrail import routing
 from citronrail import scheduling
 
@@ -33,7 +34,9 @@
     :param rng: source of chance.
     """
     assert cfg.store is not None
-    store = adapters.EtcdStore(cfg.store.endpoints)
+    store = adapters.EtcdStore(
+        cfg.store.endpoints, cfg.store.call_timeout_ms / 1000
+    )
     try:
         role = EntryRole(cfg, boot_id, rng, store)
         await role.app.run()
@@ -161,6 +164,7 @@
             _entry_shards.RangeDirectory(self.owner_of),
             views,
             facts,
+            max_at_once=self._cfg.limits.commands_at_once,
         )
 
     def _application(self) -> _application.Application:
@@ -172,8 +176,17 @@
             'callers',
             cfg.times.drain_s,
         )
+        timelines = observability.TimelineExchange(self.hub, 'entry')
         operators = parts.HttpPort(
-            adapters.operators_app(self.commands, lambda: app.ready),
+            adapters.operators_app(
+                self.commands,
+                lambda: app.ready,
+                timelines,
+                lambda: adapters.connected_processes(
+                    self.hub, self._introduce()
+                ),
+                cfg.limits.command_kb * 1024,
+            ),
             cfg.addresses.operators,
             'operators',
             cfg.times.drain_s,
@@ -187,6 +200,7 @@
         app.add('ownership', self.ownership.run, self.ownership.drain)
         app.add('silence', self.silence.run, self._stop_acknowledging)
         app.add('connections', self._follow_entries)
+        app.add('timelines', timelines.run)
         app.add('commands', self.commands.run, self.commands.drain)
         app.add('operators port', operators.run, operators.drain)
         app.add('callers port', callers.run, callers.drain)
