--- a/citronrail/scheduling/_decision_adapters.py
+++ b/citronrail/scheduling/_decision_adapters.py
@@ -27,6 +27,11 @@
 
 # A round starts a few hundred tasks; more of a group need no place in it.
 ROUND_LIMIT = 400
+# A replica joins a worker with another one of its service only after this
+# time. Without that, a service with a replica on each worker could not leave
+# a data centre.
+SIBLING_WAIT_S = 2.0
+MAX_CROWDED_TASKS = 4096
 
 
 class PlacementDecider:
@@ -44,6 +49,7 @@
     ) -> None:
         self._memory = memory
         self.policy = placement.placement_policy(chosen)
+        self._crowded_since: dict[specs.TaskId, float] = {}
 
     def use(self, chosen: settings.PolicySettings) -> None:
         """Change the policy after operators selected another.
@@ -83,7 +89,7 @@
         )
         decision = placement.choose(
             self._reserving_as_asked(),
-            self._converted(request, now),
+            self._converted(request, candidates, now),
             hosts,
             context,
         )
@@ -97,8 +103,27 @@
             )
         return self.policy
 
+    def _siblings_to_avoid(
+        self,
+        request: protocols.PlacementRequest,
+        candidates: tuple[views.AgentView, ...],
+        now: float,
+    ) -> frozenset[identifiers.NodeId]:
+        """Return the workers on which a sibling keeps the task away."""
+        siblings = frozenset(request.siblings)
+        if any(agent.node_id not in siblings for agent in candidates):
+            self._crowded_since.pop(request.task, None)
+            return siblings
+        since = self._crowded_since.setdefault(request.task, now)
+        while len(self._crowded_since) > MAX_CROWDED_TASKS:
+            del self._crowded_since[next(iter(self._crowded_since))]
+        return siblings if now - since < SIBLING_WAIT_S else frozenset()
+
     def _converted(
-        self, request: protocols.PlacementRequest, now: float
+        self,
+        request: protocols.PlacementRequest,
+        candidates: tuple[views.AgentView, ...],
+        now: float,
     ) -> types.PlacementRequest:
         return types.PlacementRequest(
             request.task,
@@ -108,7 +133,7 @@
             service=request.service,
             urgent=request.priority is specs.Priority.URGENT,
             avoid=frozenset(request.avoid)
-            | frozenset(request.siblings)
+            | self._siblings_to_avoid(request, candidates, now)
             | worker_health.avoided_workers(self._memory.health, request.task),
             waited_s=self._memory.waited_s(request.task, now),
         )
@@ -121,7 +146,8 @@
     ) -> identifiers.NodeId | None:
         memory = self._memory
         placed = isinstance(decision, types.Placed)
-        memory.note_decision(request.task, placed, now)
+        if isinstance(decision, types.Placed) or decision.deferred:
+            memory.note_decision(request.task, placed, now)
         result = 'placed' if placed else 'deferred'
         metrics.PLACEMENTS.labels(self.policy.name, result).inc()
         if not isinstance(decision, types.Placed):
