--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -265,7 +265,8 @@
         :returns: how many tasks had not ended, and where it failed.
         """
         counts: list[int] = []
-        failed: list[identifiers.RangeId] = []
+        # Shards that are still being loaded may hold matching jobs.
+        failed = [n for n in self._scopes if n not in self._runners]
 
         async def cancel_one(runner: _shard_runner.ShardRunner) -> None:
             try:
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -319,3 +319,21 @@
         assert len(starts) == 12
 
     await _run(scenario, entries=2)
+
+
+async def test_cancel_names_shards_that_are_not_loaded(autojump_clock):
+    """Guards against a cancellation that silently leaves a shard out."""
+
+    async def scenario(cluster):
+        cluster.kill_entry('entry1')
+        cluster.store.set_faults(hang=True)
+        entry = await cluster.add_entry('entry2', own=False)
+        cluster.store.set_faults(hang=False)
+        await cluster.take_over(entry)
+        cluster.store.set_faults(hang=True)
+        await trio.sleep(0.5)
+        result = await entry.scheduler.cancel(lambda job: True, 'x')
+        assert result == scheduling.CancelResult(0, (_cluster.SHARD,))
+        cluster.store.set_faults(hang=False)
+
+    await _run(scenario)
