Let a replica join a worker that is known to hold a sibling

Cause: besides the avoided workers, admission refuses a worker whose reported occupants include the service, so a second replacement still found no place. Ruled out: room (12 to 14 free cores on each worker) and quotas (the placement was asked about ten times a second).

--- a/citronrail/scheduling/_decision_adapters.py
+++ b/citronrail/scheduling/_decision_adapters.py
@@ -103,21 +103,21 @@
             )
         return self.policy
 
-    def _siblings_to_avoid(
+    def _may_join_sibling(
         self,
         request: protocols.PlacementRequest,
         candidates: tuple[views.AgentView, ...],
         now: float,
-    ) -> frozenset[identifiers.NodeId]:
-        """Return the workers on which a sibling keeps the task away."""
+    ) -> bool:
+        """Tell whether no worker without a sibling was left for a while."""
         siblings = frozenset(request.siblings)
         if any(agent.node_id not in siblings for agent in candidates):
             self._crowded_since.pop(request.task, None)
-            return siblings
+            return False
         since = self._crowded_since.setdefault(request.task, now)
         while len(self._crowded_since) > MAX_CROWDED_TASKS:
             del self._crowded_since[next(iter(self._crowded_since))]
-        return siblings if now - since < SIBLING_WAIT_S else frozenset()
+        return now - since >= SIBLING_WAIT_S
 
     def _converted(
         self,
@@ -125,6 +125,12 @@
         candidates: tuple[views.AgentView, ...],
         now: float,
     ) -> types.PlacementRequest:
+        avoid = frozenset(request.avoid) | worker_health.avoided_workers(
+            self._memory.health, request.task
+        )
+        may_join = self._may_join_sibling(request, candidates, now)
+        if not may_join:
+            avoid |= frozenset(request.siblings)
         return types.PlacementRequest(
             request.task,
             request.team,
@@ -132,9 +138,8 @@
             request.resources,
             service=request.service,
             urgent=request.priority is specs.Priority.URGENT,
-            avoid=frozenset(request.avoid)
-            | self._siblings_to_avoid(request, candidates, now)
-            | worker_health.avoided_workers(self._memory.health, request.task),
+            avoid=avoid,
+            may_join_sibling=may_join,
             waited_s=self._memory.waited_s(request.task, now),
         )
 
--- a/citronrail/scheduling/_placement_admission.py
+++ b/citronrail/scheduling/_placement_admission.py
@@ -269,9 +269,9 @@
 def _has_replica(
     request: types.PlacementRequest, candidate: types.Candidate
 ) -> bool:
-    return request.service is not None and any(
-        item.service == request.service for item in candidate.occupants
-    )
+    if request.service is None or request.may_join_sibling:
+        return False
+    return any(item.service == request.service for item in candidate.occupants)
 
 
 def _excess_reason(
--- a/citronrail/scheduling/_placement_types.py
+++ b/citronrail/scheduling/_placement_types.py
@@ -90,6 +90,8 @@
     from observation. ``avoid`` names workers on which it must not run, for
     instance because its job failed there. ``waited_s`` is the time since it
     was first deferred, 0 if it was not. An empty ``data_centres`` allows all.
+    A replica that ``may_join_sibling`` may share a worker with another one of
+    its service.
     """
 
     task: specs.TaskId
@@ -102,6 +104,7 @@
     data_centres: tuple[identifiers.DataCentreName, ...] = ()
     avoid: frozenset[identifiers.NodeId] = frozenset()
     waited_s: float = 0.0
+    may_join_sibling: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/scheduling/tests/test_decision_adapters.py
+++ b/citronrail/scheduling/tests/test_decision_adapters.py
@@ -208,12 +208,15 @@
     """
     agents = (_agent(1), _agent(2))
     request = _request(
-        0,
+        9,
         SEAT,
         service=SEATS,
         siblings=tuple(agent.node_id for agent in agents),
     )
     placement = _policies(name).placement
+    for number, agent in enumerate(agents):
+        first = _request(number, SEAT, service=SEATS)
+        assert placement.choose(first, (agent,), 0.0) == agent.node_id
     assert placement.choose(request, agents, 0.0) is None
     chosen = placement.choose(request, agents, adapters.SIBLING_WAIT_S)
     assert chosen in {agent.node_id for agent in agents}
