--- /dev/null
+++ b/citronrail/scheduling/_task_runner.py
@@ -0,0 +1,352 @@
+"""Agent side of running tasks."""
+
+import dataclasses
+import functools
+
+import trio
+
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import specs
+from citronrail import observability
+from citronrail.observability.catalogue import scheduling as catalogue
+from citronrail.ports import peers
+from citronrail.ports import worker as workers
+from citronrail.scheduling import _interfaces
+from citronrail.scheduling import _local_tasks
+from citronrail.scheduling import _metrics
+from citronrail.scheduling import _runner_requests
+from citronrail.scheduling import _start_guard
+from citronrail.scheduling import _task_starter
+from citronrail.scheduling import _task_table
+from citronrail.scheduling import _worker_link
+
+# A list each 0.5 s cost 0.9% of a core with 20 tasks, one each second 0.6%.
+# Stops, queries and open starts ask for one at once.
+POLL_S = 1.0
+REBUILD_POLL_S = 0.5
+ACT_S = 0.25
+RENEW_S = 2.5  # a lease survives three lost renewals
+ACK_VALID_S = 10.0
+USAGE_S = 5.0
+DRAIN_S = 5.0
+
+
+class TaskRunner:
+    """Starts tasks at the worker, keeps their leases and reports their end.
+
+    :param hub: connections to the entries.
+    :param worker: port to the worker on this host.
+    :param ledger: capacity ledger of this host; nobody else writes it.
+    :param permits: what entries have told this agent.
+    :param data_centre: where the host stands.
+    """
+
+    def __init__(
+        self,
+        hub: peers.PeerHub,
+        worker: workers.Worker,
+        ledger: _interfaces.Ledger,
+        permits: _interfaces.PermitView,
+        data_centre: identifiers.DataCentreName,
+    ) -> None:
+        self._hub = hub
+        self._link = _worker_link.WorkerLink(worker)
+        self._ledger = ledger
+        self._permits = permits
+        self._guard = _start_guard.StartGuard(hub.node_id, data_centre)
+        self._requests = _runner_requests.Requests()
+        self._table = _task_table.TaskTable(
+            ledger, self._guard, self._requests
+        )
+        self._starter = _task_starter.TaskStarter(
+            hub, self._link, self._table, self._guard, permits
+        )
+        self._nursery: trio.Nursery | None = None
+        self._poll_now = trio.Event()
+        self._act_now = trio.Event()
+        for kind, handler in (
+            (messages.StartTask, self._on_start),
+            (messages.StopTask, self._on_stop),
+            (messages.TaskQuery, self._on_query),
+            (messages.ThrottleTask, self._on_throttle),
+            (messages.TaskReportAck, self._on_ack),
+        ):
+            hub.subscribe(kind, handler)
+
+    @property
+    def ready(self) -> bool:
+        """Whether the ledger is rebuilt, so that tasks may start."""
+        return self._table.rebuilt and not self._starter.leaving
+
+    def running_tasks(self) -> tuple[messages.RunningTask, ...]:
+        """Return the attempts for the agent's :class:`Hello`.
+
+        Attempts that ended and whose report is not acknowledged are listed
+        with the state ``ended``.
+        """
+        return self._table.for_hello()
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Run until cancelled; ready once the ledger is rebuilt."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._renew_loop)
+            await self._rebuild()
+            nursery.start_soon(self._poll_loop)
+            nursery.start_soon(self._act_loop)
+            nursery.start_soon(self._report_loop)
+            nursery.start_soon(self._usage_loop)
+            task_status.started()
+
+    async def drain(self) -> None:
+        """Start nothing more; wait a while for reports to be committed.
+
+        Running tasks go on under their worker leases for a successor of this
+        process to adopt.
+        """
+        self._starter.leaving = True
+        with trio.move_on_after(DRAIN_S):
+            while len(self._table.reports) or self._table.any_starting():
+                await trio.sleep(ACT_S)
+
+    async def _rebuild(self) -> None:
+        """Take in the worker's list before the first admission.
+
+        A start call of this agent's earlier boot may still be on its way to
+        the worker, which refuses it after at most START_WINDOW_S. The list is
+        therefore read twice, that long apart on the worker's clock.
+        """
+        first: workers.WorkerTasks | None = None
+        while True:
+            asked_at = trio.current_time()
+            listing = await self._link.tasks()
+            if listing is not None:
+                self._table.take_in(listing, asked_at)
+                if first is None or first.boot_id != listing.boot_id:
+                    first = listing
+                if listing.clock > first.clock + _task_starter.START_WINDOW_S:
+                    break
+            await trio.sleep(REBUILD_POLL_S)
+        self._table.finish_rebuild()
+
+    # Messages of owners
+
+    async def _on_start(
+        self, peer: peers.Peer, start: messages.StartTask, _: bytes
+    ) -> None:
+        if await self._starter.accept(peer.node_id, start) and self._nursery:
+            self._nursery.start_soon(self._start, start)
+
+    async def _start(self, start: messages.StartTask) -> None:
+        if not await self._starter.start(start):
+            self._poll_now.set()
+
+    async def _on_stop(
+        self, peer: peers.Peer, stop: messages.StopTask, _: bytes
+    ) -> None:
+        if self._guard.fenced(stop.range_id, stop.fencing):
+            return
+        now = trio.current_time()
+        for attempt in stop.attempts:
+            self._guard.note(attempt, now)
+            if attempt in self._table.tasks:
+                self._requests.stop(attempt, stop.checkpoint)
+            elif attempt in self._table.reports:
+                self._table.hurry(attempt)
+            else:
+                self._requests.ask(
+                    peer.node_id, (attempt,), stop.range_id, now, report=True
+                )
+                self._poll_now.set()
+        self._act_now.set()
+
+    async def _on_query(
+        self, peer: peers.Peer, query: messages.TaskQuery, _: bytes
+    ) -> None:
+        if self._guard.fenced(query.range_id, query.fencing):
+            return
+        now = trio.current_time()
+        for attempt in query.attempts:
+            self._guard.note(attempt, now)
+        self._requests.ask(
+            peer.node_id, query.attempts, query.range_id, now, report=False
+        )
+        self._poll_now.set()
+
+    async def _on_throttle(
+        self, peer: peers.Peer, throttle: messages.ThrottleTask, _: bytes
+    ) -> None:
+        del peer
+        if self._guard.fenced(throttle.range_id, throttle.fencing):
+            return
+        if throttle.attempt in self._table.tasks:
+            self._requests.throttle(throttle.attempt, throttle.share)
+            self._act_now.set()
+
+    async def _on_ack(
+        self, peer: peers.Peer, ack: messages.TaskReportAck, _: bytes
+    ) -> None:
+        del peer
+        self._table.reports.acknowledge(ack.attempts)
+        self._act_now.set()
+
+    # Following the worker
+
+    async def _poll_loop(self) -> None:
+        while True:
+            with trio.move_on_after(POLL_S):
+                await self._poll_now.wait()
+            self._poll_now = trio.Event()
+            asked_at = trio.current_time()
+            listing = await self._link.tasks()
+            if listing is None:
+                await trio.sleep(POLL_S)
+                continue
+            await self._starter.settle(self._table.take_in(listing, asked_at))
+            await self._answer(asked_at)
+            self._guard.forget_old(
+                asked_at, {a.task for a in self._table.tasks}
+            )
+
+    async def _answer(self, asked_at: float) -> None:
+        """Answer queries that came before the list was asked for."""
+        for query in self._requests.answerable(asked_at):
+            absent = tuple(
+                attempt
+                for attempt in query.attempts
+                if not self._table.knows(attempt)
+            )
+            for attempt in query.attempts:
+                self._table.hurry(attempt)
+            if query.report:
+                await self._report_absent(query, absent)
+            else:
+                await self._reply(query, absent)
+
+    async def _report_absent(
+        self,
+        query: _runner_requests.Query,
+        absent: tuple[specs.AttemptId, ...],
+    ) -> None:
+        for attempt in absent:
+            report = _local_tasks.lost_report(
+                attempt, query.range_id, 'not on this host'
+            )
+            await _task_starter.send_or_drop(self._hub, query.peer, report)
+
+    async def _reply(
+        self,
+        query: _runner_requests.Query,
+        absent: tuple[specs.AttemptId, ...],
+    ) -> None:
+        tasks = self._table.tasks
+        running = tuple(
+            attempt
+            for attempt in query.attempts
+            if attempt in tasks
+            and tasks[attempt].state is _local_tasks.LocalState.RUNNING
+        )
+        throttled = tuple(
+            attempt
+            for attempt in running
+            if tasks[attempt].worker_state == 'throttled'
+        )
+        reply = messages.TaskQueryReply(
+            query.range_id, running, absent, throttled
+        )
+        await _task_starter.send_or_drop(self._hub, query.peer, reply)
+
+    # Regular work
+
+    async def _report_loop(self) -> None:
+        while True:
+            with trio.move_on_after(ACT_S):
+                await self._table.reports_changed.wait()
+            self._table.reports_changed = trio.Event()
+            for report in self._table.reports.due(trio.current_time()):
+                owner = self._permits.owner_of(report.range_id)
+                if owner is not None:
+                    await _task_starter.send_or_drop(self._hub, owner, report)
+            _metrics.REPORTS_KEPT.set(len(self._table.reports))
+
+    async def _act_loop(self) -> None:
+        while True:
+            with trio.move_on_after(ACT_S):
+                await self._act_now.wait()
+            self._act_now = trio.Event()
+            await self._forget()
+            if await self._requests.carry_out(self._link):
+                self._poll_now.set()
+
+    async def _forget(self) -> None:
+        attempts = self._table.reports.to_forget()
+        if attempts and await self._link.attempt(
+            'forget', functools.partial(self._link.port.forget, attempts)
+        ):
+            self._table.reports.forgotten(attempts)
+
+    async def _renew_loop(self) -> None:
+        held_back = False
+        while True:
+            await trio.sleep(RENEW_S)
+            now = trio.current_time()
+            acknowledged = now - self._permits.last_ack_at < ACK_VALID_S
+            if not acknowledged and not held_back:
+                observability.emit(catalogue.LEASES_HELD_BACK)
+            held_back = not acknowledged
+            if acknowledged and self._table.tasks:
+                await self._renew(now)
+
+    async def _renew(self, now: float) -> None:
+        clock = self._link.clock
+        if clock is None:
+            return
+        call = functools.partial(
+            self._link.port.renew,
+            tuple(self._table.tasks),
+            clock.to_worker(now + _task_starter.LEASE_S),
+        )
+        await self._link.attempt('renew', call)
+
+    async def _usage_loop(self) -> None:
+        while True:
+            await trio.sleep(USAGE_S)
+            usage = await self._measure()
+            report = messages.UsageReport(
+                self._hub.boot_id,
+                trio.current_time(),
+                usage,
+                self._table.reserved_by_team(),
+            )
+            for peer in self._hub.peers('entry'):
+                await _task_starter.send_or_drop(
+                    self._hub, peer.node_id, report
+                )
+
+    async def _measure(self) -> tuple[messages.TaskUsage, ...]:
+        """Return the worker's measurements, with times on this clock.
+
+        Memory that a task really uses raises its reservation.
+        """
+        found: list[messages.TaskUsage] = []
+
+        async def collect() -> None:
+            found.extend(await self._link.port.usage())
+
+        await self._link.attempt('usage', collect)
+        clock = self._link.clock
+        if clock is None:
+            return ()
+        for item in found:
+            self._ledger.observe(item.attempt, item.usage)
+        return tuple(
+            dataclasses.replace(
+                item, measured_at=clock.to_local(item.measured_at)
+            )
+            for item in found
+        )
