Use one range_of for keys and jobs

Cause: the model and coordination had a range_of each, with other hashes, so a key could have gone to an entry that doesn't own its range.

--- a/citronrail/coordination/__init__.py
+++ b/citronrail/coordination/__init__.py
@@ -12,8 +12,6 @@
 from citronrail.coordination._key_age import AgeRefusal
 from citronrail.coordination._key_age import born_at
 from citronrail.coordination._key_age import Moment
-from citronrail.coordination._key_age import RANGE_COUNT
-from citronrail.coordination._key_age import range_of
 from citronrail.coordination._key_age import SteadyClock
 from citronrail.coordination._key_records import KeeperLimits
 from citronrail.coordination._key_records import Reservation
@@ -34,6 +32,8 @@
 from citronrail.coordination._store_budget import StoreBudget
 from citronrail.coordination._store_budget import StoreUse
 from citronrail.coordination._store_lease import StoreLease
+from citronrail.model.ranges import RANGE_COUNT
+from citronrail.model.ranges import range_of
 
 __all__ = [
     'CLOCK_RATE_MARGIN',
--- a/citronrail/coordination/_key_age.py
+++ b/citronrail/coordination/_key_age.py
@@ -1,15 +1,12 @@
-"""Age of idempotency keys and their place among the ranges."""
+"""Age of idempotency keys."""
 
 import dataclasses
-import hashlib
 import time
 import uuid
 
 import trio
 
-from citronrail.model import identifiers
 
-RANGE_COUNT = 8
 UUID_VERSION = 7
 
 
@@ -40,17 +37,6 @@
         return Moment(trio.current_time(), self._latest)
 
 
-def range_of(key: str, count: int = RANGE_COUNT) -> identifiers.RangeId:
-    """Return the range that keeps a key.
-
-    :param key: idempotency or exclusive key.
-    :param count: number of ranges.
-    :returns: a number from 0, equal in every process and release.
-    """
-    digest = hashlib.blake2b(key.encode(), digest_size=8).digest()
-    return identifiers.RangeId(int.from_bytes(digest, 'big') % count)
-
-
 def born_at(key: str) -> float | None:
     """Return when a key was made, by its caller's clock.
 
--- a/citronrail/coordination/_range_ownership.py
+++ b/citronrail/coordination/_range_ownership.py
@@ -8,7 +8,6 @@
 
 from citronrail.coordination import _extension
 from citronrail.coordination import _fenced_claim as claims
-from citronrail.coordination import _key_age
 from citronrail.coordination import _listener_calls
 from citronrail.coordination import _metrics
 from citronrail.coordination import _owned_ranges as ranges
@@ -24,6 +23,7 @@
 from citronrail.model import codec
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail.model import ranges as model_ranges
 from citronrail import observability
 from citronrail.observability.catalogue import coordination as events
 from citronrail import ports
@@ -66,7 +66,7 @@
         hub: ports.PeerHub,
         address: str,
         timing: OwnershipTiming | None = None,
-        range_count: int = _key_age.RANGE_COUNT,
+        range_count: int = model_ranges.RANGE_COUNT,
     ) -> None:
         self._store = store
         self._me = claims.Member(hub.node_id, hub.boot_id)
--- a/docs/examples/range_ownership.py
+++ b/docs/examples/range_ownership.py
@@ -20,6 +20,15 @@
     def subscribe(self, kind: type, handler: ports.Handler) -> None:
         """Accept a handler that is never called."""
 
+    def listen(
+        self, on_connect: ports.Listener, on_disconnect: ports.Listener
+    ) -> None:
+        """Accept functions that are never called."""
+
+    def find_peer(self, node_id: model.NodeId) -> ports.Peer | None:
+        """Return None, since nobody is connected."""
+        del node_id
+
     async def send(
         self,
         peer: model.NodeId,
