Test takeover by an entry outside the owner's member list

Cause: only members had taken over in the tests, so TakeoverQuery was not proved. Change: a newcomer asks a member, or waits when none answers.

--- a/citronrail/coordination/tests/test_ownership_faults.py
+++ b/citronrail/coordination/tests/test_ownership_faults.py
@@ -188,3 +188,35 @@
     with pytest.raises(BaseExceptionGroup) as caught:
         _simulated.run(_owner_loses_the_store, kill)
     assert caught.group_contains(AssertionError, match='is owned by')
+
+
+async def _newcomer_takes_over(member_answers):
+    """Let an entry outside the owner's list take over; return the time."""
+    async with trio.open_nursery() as nursery:
+        fleet = _fleet.Fleet(nursery)
+        for name in 'ab':
+            await fleet.start(name)
+        await fleet.pass_time(30)
+        wanted = fleet.nodes['a'].owned()
+        for name in 'ab':
+            fleet.nodes[name].store.cut = True
+        await fleet.pass_time(3)
+        if not member_answers:
+            fleet.kill('b')
+        await fleet.start('d')
+        begun = trio.current_time()
+        while not wanted <= fleet.nodes['d'].owned():
+            await fleet.pass_time(0.5)
+            assert trio.current_time() < begun + 200
+        nursery.cancel_scope.cancel()
+        return trio.current_time() - begun
+
+
+@pytest.mark.parametrize(
+    'member_answers, earliest_s, latest_s',
+    [(True, 4, 15), (False, 120, 135)],
+)
+def test_newcomer_asks_the_members(member_answers, earliest_s, latest_s):
+    """Guards promises that an entry outside the list knows nothing of."""
+    taken_s = _simulated.run(_newcomer_takes_over, member_answers)
+    assert earliest_s <= taken_s <= latest_s
