--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -80,12 +80,17 @@
         )
         self._build_membership(address)
         self._build_routing(rng)
+        policies, placement = _entry_shards.make_placement(rng)
+        self.placement = _entry_shards.PlacementFollower(
+            self.follower, placement
+        )
         self.shards = _entry_shards.make_scheduler(
             self.hub,
             self.follower,
             self.silence,
             self.ownership,
             self.store.for_use(coordination.StoreUse.SHARD),
+            policies,
             rng,
         )
         self.commands = self._make_commands()
@@ -190,6 +195,7 @@
         app.add('settings', self.follower.run)
         app.add('directory', self.directory.run)
         app.add('mesh', self.mesh.run)
+        app.add('placement policy', self.placement.run)
         app.add('shards', self.shards.run)
         app.add('ownership', self.ownership.run, self.ownership.drain)
         app.add('silence', self.silence.run, self._stop_acknowledging)
