Split the builder of command nodes

Change: reading of options and literals moved to a module of its own. Conclusion: no change in behaviour.

--- a/citronrail/language/_parser.py
+++ b/citronrail/language/_parser.py
@@ -9,6 +9,7 @@
 from citronrail import errors
 from citronrail.language import _builder
 from citronrail.language import _nodes
+from citronrail.language import _reading
 
 MAX_COMMAND_CHARACTERS = 64 * 1024
 MAX_SCRIPT_CHARACTERS = 4 * 1024 * 1024
@@ -44,10 +45,10 @@
         )
     try:
         tree: typing.Any = _parser().parse(text)
-    except _builder.Misplaced as exc:
+    except _reading.Misplaced as exc:
         raise _misplaced(text, exc) from exc
     except lark.exceptions.VisitError as exc:
-        if not isinstance(exc.orig_exc, _builder.Misplaced):
+        if not isinstance(exc.orig_exc, _reading.Misplaced):
             raise
         raise _misplaced(text, exc.orig_exc) from exc
     except lark.exceptions.UnexpectedInput as exc:
@@ -140,7 +141,7 @@
 
 
 def _misplaced(
-    text: str, exc: _builder.Misplaced
+    text: str, exc: _reading.Misplaced
 ) -> errors.CommandSyntaxError:
     line = exc.token.line if exc.token else None
     column = exc.token.column if exc.token else None
