--- a/citronrail/cli/tests/test_main.py
+++ b/citronrail/cli/tests/test_main.py
@@ -1,9 +1,12 @@
 """Guards the command-line tool as operators use it."""
 
 import json
+import os
 import pathlib
 import re
 import shlex
+import subprocess
+import sys
 
 import pytest
 import trio
@@ -148,6 +151,33 @@
     assert 'complete' in captured.out
 
 
+@pytest.mark.parametrize(
+    ('line', 'expected'),
+    [
+        ('citronrail ti', ['timeline']),
+        ('citronrail --output ', ['table', 'json']),
+        ('citronrail timeline --tr', ['--trace']),
+    ],
+)
+def test_shell_completion_offers_words(line, expected, tmp_path):
+    """Guards the parser's form that the completion reads."""
+    found = tmp_path / 'words'
+    subprocess.run(
+        [sys.executable, '-m', 'citronrail.cli'],
+        cwd=EXAMPLES.parents[1],
+        check=False,
+        env={
+            **os.environ,
+            '_ARGCOMPLETE': '1',
+            '_ARGCOMPLETE_IFS': ' ',
+            '_ARGCOMPLETE_STDOUT_FILENAME': str(found),
+            'COMP_LINE': line,
+            'COMP_POINT': str(len(line)),
+        },
+    )
+    assert found.read_text().split() == expected
+
+
 def test_examples_of_the_help_are_right():
     """Guards the commands that a new user starts from."""
     found = 0
