--- a/citronrail/routing/_balancing.py
+++ b/citronrail/routing/_balancing.py
@@ -10,9 +10,10 @@
 
 DEFAULT_DISTANCE_MS = 1.5  # one way between data centres
 DEFAULT_LATENCY_MS = 5.0  # for agents that have not answered anything yet
-# Averages of a few answers differ by this factor between equal agents. An
-# agent that always lost for such a difference would get no new answers.
-NOISE_FACTOR = 1.25
+# How firmly the cheaper of two agents is preferred. The averages of equal
+# agents differ by a third at times, and an agent that always lost for that
+# would get no new answers. At twice the cost an agent wins 1 time in 65.
+SHARPNESS = 6
 STALE_S = 3.0  # three lost heartbeats
 
 
@@ -156,10 +157,8 @@
     match policy:
         case TwoChoices(distance_ms):
             pair = rng.sample(pool, min(2, len(pool)))
-            costs = [cost_ms(one, distance_ms) for one in pair]
-            if max(costs) < NOISE_FACTOR * min(costs):
-                return pair[0]
-            return pair[costs.index(min(costs))]
+            weights = [cost_ms(one, distance_ms) ** -SHARPNESS for one in pair]
+            return rng.choices(pair, weights)[0]
         case LeastLoaded(distance_ms):
             return min(pool, key=lambda one: cost_ms(one, distance_ms))
         case RoundRobin():
--- a/citronrail/routing/_keys.py
+++ b/citronrail/routing/_keys.py
@@ -16,6 +16,7 @@
 from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 from citronrail import ports
+from citronrail.routing import _key_verdicts
 from citronrail.routing import _requests
 
 MAX_STORED_BYTES = 64 * 1024
@@ -24,18 +25,12 @@
 _COMPLETE_WAIT_S = 0.25
 
 
-@dataclasses.dataclass(frozen=True)
-class KeyAnswer:
-    """Answer of a keeper; ``reply.start_before`` is on the local clock."""
-
-    reply: messages.ReserveReply
-    body: bytes = b''
-
-
 class Keeper(typing.Protocol):
     """Keeps the records of the ranges that this entry owns."""
 
-    def reserve(self, message: messages.ReserveKey, now: float) -> KeyAnswer:
+    def reserve(
+        self, message: messages.ReserveKey, now: float
+    ) -> _key_verdicts.KeyAnswer:
         """Decide on a reservation; ``not owner`` for foreign ranges.
 
         :param message: the wish; its times are on the local clock.
@@ -63,41 +58,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True)
-class Granted:
-    """The request may run if it starts before a local time in seconds."""
-
-    start_before: float
-
-
-@dataclasses.dataclass(frozen=True)
-class Replayed:
-    """The request was answered before; this is its stored answer."""
-
-    status: int
-    headers: messages.Headers
-    body: bytes
-
-
-@dataclasses.dataclass(frozen=True)
-class NotGranted:
-    """The request must not run now."""
-
-    problem: _requests.Problem
-
-
-Reservation = Granted | Replayed | NotGranted
-
-
-@dataclasses.dataclass(frozen=True)
-class StoredAnswer:
-    """An answer that is small enough to be kept."""
-
-    status: int
-    headers: messages.Headers
-    body: bytes
-
-
 def fingerprint(req: _requests.CallerRequest) -> str:
     """Return a digest that tells requests with the same key apart.
 
@@ -125,7 +85,8 @@
         self._keeper = keeper
         self._owner_of = owner_of
         self._replies: dict[
-            identifiers.RequestId, trio.MemorySendChannel[KeyAnswer]
+            identifiers.RequestId,
+            trio.MemorySendChannel[_key_verdicts.KeyAnswer],
         ] = {}
         hub.subscribe(messages.ReserveKey, self._on_reserve)
         hub.subscribe(messages.ReserveReply, self._on_reply)
@@ -137,7 +98,7 @@
         opts: _requests.RequestOptions,
         deadline: float,
         hold_s: float,
-    ) -> Reservation:
+    ) -> _key_verdicts.Reservation:
         """Reserve the keys of a request, the idempotency key first.
 
         :param req: the request.
@@ -157,10 +118,10 @@
                 if answer is None or answer.reply.verdict != 'granted':
                     if answer is not None:
                         asked.remove(wish)
-                    return _not_granted(answer, wish)
+                    return _key_verdicts.not_granted(answer, wish)
                 start_before = min(start_before, answer.reply.start_before)
             granted = True
-            return Granted(start_before)
+            return _key_verdicts.Granted(start_before)
         finally:
             # An owner that gave no answer may have granted the key, too.
             if not granted:
@@ -174,7 +135,7 @@
         outcome: outcomes.Outcome,
         *,
         ended: bool,
-        answer: StoredAnswer | None = None,
+        answer: _key_verdicts.StoredAnswer | None = None,
     ) -> None:
         """Tell the owners how a granted request ended.
 
@@ -198,7 +159,7 @@
         wish: messages.ReserveKey,
         outcome: outcomes.Outcome,
         ended: bool,
-        answer: StoredAnswer | None,
+        answer: _key_verdicts.StoredAnswer | None,
     ) -> None:
         stored = answer if wish.key else None
         message = messages.CompleteKey(
@@ -240,7 +201,7 @@
 
     async def _ask(
         self, wish: messages.ReserveKey, deadline: float
-    ) -> KeyAnswer | None:
+    ) -> _key_verdicts.KeyAnswer | None:
         """Ask the owner; None if it can't be reached in time."""
         until = min(deadline, trio.current_time() + REPLY_WAIT_S)
         with trio.move_on_at(until):
@@ -253,13 +214,13 @@
 
     async def _ask_once(
         self, wish: messages.ReserveKey, until: float
-    ) -> KeyAnswer | None:
+    ) -> _key_verdicts.KeyAnswer | None:
         owner = self._owner_of(wish.range_id)
         if owner is None:
             return None
         if owner == self._hub.node_id:
             return self._keeper.reserve(wish, trio.current_time())
-        send, receive = trio.open_memory_channel[KeyAnswer](1)
+        send, receive = trio.open_memory_channel[_key_verdicts.KeyAnswer](1)
         self._replies[wish.request_id] = send
         try:
             remote = dataclasses.replace(
@@ -299,7 +260,7 @@
         waiting = self._replies.get(message.request_id)
         if waiting is not None:
             with contextlib.suppress(trio.WouldBlock):
-                waiting.send_nowait(KeyAnswer(message, body))
+                waiting.send_nowait(_key_verdicts.KeyAnswer(message, body))
 
     async def _on_complete(
         self, _: ports.Peer, message: messages.CompleteKey, body: bytes
@@ -334,69 +295,3 @@
             hold_s,
             deadline,
         )
-
-
-def _not_granted(
-    answer: KeyAnswer | None, wish: messages.ReserveKey
-) -> Reservation:
-    if answer is None:
-        return _refusal(503, 'The owner of the key cannot be reached', '', 1)
-    reply = answer.reply
-    match reply.verdict:
-        case 'done' if reply.status:
-            return Replayed(reply.status, reply.headers, answer.body)
-        case 'done':
-            return _refusal(
-                409,
-                'The request was answered before',
-                'Its answer was too large to be kept.',
-                outcome=outcomes.Outcome.DONE,
-            )
-        case 'in progress':
-            return _refusal(
-                409,
-                'A request with this key is in progress',
-                reply.reason,
-                1,
-                outcome=_while_in_progress(wish),
-            )
-        case 'conflict':
-            return _refusal(
-                422,
-                'The key was used for a different request',
-                reply.reason,
-            )
-        case 'unknown':
-            return _refusal(
-                409,
-                'What became of the request with this key is not known',
-                reply.reason,
-                outcome=outcomes.Outcome.UNKNOWN,
-            )
-        case _:
-            return _refusal(503, 'The request was refused', reply.reason, 1)
-
-
-def _while_in_progress(wish: messages.ReserveKey) -> outcomes.Outcome:
-    """Return the outcome to report while another request holds the key.
-
-    A request with the same idempotency key is the same request, so its
-    outcome is not known yet; one that only shares the exclusive key was not
-    run.
-    """
-    if wish.key:
-        return outcomes.Outcome.UNKNOWN
-    return outcomes.Outcome.NOT_RUN
-
-
-def _refusal(
-    status: int,
-    title: str,
-    detail: str,
-    retry_after_s: int = 0,
-    *,
-    outcome: outcomes.Outcome = outcomes.Outcome.NOT_RUN,
-) -> NotGranted:
-    return NotGranted(
-        _requests.Problem(status, title, detail, outcome, retry_after_s)
-    )
--- a/citronrail/routing/_owned_keys.py
+++ b/citronrail/routing/_owned_keys.py
@@ -14,7 +14,7 @@
 from citronrail import observability
 from citronrail.observability.catalogue import routing as events
 from citronrail import ports
-from citronrail.routing import _keys
+from citronrail.routing import _key_verdicts
 
 HANDOVER_WAIT_S = 3.0
 MAX_RECORDS_A_MESSAGE = 500
@@ -76,7 +76,7 @@
 
     def reserve(
         self, message: messages.ReserveKey, now: float
-    ) -> _keys.KeyAnswer:
+    ) -> _key_verdicts.KeyAnswer:
         """Decide on a reservation; ``not owner`` for foreign ranges.
 
         :param message: the reservation, with times on the local clock.
@@ -89,10 +89,10 @@
             reply = messages.ReserveReply(
                 message.request_id, 'not owner', 'the range is owned elsewhere'
             )
-            return _keys.KeyAnswer(reply)
+            return _key_verdicts.KeyAnswer(reply)
         del now
         decided = keeper.reserve(message, self._clock.now(), owned.deadline)
-        return _keys.KeyAnswer(decided.reply, decided.body)
+        return _key_verdicts.KeyAnswer(decided.reply, decided.body)
 
     def complete(
         self, message: messages.CompleteKey, body: bytes, now: float
--- a/citronrail/routing/_relay.py
+++ b/citronrail/routing/_relay.py
@@ -10,6 +10,7 @@
 from citronrail.routing import _dispatch
 from citronrail.routing import _exchanges
 from citronrail.routing import _feeds
+from citronrail.routing import _key_verdicts
 from citronrail.routing import _keys
 from citronrail.routing import _requests
 from citronrail.routing import _verdicts
@@ -102,12 +103,12 @@
         """Allow the agent further chunks when it is time."""
         await self._dispatch.grant(self.exchange)
 
-    def stored_answer(self) -> _keys.StoredAnswer | None:
+    def stored_answer(self) -> _key_verdicts.StoredAnswer | None:
         """Return the answer, None if it is too large to be kept."""
         started = self.exchange.started
         if started is None or self._size > _keys.MAX_STORED_BYTES:
             return None
-        return _keys.StoredAnswer(
+        return _key_verdicts.StoredAnswer(
             started.status, started.headers, b''.join(self._copy)
         )
 
--- a/citronrail/routing/_router.py
+++ b/citronrail/routing/_router.py
@@ -15,6 +15,7 @@
 from citronrail.routing import _attempts
 from citronrail.routing import _dispatch
 from citronrail.routing import _exchanges
+from citronrail.routing import _key_verdicts
 from citronrail.routing import _keys
 from citronrail.routing import _load_book
 from citronrail.routing import _metrics
@@ -148,14 +149,14 @@
             req, opts, deadline, self._max_run_s(req.service)
         )
         match reservation:
-            case _keys.NotGranted(problem):
+            case _key_verdicts.NotGranted(problem):
                 return problem
-            case _keys.Replayed(status, headers, body):
+            case _key_verdicts.Replayed(status, headers, body):
                 await respond.start(status, headers, outcomes.Outcome.DONE)
                 await respond.write(body)
                 await respond.finish()
                 return None
-            case _keys.Granted(start_before):
+            case _key_verdicts.Granted(start_before):
                 return await self._run_granted(
                     _progress(req, opts, deadline, start_before), respond
                 )
@@ -227,7 +228,7 @@
     async def _complete(
         self,
         progress: _attempts.Progress,
-        answer: _keys.StoredAnswer | None,
+        answer: _key_verdicts.StoredAnswer | None,
     ) -> None:
         """Note a whole answer, before the caller sees its end.
 
--- a/citronrail/routing/_runner.py
+++ b/citronrail/routing/_runner.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import contextlib
-import dataclasses
 
 import trio
 
@@ -19,6 +18,7 @@
 from citronrail.routing import _latency
 from citronrail.routing import _metrics
 from citronrail.routing import _requests
+from citronrail.routing import _run_times
 from citronrail.routing import _runs
 from citronrail.routing import _slots
 
@@ -35,17 +35,6 @@
 MaxRun = collections.abc.Callable[[identifiers.ServiceName], float]
 
 
-@dataclasses.dataclass(frozen=True)
-class RunnerLimits:
-    """What the backend servers beside this agent accept together.
-
-    A feed of events keeps its connection but no slot.
-    """
-
-    slots: int = 8
-    connections: int = 64
-
-
 class RequestRunner:
     """Runs requests on the backend servers beside this agent.
 
@@ -60,18 +49,19 @@
         hub: ports.PeerHub,
         backend_server: ports.BackendServer,
         *,
-        limits: RunnerLimits | None = None,
+        limits: _slots.RunnerLimits | None = None,
         max_run_s: MaxRun = lambda _: DEFAULT_MAX_RUN_S,
     ) -> None:
         self._hub = hub
         self._backend_server = backend_server
-        self._limits = limits or RunnerLimits()
+        self._limits = limits or _slots.RunnerLimits()
         self._max_run_s = max_run_s
         self._backends = _backends.BackendTable(self._backends_changed)
         self._slots = _slots.SlotQueue(self._limits.slots)
         self._runs = _runs.RunTable()
         self._open: dict[_runs.RunId, _runs.Run] = {}
         self._latencies = _latency.LatencyBook()
+        self._times = _run_times.RunTimes(self._slots, self._latencies)
         self._leaving = False
         self._nursery: trio.Nursery | None = None
         hub.subscribe(messages.RunRequest, self._on_run)
@@ -186,7 +176,7 @@
             run_id,
             _runs.RunState.QUEUED,
             message.start_before + _runs.FORGET_S,
-            exclusive=_is_exclusive(message),
+            exclusive=_runs.is_exclusive(message),
             credit=message.credit,
         )
         reason = self._refusal(message, now)
@@ -252,34 +242,12 @@
             return _LEAVING
         if len(self._open) >= self._limits.connections:
             return _FULL
-        start_before = self._latest_start(message)
-        wait_s = self._expected_wait_s(message.service, start_before)
-        if now + wait_s > start_before:
+        if self._times.too_late(message, now):
             return _TOO_LATE
         if self._backends.choose(message.service, now) is None:
             return _NO_BACKEND
         return ''
 
-    def _latest_start(self, message: messages.RunRequest) -> float:
-        """Return the local time after which a run would not end in time.
-
-        A run that starts just before its deadline wastes a slot and leaves
-        the caller with an unknown outcome.
-        """
-        needed_s = self._needed_s(message.service)
-        return min(message.start_before, message.finish_before - needed_s)
-
-    def _needed_s(self, service: identifiers.ServiceName) -> float:
-        return self._latencies.ms(service, trio.current_time()) / 1000
-
-    def _expected_wait_s(
-        self, service: identifiers.ServiceName, start_before: float
-    ) -> float:
-        if self._slots.used < self._slots.slots:
-            return 0.0
-        turns = (self._slots.ahead_of(start_before) + 1) / self._slots.slots
-        return turns * self._needed_s(service)
-
     async def _refuse(
         self, run: _runs.Run, reason: str, *, leaving: bool = False
     ) -> None:
@@ -306,7 +274,10 @@
     ) -> None:
         try:
             with run.scope:
-                slot = await self._slots.acquire(self._latest_start(message))
+                now = trio.current_time()
+                slot = await self._slots.acquire(
+                    self._times.latest_start(message, now)
+                )
                 if slot is None:
                     await self._refuse(run, _TOO_LATE)
                     return
@@ -333,7 +304,7 @@
             return  # the cancellation was answered with `not run`
         now = trio.current_time()
         backend = self._backends.choose(message.service, now)
-        if now > self._latest_start(message):
+        if now > self._times.latest_start(message, now):
             await self._refuse(run, _TOO_LATE)
             return
         if backend is None or self._leaving:
@@ -423,10 +394,3 @@
         await _entry_news.push_backends(
             self._hub, self._backends.states(), self._leaving
         )
-
-
-def _is_exclusive(message: messages.RunRequest) -> bool:
-    return any(
-        name.lower() == 'citronrail-exclusive' and value
-        for name, value in message.headers
-    )
--- a/citronrail/routing/_runs.py
+++ b/citronrail/routing/_runs.py
@@ -127,3 +127,14 @@
     return RunId(
         peer.node_id, peer.boot_id, message.request_id, message.attempt
     )
+
+
+def is_exclusive(message: messages.RunRequest) -> bool:
+    """Tell whether a request may only run while no other one does.
+
+    :param message: the request.
+    """
+    return any(
+        name.lower() == 'citronrail-exclusive' and value
+        for name, value in message.headers
+    )
--- a/citronrail/routing/_slots.py
+++ b/citronrail/routing/_slots.py
@@ -1,11 +1,23 @@
 """Slots of an agent, given in the order of deadlines."""
 
+import dataclasses
 import heapq
 import itertools
 
 import trio
 
 
+@dataclasses.dataclass(frozen=True)
+class RunnerLimits:
+    """What the backend servers beside this agent accept together.
+
+    A feed of events keeps its connection but no slot.
+    """
+
+    slots: int = 8
+    connections: int = 64
+
+
 class SlotQueue:
     """Limits how many requests a host works on at once.
 
--- a/citronrail/routing/tests/test_mechanisms.py
+++ b/citronrail/routing/tests/test_mechanisms.py
@@ -14,6 +14,7 @@
 from citronrail.routing import _exchanges
 from citronrail.routing import _feeds
 from citronrail.routing import _retry_budget
+from citronrail.routing import _run_times
 from citronrail.routing import _runner
 from citronrail.routing import _runs
 from citronrail.routing import _slots
@@ -264,8 +265,15 @@
     assert failed < 30
 
 
-def test_request_that_cannot_be_in_time_is_refused_early():
-    """Guards against queues full of requests that nobody waits for."""
+@NAIVE_AND_REAL
+def test_request_that_cannot_be_in_time_is_refused(naive, monkeypatch):
+    """Guards against runs that start just before nobody waits any more."""
+    if naive:
+        times = _run_times.RunTimes
+        monkeypatch.setattr(times, 'too_late', lambda *args: False)
+        monkeypatch.setattr(
+            times, 'latest_start', lambda self, message, now: 1e9
+        )
     seen = []
 
     async def scenario(world, nursery):
@@ -283,5 +291,6 @@
         scenario, worlds.Behaviour(service_s=0.05), agents=1, limits=limits
     )
     # Two slots can answer about 80 in the two seconds.
-    assert seen.count(outcomes.Outcome.DONE) > 50
-    assert seen.count(outcomes.Outcome.UNKNOWN) < 40
+    kept = seen.count(outcomes.Outcome.DONE) > 50
+    kept = kept and seen.count(outcomes.Outcome.UNKNOWN) < 40
+    assert kept != naive
