--- a/citronrail/daemon/_ports_of_settings.py
+++ b/citronrail/daemon/_ports_of_settings.py
@@ -8,8 +8,8 @@
 from citronrail import adapters
 from citronrail.daemon import _process_settings
 from citronrail.model import identifiers
-from citronrail.observability.catalogue import daemon as events
 from citronrail import observability
+from citronrail.observability.catalogue import daemon as events
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -107,3 +107,11 @@
         """Accept no connection and wait for requests in progress."""
         self._shutdown.set()
         await self._closed.wait()
+
+
+async def idle(
+    *, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+) -> None:
+    """Run nothing; for parts that only drain."""
+    task_status.started()
+    await trio.sleep_forever()
--- a/citronrail/language/__init__.py
+++ b/citronrail/language/__init__.py
@@ -1,8 +1,14 @@
 """The operators' query and command language."""
 
+from citronrail.language._changes import changed
+from citronrail.language._entry_overview import EntryOverview
+from citronrail.language._facts import Facts
+from citronrail.language._facts import SeenWorker
+from citronrail.language._fleet_facts import FleetFacts
 from citronrail.language._format import format  # noqa: A004
 from citronrail.language._format import format_condition
 from citronrail.language._format import without_version
+from citronrail.language._local_rows import Views
 from citronrail.language._nodes import And
 from citronrail.language._nodes import Cancel
 from citronrail.language._nodes import Change
@@ -35,20 +41,40 @@
 from citronrail.language._parser import keywords
 from citronrail.language._parser import parse
 from citronrail.language._parser import parse_script
+from citronrail.language._policy_checks import PolicyChecks
+from citronrail.language._ports import Cancelled
+from citronrail.language._ports import JobShards
+from citronrail.language._ports import RangeDirectory
+from citronrail.language._ports import RowPredicate
+from citronrail.language._ports import SettingsWriter
+from citronrail.language._query import evaluate
+from citronrail.language._query import Result
+from citronrail.language._scheduler_shards import SchedulerShards
+from citronrail.language._service import CommandService
+from citronrail.language._tables import columns
+from citronrail.language._tables import EntryRow
+from citronrail.language._tables import RequestRow
 
 __all__ = [
     'And',
     'Cancel',
+    'Cancelled',
     'Change',
     'ChangePolicy',
     'ChangeService',
     'ChangeTeam',
     'Command',
+    'CommandService',
     'Comparison',
     'Condition',
     'Drain',
     'Duration',
+    'EntryRow',
+    'EntryOverview',
+    'Facts',
+    'FleetFacts',
     'JobCommand',
+    'JobShards',
     'Membership',
     'Memory',
     'Not',
@@ -56,9 +82,17 @@
     'Or',
     'OrderKey',
     'Place',
+    'PolicyChecks',
     'PolicyKind',
+    'RangeDirectory',
+    'RequestRow',
+    'Result',
     'Return',
+    'RowPredicate',
+    'SchedulerShards',
+    'SeenWorker',
     'SettingsCommand',
+    'SettingsWriter',
     'Show',
     'StartJob',
     'StartService',
@@ -66,6 +100,10 @@
     'StopService',
     'TableName',
     'Time',
+    'Views',
+    'changed',
+    'columns',
+    'evaluate',
     'format',
     'format_condition',
     'keywords',
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -299,12 +299,14 @@
 
     An attempt in ``absent`` doesn't run, and a late :class:`StartTask` for it
     is refused. One in neither list is being started or has ended; a
-    :class:`StartReply` or :class:`TaskReport` follows.
+    :class:`StartReply` or :class:`TaskReport` follows. ``throttled`` names
+    those of ``running`` that are limited to a share of their processors.
     """
 
     range_id: identifiers.RangeId
     running: tuple[specs.AttemptId, ...] = ()
     absent: tuple[specs.AttemptId, ...] = ()
+    throttled: tuple[specs.AttemptId, ...] = ()
 
 
 @_message
@@ -612,7 +614,12 @@
 
 @_message
 class CommandReply:
-    """Result of a command or query, with a table for queries."""
+    """Result of a command or query, with a table for queries.
+
+    ``more`` tells that rows were left out. Between entries, ``ranges`` names
+    the ranges that the sender owned from the start of the command to its
+    end, and ``count`` how many tasks or jobs it cancelled in them.
+    """
 
     command_id: identifiers.CommandId
     outcome: outcomes.Outcome
@@ -620,6 +627,24 @@
     settings_version: int = 0
     columns: tuple[str, ...] = ()
     rows: tuple[tuple[Cell, ...], ...] = ()
+    more: bool = False
+    ranges: tuple[identifiers.RangeId, ...] = ()
+    count: int = 0
+
+
+@_message
+class TimelineQuery:
+    """Entry to any process: send your timeline, at most ``limit`` events."""
+
+    seq: int
+    limit: int
+
+
+@_message
+class TimelineReply:
+    """Answer to a timeline query; frame 1 is the compressed timeline."""
+
+    seq: int
 
 
 @_message
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -28,3 +28,9 @@
 SETTINGS_BEHIND = _events.EventKind(
     1010, 'WARNING', 'other entries know settings version {version}'
 )
+WORKER_NOT_READY = _events.EventKind(
+    1011, 'WARNING', 'worker gave no answer: {reason}'
+)
+POLICY_UNKNOWN = _events.EventKind(
+    1012, 'ERROR', 'placement policy of the settings not used: {reason}'
+)
--- a/citronrail/scheduling/_shard_runner.py
+++ b/citronrail/scheduling/_shard_runner.py
@@ -25,6 +25,9 @@
 from citronrail.scheduling import _upkeep
 
 RETRY_S = 0.5  # pause after a commit that the store did not take
+# Rounds of a shard take at most this part of the process's time: a long queue
+# without free workers must not slow down callers' requests.
+ROUND_PAUSE = 5.0
 
 
 class ShardRunner:
@@ -55,6 +58,7 @@
         self._upkeep = _upkeep.Upkeep(owned, context)
         self._local_ends: list[_attempt_changes.AttemptEnd] = []
         self._waiting: _round.RoundPlan = _round.RoundPlan()
+        self._next_round_at = 0.0
         self._wake = trio.Event()
         self._stopping = False
         self._stopped = trio.Event()
@@ -133,6 +137,9 @@
             live=_shard_state.live_count(self.state),
         )
         try:
+            # A read of the store may be answered from an old state; a commit
+            # is not. Nothing is concluded before one has succeeded.
+            await self._document.commit(_unchanged)
             while not self._stopping:
                 await self._wait()
                 if self.owned.deadline <= trio.current_time():
@@ -189,8 +196,12 @@
             self._local_ends = local
             return False
         self._note(reading, before, batch)
+        throttles = self._upkeep.lift_unknown(reading.throttled)
         self._local_ends += await self._dispatch.send_all(
-            self.state, reserved, reading, kept.throttles if kept else ()
+            self.state,
+            reserved,
+            reading,
+            (*throttles, *(kept.throttles if kept else ())),
         )
         if self._local_ends or len(self._inbox):
             self._wake.set()
@@ -201,19 +212,22 @@
         now = trio.current_time()
         if self._context.settings_fresh_until() <= now:
             return _round.RoundPlan()
+        if now < self._next_round_at:
+            return dataclasses.replace(
+                self._waiting, assignments=(), parked=()
+            )
         plan = await _round.plan_round(self.state, self._context)
-        _metrics.ROUND_SECONDS.observe(trio.current_time() - now)
+        took_s = trio.current_time() - now
+        self._next_round_at = now + took_s * ROUND_PAUSE
+        _metrics.ROUND_SECONDS.observe(took_s)
         return plan
 
     async def _commit(self, batch: _batch.Batch) -> bool:
         if not batch:
             return True
         begun = trio.current_time()
-        unix_now = self._context.wall_clock()
         try:
-            await self._document.commit(
-                functools.partial(_apply, batch, unix_now)
-            )
+            await self._commit_fitting(batch)
         except (errors.StoreUnavailable, errors.StoreBudgetExceeded) as exc:
             observability.emit(
                 catalogue.COMMIT_FAILED,
@@ -226,6 +240,26 @@
         _metrics.LIVE.labels(label).set(_shard_state.live_count(self.state))
         return True
 
+    async def _commit_fitting(self, batch: _batch.Batch) -> None:
+        """Commit a batch; when the shard is full, only what shrinks it."""
+        unix_now = self._context.wall_clock()
+        try:
+            await self._document.commit(
+                functools.partial(_apply, batch, unix_now)
+            )
+        except errors.DocumentFull as exc:
+            observability.emit(
+                catalogue.COMMIT_FAILED,
+                range=self.owned.range_id,
+                reason=exc.message,
+            )
+            shrinking = dataclasses.replace(
+                batch, assignments=(), services=(), replaced=(), parked=()
+            )
+            await self._document.commit(
+                functools.partial(_apply, shrinking, unix_now)
+            )
+
     def _judged(
         self, ended: tuple[_inbox.Ended, ...]
     ) -> tuple[_attempt_changes.AttemptEnd, ...]:
@@ -288,6 +322,10 @@
                 )
 
 
+def _unchanged(state: _shard_state.ShardState) -> _shard_state.ShardState:
+    return state
+
+
 def _apply(
     batch: _batch.Batch, unix_now: float, state: _shard_state.ShardState
 ) -> _shard_state.ShardState:
--- a/citronrail/scheduling/tests/_cluster.py
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -24,6 +24,41 @@
 SHARD = identifiers.RangeId(0)
 
 
+class FreezableHub(memory_peers.MemoryHub):
+    """A hub of a process that can be stopped and continued.
+
+    What the process was about to send while stopped leaves after it
+    continued, unchanged.
+    """
+
+    stopped = False
+
+    async def send(self, peer, message, payload=None):
+        while self.stopped:
+            await trio.sleep(0.05)
+        await super().send(peer, message, payload)
+
+
+class FreezableStore:
+    """The store as one process reaches it."""
+
+    def __init__(self, store) -> None:
+        self._store = store
+        self.stopped = False
+
+    async def get(self, key):
+        await self._wait()
+        return await self._store.get(key)
+
+    async def txn(self, compares, writes):
+        await self._wait()
+        return await self._store.txn(compares, writes)
+
+    async def _wait(self):
+        while self.stopped:
+            await trio.sleep(0.05)
+
+
 class Permits:
     """What an agent was told; set by the simulated entries."""
 
@@ -58,13 +93,13 @@
     """An entry process with its scheduler."""
 
     name: str
-    hub: memory_peers.MemoryHub
+    hub: FreezableHub
+    store: FreezableStore
     scheduler: scheduling.JobScheduler
     scope: trio.CancelScope
     fencing: int = 0
     lease_until: float = 0.0
     frozen: bool = False
-    last_acks: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -87,7 +122,7 @@
 
     @property
     def settings(self):
-        return self._cluster.settings
+        return self._cluster.owner_settings or self._cluster.settings
 
     @property
     def fresh_at(self):
@@ -106,13 +141,8 @@
 
     def quiet_spans(self, node_id):
         now = trio.current_time()
-        last = max(
-            (
-                entry.last_acks.get(node_id, 0.0)
-                for entry in self._cluster.entries.values()
-            ),
-            default=0.0,
-        )
+        # Also those of entries that have died since, as membership keeps them.
+        last = self._cluster.last_acks.get(node_id, 0.0)
         return (scheduling.QuietSpan(last, now),)
 
     def find(self, range_id):
@@ -150,6 +180,10 @@
         self.policies = scheduling.default_policies
         self.limits = scheduling.Limits(replica_ready_s=3.0)
         self.agent_count = agents
+        self.exclusive_jobs: set[str] = set()
+        self.last_acks: dict[str, float] = {}
+        self.pause_permits = False
+        self.owner_settings: settings_model.Settings | None = None
 
     async def start(self) -> None:
         """Start the network, the agents and the loops between them."""
@@ -214,7 +248,8 @@
 
     async def add_entry(self, name: str, own: bool = True) -> Entry:
         """Start an entry; with ``own`` it takes over the shard."""
-        hub = memory_peers.MemoryHub(
+        store = FreezableStore(self.store)
+        hub = FreezableHub(
             self.network,
             ports.Peer(
                 identifiers.NodeId(name),
@@ -228,7 +263,7 @@
 
         def make_document(owned):
             return coordination.GroupCommitDocument(
-                self.store,
+                store,
                 f'/citronrail/shards/{owned.range_id}',
                 scheduling.ShardState(),
                 coordination.CommitScope(
@@ -254,7 +289,7 @@
             wall_clock=lambda: 1_000_000.0 + trio.current_time(),
             limits=self.limits,
         )
-        entry = Entry(name, hub, scheduler, trio.CancelScope())
+        entry = Entry(name, hub, store, scheduler, trio.CancelScope())
         self.entries[name] = entry
         self.nursery.start_soon(self._run_in, entry.scope, scheduler.run)
         await trio.sleep(0.01)
@@ -268,20 +303,58 @@
         key = '/citronrail/ranges/0'
         while True:
             try:
-                await self.store.txn(
+                written = await self.store.txn(
                     [], [ports.Put(key, str(self.fencing).encode())]
                 )
-                item = await self.store.get(key)
                 break
             except Exception:  # noqa: BLE001 - store faults of the test
                 await trio.sleep(0.2)
-        self.guards[self.fencing] = ports.Compare(key, item.revision)
+        self.guards[self.fencing] = ports.Compare(key, written.revision)
         entry.fencing = self.fencing
         entry.lease_until = trio.current_time() + 5.0
         await entry.scheduler.acquired(
             EntryPorts(self, entry.name).find(SHARD)
         )
 
+    async def freeze_entry(self, entry: Entry, seconds: float) -> None:
+        """Stop an entry process for a while."""
+        entry.frozen = entry.hub.stopped = entry.store.stopped = True
+        entry.hub.freeze()
+        await trio.sleep(seconds)
+        entry.frozen = entry.hub.stopped = entry.store.stopped = False
+        await entry.hub.thaw()
+
+    async def cut_agent(self, agent: Agent, seconds: float) -> None:
+        """Cut an agent off from all entries for a while."""
+        self._cut(agent, True)
+        await trio.sleep(seconds)
+        self._cut(agent, False)
+        for entry in self.entries.values():
+            self.hello(agent, entry)
+
+    def _cut(self, agent: Agent, cut: bool) -> None:
+        agent.cut_off = cut
+        for name in ('entry1', 'entry2', 'entry3'):
+            self.network.faults(agent.name, name).cut = cut
+            self.network.faults(name, agent.name).cut = cut
+
+    async def restart_agent(self, agent: Agent) -> None:
+        """Restart an agent process; its worker goes on."""
+        await self.boot_agent(agent)
+        while not agent.runner.ready:
+            await trio.sleep(0.1)
+        for entry in self.entries.values():
+            self.hello(agent, entry)
+
+    def trouble_network(self, **faults) -> None:
+        """Set delays, drops and doubles on all links."""
+        for entry in ('entry1', 'entry2', 'entry3'):
+            for agent in self.agents:
+                for pair in ((entry, agent), (agent, entry)):
+                    link = self.network.faults(*pair)
+                    for name, value in faults.items():
+                        setattr(link, name, value)
+
     def kill_entry(self, name: str) -> None:
         entry = self.entries.pop(name)
         entry.scope.cancel()
@@ -330,9 +403,9 @@
         for entry in self.entries.values():
             if entry.frozen:
                 continue
-            entry.last_acks[agent.name] = now
+            self.last_acks[agent.name] = now
             agent.permits.last_ack_at = now
-            if not self.store.faults.outage:
+            if not self.store.faults.outage and not self.pause_permits:
                 agent.permits.permit_until = now + 2.5
                 agent.permits.settings = self.settings
         agent.permits.owner = (
