--- a/standins/backend_server/__main__.py
+++ b/standins/backend_server/__main__.py
@@ -37,9 +37,10 @@
 async def _serve(cfg: _app.BackendConfig) -> None:
     work = _app.Workload(cfg)
     closing = trio.Event()
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async with trio.open_nursery() as nursery:
-            port = await nursery.start(
+    async with trio.open_nursery() as watching:
+        await watching.start(_leave, work, closing)
+        async with trio.open_nursery() as serving:
+            port = await serving.start(
                 functools.partial(
                     adapters.serve,
                     _app.backend_app(work),
@@ -52,23 +53,26 @@
             )
             address = f'http://{cfg.host}:{port}'
             print(json.dumps({'address': address}), flush=True)
-            nursery.start_soon(_leave, signals, work, closing)
             if cfg.agent:
                 await _announce(cfg, address, work)
+        watching.cancel_scope.cancel()
 
 
 async def _leave(
-    signals: object, work: _app.Workload, closing: trio.Event
+    work: _app.Workload,
+    closing: trio.Event,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Leave on the first signal; end at once on the second."""
-    async for _ in signals:  # type: ignore[attr-defined]
-        if work.leaving.is_set():
-            sys.exit(1)
-        work.leaving.set()
-        await trio.sleep(LEAVING_S)
-        closing.set()
-        if work.history.in_progress == 0:
-            return
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for _ in signals:
+            if work.leaving.is_set():
+                sys.exit(1)
+            work.leaving.set()
+            await trio.sleep(LEAVING_S)
+            closing.set()
 
 
 async def _announce(
