Keep the list of agents that serve a service for 20 ms

Cause: at 800 agents each request looked through all of them. Change: the load book keeps the list of serving agents for a moment.

--- a/citronrail/routing/_attempts.py
+++ b/citronrail/routing/_attempts.py
@@ -150,7 +150,7 @@
             now = trio.current_time()
             cfg = self._cfg()
             candidates = self._book.candidates(
-                self._agents(), progress.req.service, cfg, now
+                self._agents, progress.req.service, cfg, now
             )
             admission = _admission.admit(
                 candidates, now=now, start_before=progress.start_before
@@ -247,7 +247,7 @@
         candidates = [
             one
             for one in self._book.candidates(
-                self._agents(), progress.req.service, cfg, now
+                self._agents, progress.req.service, cfg, now
             )
             if one.agent.node_id not in tried
         ]
--- a/citronrail/routing/_load_book.py
+++ b/citronrail/routing/_load_book.py
@@ -13,6 +13,7 @@
 from citronrail.routing import _outliers
 
 FULL_PAUSE_S = 0.05  # room comes free within a few answers
+SERVING_KEPT_S = 0.02
 LEAVING_PAUSE_S = 1.5  # a heartbeat with the new state comes each second
 
 
@@ -25,6 +26,14 @@
     own_open: int
 
 
+@dataclasses.dataclass(frozen=True)
+class _Serving:
+    """Agents that serve a service, good until a local time."""
+
+    until: float
+    agents: tuple[views.AgentView, ...]
+
+
 class LoadBook:
     """Counts own requests on top of the load that agents report.
 
@@ -38,6 +47,7 @@
         self._data_centre = data_centre
         self._own: collections.Counter[str] = collections.Counter()
         self._own_open: collections.Counter[str] = collections.Counter()
+        self._serving: dict[str, _Serving] = {}
         self._reports: dict[str, _Report] = {}
         self._health: dict[str, _outliers.Health] = {}
         self._full_until: dict[str, float] = {}
@@ -92,7 +102,7 @@
 
     def candidates(
         self,
-        agents: collections.abc.Iterable[views.AgentView],
+        agents: collections.abc.Callable[[], tuple[views.AgentView, ...]],
         service: identifiers.ServiceName,
         cfg: settings.Settings,
         now: float,
@@ -103,14 +113,12 @@
         most half of the agents stay ejected, since failures everywhere have
         another cause than the agents.
 
-        :param agents: what is known of all agents.
+        :param agents: returns what is known of all agents.
         :param service: the service asked for.
         :param cfg: the operators' configuration.
         :param now: local time in seconds.
         """
-        serving = [
-            agent for agent in agents if _balancing.serves(agent, service, now)
-        ]
+        serving = self._agents_of(agents, service, now)
         in_service = [
             agent
             for agent in serving
@@ -124,11 +132,35 @@
             listed = [dataclasses.replace(one, share=1.0) for one in listed]
         return tuple(listed)
 
+    def _agents_of(
+        self,
+        agents: collections.abc.Callable[[], tuple[views.AgentView, ...]],
+        service: identifiers.ServiceName,
+        now: float,
+    ) -> tuple[views.AgentView, ...]:
+        """Return the agents that serve a service.
+
+        The list is kept for a moment, since looking through all agents of a
+        large fleet for each request would take most of its time. A present
+        agent that leaves meanwhile refuses by itself.
+        """
+        known = self._serving.get(service)
+        if known is None or now >= known.until:
+            found = tuple(
+                agent
+                for agent in agents()
+                if _balancing.serves(agent, service, now)
+            )
+            known = _Serving(now + SERVING_KEPT_S, found)
+            self._serving[service] = known
+        return known.agents
+
     def forget_absent(
         self, agents: collections.abc.Iterable[views.AgentView]
     ) -> None:
         """Drop what is kept of agents that are gone."""
         present = {agent.node_id for agent in agents}
+        self._serving.clear()
         known = {*self._reports, *self._health, *self._full_until}
         for node_id in known - present:
             self._reports.pop(node_id, None)
