Count messages and bytes between peers by kind

Cause: the traffic for control per node could not be measured. Change: counters of messages and bytes by direction and kind.

--- a/citronrail/adapters/_metrics.py
+++ b/citronrail/adapters/_metrics.py
@@ -16,3 +16,13 @@
     'Connected peers, by role.',
     ['role'],
 )
+PEER_MESSAGES = prometheus_client.Counter(
+    'citronrail_adapters_peer_messages_total',
+    'Messages exchanged with peers, by direction and kind.',
+    ['direction', 'kind'],
+)
+PEER_BYTES = prometheus_client.Counter(
+    'citronrail_adapters_peer_bytes_total',
+    'Bytes in frames exchanged with peers, before encryption and framing.',
+    ['direction', 'kind'],
+)
--- a/citronrail/adapters/_peer_inbox.py
+++ b/citronrail/adapters/_peer_inbox.py
@@ -7,6 +7,7 @@
 
 from citronrail.adapters import _metrics
 from citronrail.adapters import _peer_links
+from citronrail.adapters import _peer_traffic
 from citronrail.adapters import _zmq_sockets
 from citronrail.model import messages
 from citronrail import observability
@@ -78,6 +79,7 @@
         self._table = table
         self._limits = limits
         self._nursery: trio.Nursery | None = None
+        self._received = _peer_traffic.PeerTraffic('received')
         self._handlers: dict[type, list[ports.Handler]] = (
             collections.defaultdict(list)
         )
@@ -132,6 +134,7 @@
         :param frames: its frames, of which the second is the payload.
         """
         link.heard_at = trio.current_time()
+        self._received.count(type(message), map(len, frames))
         sender = str(link.peer.node_id)
         if isinstance(message, messages.ProtocolError):
             observability.emit(
--- a/citronrail/adapters/_zmq_peers.py
+++ b/citronrail/adapters/_zmq_peers.py
@@ -13,6 +13,7 @@
 from citronrail.adapters import _peer_inbox
 from citronrail.adapters import _peer_links
 from citronrail.adapters import _peer_port
+from citronrail.adapters import _peer_traffic
 from citronrail.adapters import _zmq_sockets
 from citronrail import errors
 from citronrail.model import identifiers
@@ -69,6 +70,7 @@
         self._limits = limits or _zmq_sockets.PeerLimits()
         self._ctx: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
         self._table = _peer_links.LinkTable()
+        self._sent = _peer_traffic.PeerTraffic('sent')
         self._inbox = _peer_inbox.PeerInbox(self._table, self._limits)
         self._connections = _peer_connections.EntryConnections(
             self._ctx,
@@ -169,6 +171,7 @@
         if reason:
             _metrics.PEER_SENDS_FAILED.inc()
             raise errors.PeerUnreachable(reason, step='peers.send', peer=peer)
+        self._sent.count(type(message), map(len, frames))
 
     def set_entries(self, addresses: collections.abc.Iterable[str]) -> None:
         """Connect to these entries and disconnect from all others.
