Add drills of the promises to callers

The worker stand-in tells a restarted backend server its services again; the backend server can announce that it leaves without ending.

--- a/drills/__init__.py
+++ b/drills/__init__.py
@@ -1,1 +1,1 @@
-"""Drills: real processes under failure."""
+"""Real processes under failure, checked against what was recorded."""
--- /dev/null
+++ b/drills/__main__.py
@@ -0,0 +1,39 @@
+"""Run with ``python -m drills``; brings about failures and checks."""
+
+import argparse
+import pathlib
+import sys
+import tempfile
+
+import trio
+
+from drills import _points
+from drills import _run
+
+OUTPUT = pathlib.Path('build/drills.json')
+
+
+def main() -> int:
+    """Run all points or one.
+
+    :returns: exit code, 0 if every point held.
+    """
+    parser = argparse.ArgumentParser(prog='drills', description=__doc__)
+    parser.add_argument('--seed', type=int, default=1)
+    names = [point.name for point in _points.POINTS]
+    parser.add_argument('--point', choices=names, action='append')
+    parser.add_argument(
+        '--keep', type=pathlib.Path, help='new folder for logs, kept'
+    )
+    args = parser.parse_args()
+    points = tuple(
+        p for p in _points.POINTS if not args.point or p.name in args.point
+    )
+    with tempfile.TemporaryDirectory(prefix='citronrail-drills-') as name:
+        folder = args.keep or pathlib.Path(name)
+        results = trio.run(_run.run_points, points, folder, args.seed)
+    return _run.report(results, OUTPUT, args.seed)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/standins/backend_server/_app.py
+++ b/standins/backend_server/_app.py
@@ -74,6 +74,10 @@
         self.changed.set()
         self.changed = trio.Event()
 
+    def leave(self) -> None:
+        """Announce that it leaves, but go on serving what still comes."""
+        self.leaving.set()
+
     def seconds(self, asked_ms: str | None) -> float:
         """Return how long an answer takes.
 
@@ -96,7 +100,8 @@
     ``/fail`` answers 500, ``/hang`` never answers, ``/die?bytes=N`` breaks
     off after N bytes. PUT and DELETE of ``/serve/SERVICE`` begin and end
     serving a service. ``/admin/history`` returns all runs, and a PUT of
-    ``{"service_ms": N, "failing": bool}`` to ``/admin/behaviour`` changes it.
+    ``{"service_ms": N, "failing": bool}`` to ``/admin/behaviour`` changes it;
+    a PUT of ``/admin/leave`` announces that it leaves without ending it.
 
     :param work: the shared state.
     :returns: an ASGI application.
@@ -241,6 +246,11 @@
         work.serve(service, False)
         return '', 204
 
+    @app.put('/admin/leave')
+    async def leave() -> tuple[str, int]:
+        work.leave()
+        return '', 204
+
     @app.put('/admin/behaviour')
     async def behaviour() -> tuple[str, int]:
         wish = json.loads(await quart.request.get_data(as_text=False))
--- a/standins/worker/_service.py
+++ b/standins/worker/_service.py
@@ -19,6 +19,7 @@
 
 JSON = 'application/json'
 TICK_S = 0.1
+TELL_ALL_S = 2.0
 T = typing.TypeVar('T')
 
 
@@ -245,10 +246,17 @@
     client: httpx.AsyncClient,
     backend_url: str,
 ) -> None:
-    """Tell the backend server which services to serve."""
+    """Tell the backend server which services to serve.
+
+    All are told again at intervals, for a backend server that restarted.
+    """
     told: frozenset[str] = frozenset()
+    tell_all_at = 0.0
     while True:
         wanted = worker.core.services()
+        if trio.current_time() >= tell_all_at:
+            told = told - wanted
+            tell_all_at = trio.current_time() + TELL_ALL_S
         for service in sorted(wanted ^ told):
             method = 'PUT' if service in wanted else 'DELETE'
             if await _tell(client, method, f'{backend_url}/serve/{service}'):
