--- a/drills/__main__.py
+++ b/drills/__main__.py
@@ -25,9 +25,14 @@
     parser.add_argument(
         '--keep', type=pathlib.Path, help='new folder for logs, kept'
     )
+    parser.add_argument(
+        '--outage-seconds', type=float, default=_points.DEFAULT_OUTAGE_S
+    )
     args = parser.parse_args()
     points = tuple(
-        p for p in _points.POINTS if not args.point or p.name in args.point
+        p
+        for p in _points.with_outage(args.outage_seconds)
+        if not args.point or p.name in args.point
     )
     with tempfile.TemporaryDirectory(prefix='citronrail-drills-') as name:
         folder = args.keep or pathlib.Path(name)
--- a/drills/_world.py
+++ b/drills/_world.py
@@ -63,6 +63,7 @@
         """Start the fleet, a team and a service with replicas."""
         plan = self.system.plan
         await self.system.start(self.client)
+        await self._all_joined()
         cores = plan.millicores // 1000 * plan.workers
         memory = plan.memory_mb * plan.workers
         await self.operator.do(
@@ -77,6 +78,26 @@
         await self.announced(2)
         await trio.sleep(SETTLE_S)
 
+    async def _all_joined(self) -> None:
+        """Wait until every entry knows every agent.
+
+        Replicas placed earlier would all go to the agents known by then.
+        """
+
+        async def joined() -> bool:
+            for entry in self.system.entries:
+                reply = await self.operator.send(
+                    'show workers', url=entry.operators_url
+                )
+                if len(reply.rows) < self.system.plan.workers:
+                    return False
+            return True
+
+        await processes.wait_for(
+            joined, 'all agents joined', ANNOUNCE_TIMEOUT_S, 0.2
+        )
+        await trio.sleep(2.0)  # two heartbeats: agents are ready for work
+
     async def announced(self, hosts: int) -> None:
         """Wait until so many backend servers answer a caller's request."""
 
