--- a/drills/_run.py
+++ b/drills/_run.py
@@ -17,7 +17,7 @@
 from standins import processes
 
 MAX_CONNECTIONS = 600
-SETTINGS = fleet.FleetPlan(
+PLAN = fleet.FleetPlan(
     workers=4,
     entries=3,
     millicores=8000,
@@ -44,22 +44,31 @@
         for group in dict.fromkeys(point.group for point in points):
             own = tuple(p for p in points if p.group == group)
             rng = random.Random(f'{seed} {group}')
-            nursery.start_soon(_run_group, own, folder / group, rng, results)
+            nursery.start_soon(run_group, own, folder / group, rng, results)
     return tuple(results[point.name] for point in points)
 
 
-async def _run_group(
+async def run_group(
     points: tuple[_points.Point, ...],
     folder: pathlib.Path,
     rng: random.Random,
     results: dict[str, _records.Result],
+    plan: fleet.FleetPlan = PLAN,
 ) -> None:
+    """Run points one after another on a fleet of their own.
+
+    :param points: what to run.
+    :param folder: folder for settings and logs.
+    :param rng: source of chance.
+    :param results: where to put the results, by name of the point.
+    :param plan: what the fleet consists of.
+    """
     limits = httpx.Limits(max_connections=MAX_CONNECTIONS)
     async with httpx.AsyncClient(
         timeout=15.0, limits=limits, trust_env=False
     ) as client:
         with processes.ProcessGroup(folder / 'logs') as group:
-            system = fleet.Fleet(SETTINGS, folder, group)
+            system = fleet.Fleet(plan, folder, group)
             world = _world.World(system, client, rng)
             try:
                 await world.set_up()
--- a/drills/_world.py
+++ b/drills/_world.py
@@ -75,7 +75,7 @@
             f' {REPLICAS_PER_HOST * plan.workers} cores 0.1 memory 100MB'
         )
         self.sizes[f'service:{SERVICE}'] = resources.Resources(100, 100, 0)
-        await self.announced(2)
+        await self.announced(min(2, plan.workers))
         await trio.sleep(SETTLE_S)
 
     async def _all_joined(self) -> None:
