Refuse new requests to a drained service

Cause: the router never read ServiceSpec.draining, so an accepted "drain service" had no effect on requests. Only replicas that were idle at one moment were stopped; under steady load they never are. Ruled out: late settings (every entry had the version; the flag was not read anywhere in routing), stale heartbeats (load was truly never zero), the drill (its requests were answered whole for 6 s after the acceptance). Change: a granted request to a drained service is not run and frees its keys. The check follows the reservation, so that kept answers are still replayed. The new test failed before the change. Conclusion: fixed for new requests; a request that waits in a queue when the drain is accepted may still be sent within its own deadline.

--- a/citronrail/routing/_router.py
+++ b/citronrail/routing/_router.py
@@ -155,6 +155,12 @@
                 await respond.write(body)
                 await respond.finish()
                 return None
+            case _keys.Granted() if self._is_drained(req.service):
+                # After the reservation, so that kept answers are replayed.
+                await self._keys.complete(
+                    req, opts, outcomes.Outcome.NOT_RUN, ended=True
+                )
+                return _problems.not_run('the service is drained')
             case _keys.Granted(start_before):
                 return await self._run_granted(
                     _progress(req, opts, deadline, start_before), respond
@@ -306,6 +312,10 @@
             answer=answer,
         )
 
+    def _is_drained(self, service: identifiers.ServiceName) -> bool:
+        spec: specs.ServiceSpec | None = self._cfg().services.get(service)
+        return spec is not None and spec.draining
+
     def _max_run_s(self, service: identifiers.ServiceName) -> float:
         spec: specs.ServiceSpec | None = self._cfg().services.get(service)
         return spec.max_run_s if spec else DEFAULT_MAX_RUN_S
--- a/citronrail/routing/tests/test_promises.py
+++ b/citronrail/routing/tests/test_promises.py
@@ -180,3 +180,33 @@
 
     simulate(main)
     assert requests * 0.5 < len(sends) < 1.2 * requests
+
+
+def test_drained_service_gets_no_new_requests():
+    """Guards against requests to a service that operators have drained.
+
+    Under steady load its replicas are never idle and so never stop; answers
+    kept for a key must still be given, and a refused key must stay free.
+    """
+    world = worlds.World(worlds.seeded(1))
+    seen = []
+
+    async def main():
+        async with world.running():
+            await world.call(b'1-', **options('keyed', 1))
+            world.drain_service(True)
+            for number, kind in enumerate(['keyed', 'keyed', 'check', 'rota']):
+                body = b'%d-' % (number + 1)
+                caller = await world.call(body, **options(kind, number + 1))
+                seen.append(caller.outcome)
+            world.drain_service(False)
+            for number, kind in ((2, 'keyed'), (4, 'rota')):
+                caller = await world.call(
+                    b'%d-' % number, **options(kind, number)
+                )
+                seen.append(caller.outcome)
+
+    simulate(main)
+    done, not_run = outcomes.Outcome.DONE, outcomes.Outcome.NOT_RUN
+    assert seen == [done, not_run, not_run, not_run, done, done]
+    assert world.count() == {b'1-': 1, b'2-': 1, b'4-': 1}
--- a/citronrail/routing/tests/world.py
+++ b/citronrail/routing/tests/world.py
@@ -256,6 +256,15 @@
         await self.router.handle(request, caller)
         return caller
 
+    def drain_service(self, draining):
+        """Put the service out of use, or back, in the settings."""
+        spec = dataclasses.replace(
+            self.settings.services[SERVICE], draining=draining
+        )
+        self.settings = dataclasses.replace(
+            self.settings, services={SERVICE: spec}
+        )
+
     def count(self):
         """Return the number of runs of each body."""
         return collections.Counter(run.body for run in self.runs)
