--- a/drills/_changes.py
+++ b/drills/_changes.py
@@ -291,6 +291,7 @@
             calls,
             stop,
             0.03,
+            '/quick?ms=400',  # so that the service is never idle
         )
         await trio.sleep(1.0)
         await world.operator.do(f'drain service {_world.SERVICE}', 20.0)
--- a/drills/_outage.py
+++ b/drills/_outage.py
@@ -10,6 +10,7 @@
 from drills import _world
 
 TASK_S = 2.0
+LEAD_S = 3.0
 RECOVERY_S = 60.0
 
 
@@ -31,9 +32,11 @@
     """
     calls: list[_records.Call] = []
     stop = trio.Event()
-    # Long tasks go on in the outage; short ones can't be started in it.
-    length_s = 2 * seconds + 6.0
-    wanted = {'po-long-1': 6, 'po-short-1': round(seconds) * 6}
+    # Long tasks end in the outage; short ones can't be started in it.
+    long = {
+        f'po-long{n}-{n}': LEAD_S + seconds * (1.2 + 0.2 * n) for n in range(4)
+    }
+    wanted = {**dict.fromkeys(long, 2), 'po-short-1': round(seconds) * 6}
     async with trio.open_nursery() as nursery:
         for method in ('GET', 'POST'):
             nursery.start_soon(
@@ -46,9 +49,10 @@
                 '/quick?ms=5',
                 method,
             )
-        await world.start_job('po-long-1', 6, length_s)
+        for job, run_s in long.items():
+            await world.start_job(job, 2, run_s)
         await world.start_job('po-short-1', wanted['po-short-1'], TASK_S)
-        await trio.sleep(3.0)
+        await trio.sleep(LEAD_S)
         normal_at = (time.monotonic(), time.time())
         await trio.sleep(seconds)
         outage_at = (time.monotonic(), time.time())
--- a/drills/_overlap.py
+++ b/drills/_overlap.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import random
 import time
 
 import httpx
@@ -12,15 +13,33 @@
 from drills import _records
 from drills import _world
 
-ROUNDS = 3
+ROUNDS = 5
 FINISH_TIMEOUT_S = 75.0
 RETRIES = 3
 
 Failure = collections.abc.Callable[
-    ['_Overlap'], collections.abc.Awaitable[None]
+    ['_Overlap', random.Random], collections.abc.Awaitable[None]
 ]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Drawn:
+    """One failure to bring about, with its own source of chance."""
+
+    name: str
+    delay_s: float
+    seed: int
+
+
+def _draw(rng: random.Random) -> tuple[_Drawn, ...]:
+    """Draw two or three failures; the same one may come twice."""
+    names = rng.choices(sorted(FAILURES), k=rng.choice((2, 3)))
+    return tuple(
+        _Drawn(name, rng.uniform(0, 1.5), rng.randrange(2**32))
+        for name in names
+    )
+
+
 async def overlap(world: _world.World) -> _records.Figures:
     """Bring about overlapping failures under all kinds of work."""
     run = _Overlap(world)
@@ -31,9 +50,9 @@
             nursery.start_soon(run.keep_asking)
         for _ in range(3):
             nursery.start_soon(run.keep_locking)
-        for number in range(ROUNDS):
+        for number, drawn in enumerate(run.rounds):
             await run.submit(number)
-            await run.fail()
+            await run.fail(drawn)
         run.stop.set()
         await trio.sleep(3.0)
         nursery.cancel_scope.cancel()
@@ -75,7 +94,8 @@
         self.orders: set[str] = set()
         self.locks: set[str] = set()
         self.wanted: dict[str, int] = {}
-        self.drawn: list[str] = []
+        # Drawn before callers use the same source in any order.
+        self.rounds = [_draw(world.rng) for _ in range(ROUNDS)]
         self.raced = 0
 
     # Work
@@ -150,83 +170,79 @@
 
     # Failures
 
-    async def fail(self) -> None:
-        """Bring about two or three failures together or one twice."""
-        rng = self.world.rng
-        names = rng.choices(sorted(FAILURES), k=rng.choice((2, 3)))
-        self.drawn.append(' + '.join(names))
+    async def fail(self, drawn: tuple[_Drawn, ...]) -> None:
+        """Bring about failures together, then heal."""
         await trio.sleep(1.0)
         async with trio.open_nursery() as nursery:
-            for name in names:
-                nursery.start_soon(self._fail_one, name, rng.uniform(0, 1.5))
+            for failure in drawn:
+                nursery.start_soon(self._fail_one, failure)
         await trio.sleep(1.0)
         await self.world.heal()
 
-    async def _fail_one(self, name: str, delay_s: float) -> None:
-        await trio.sleep(delay_s)
-        await FAILURES[name](self)
+    async def _fail_one(self, failure: _Drawn) -> None:
+        await trio.sleep(failure.delay_s)
+        await FAILURES[failure.name](self, random.Random(failure.seed))
 
-    async def kill_entry(self) -> None:
+    async def kill_entry(self, rng: random.Random) -> None:
         """One of citronrail's own processes dies: an entry."""
-        entry = self.world.rng.choice(self.world.system.entries)
+        entry = rng.choice(self.world.system.entries)
         await self.world.kill_and_restart(entry.name, 4.0)
 
-    async def kill_agent(self) -> None:
+    async def kill_agent(self, rng: random.Random) -> None:
         """One of citronrail's own processes dies: an agent."""
-        host = self.world.rng.choice(self.world.system.hosts)
+        host = rng.choice(self.world.system.hosts)
         await self.world.kill_and_restart(host.agent, 2.0)
 
-    async def fail_host(self) -> None:
+    async def fail_host(self, rng: random.Random) -> None:
         """A host fails with its worker and agent."""
-        host = self.world.rng.choice(self.world.system.hosts)
-        await trio.sleep(0.0)
+        host = rng.choice(self.world.system.hosts)
         self.world.kill(host.agent)
         self.world.kill(host.worker)
         await trio.sleep(3.0)
         self.world.revive(host.worker)
         self.world.revive(host.agent)
 
-    async def pause_entry(self) -> None:
+    async def pause_entry(self, rng: random.Random) -> None:
         """Leases expire while their holder is paused."""
-        entry = self.world.rng.choice(self.world.system.entries)
+        entry = rng.choice(self.world.system.entries)
         await self.world.freeze(entry.name, 7.0)
 
-    async def pause_agent(self) -> None:
+    async def pause_agent(self, rng: random.Random) -> None:
         """An agent can't be reached for a time."""
-        host = self.world.rng.choice(self.world.system.hosts)
+        host = rng.choice(self.world.system.hosts)
         await self.world.freeze(host.agent, 5.0)
 
-    async def store_down(self) -> None:
+    async def store_down(self, _rng: random.Random) -> None:
         """The store is down."""
         await self.world.outage(6.0)
 
-    async def store_slow(self) -> None:
+    async def store_slow(self, _rng: random.Random) -> None:
         """The store is slow."""
         await self.world.store(delay_s=0.3)
         await trio.sleep(5.0)
         await self.world.store(delay_s=0.0)
 
-    async def lost_answers(self) -> None:
+    async def lost_answers(self, _rng: random.Random) -> None:
         """Answers of the store are lost after the write."""
         await self.world.store(lose_every=3)
         await trio.sleep(5.0)
         await self.world.store(lose_every=0)
 
-    async def noisy_wave(self) -> None:
+    async def noisy_wave(self, rng: random.Random) -> None:
         """A wave of short tasks; many are cancelled in a burst."""
-        job = f'pp-wave-{len(self.drawn)}-{self.world.rng.randrange(10**6)}'
+        job = f'pp-wave-{rng.randrange(10**9)}'
         await self.world.start_job(job, 100, 1.0, memory_mb=100)
         await trio.sleep(1.5)
         await self.world.operator.send(f'cancel tasks where job = {job}')
 
-    async def impossible_job(self) -> None:
+    async def impossible_job(self, rng: random.Random) -> None:
         """A job that can never run."""
-        job = f'pp-huge-{self.world.rng.randrange(10**6)}'
+        job = f'pp-huge-{rng.randrange(10**9)}'
         await self.world.start_job(job, 3, 1.0, memory_mb=900_000)
 
-    async def failing_worker(self) -> None:
+    async def failing_worker(self, rng: random.Random) -> None:
         """A worker fails everything that it starts."""
-        host = self.world.rng.choice(self.world.system.hosts)
+        host = rng.choice(self.world.system.hosts)
         url = f'{host.worker_url}/admin/switches'
         await self._switch(url, True)
         await trio.sleep(4.0)
@@ -240,7 +256,7 @@
         except httpx.HTTPError:
             await trio.sleep(0.0)  # the host has failed as well
 
-    async def racing_operators(self) -> None:
+    async def racing_operators(self, rng: random.Random) -> None:
         """Two operators change the same at the same version."""
         reply = await self.world.operator.send('show settings limit 1', 5.0)
         version = reply.settings_version
@@ -249,7 +265,7 @@
         async def change(target: int) -> None:
             sent = await self.world.operator.send(
                 f'change service {_world.SERVICE} latency target'
-                f' {self.world.rng.randrange(40, 90)}.{target}ms'
+                f' {rng.randrange(40, 90)}.{target}ms'
                 f' if version {version}',
                 8.0,
                 url=self.world.system.entries[target].operators_url,
@@ -295,7 +311,10 @@
             f'{total} of any kind',
             proved=done and bool(self.wanted),
             notes=(
-                *(f'drawn: {names}' for names in self.drawn),
+                *(
+                    'drawn: ' + ' + '.join(one.name for one in drawn)
+                    for drawn in self.rounds
+                ),
                 str(found),
                 f'{sum(self.wanted.values())} tasks finished'
                 f' {took_s:.0f} s after; {_world.counts(self.calls)}',
--- a/drills/_run.py
+++ b/drills/_run.py
@@ -17,6 +17,7 @@
 from standins import processes
 
 MAX_CONNECTIONS = 600
+FLEETS_AT_ONCE = 3  # 17 processes each
 PLAN = fleet.FleetPlan(
     workers=4,
     entries=3,
@@ -40,11 +41,17 @@
     :returns: the results in the order of the points.
     """
     results: dict[str, _records.Result] = {}
+    limiter = trio.CapacityLimiter(FLEETS_AT_ONCE)
+
+    async def run(group: str) -> None:
+        own = tuple(p for p in points if p.group == group)
+        rng = random.Random(f'{seed} {group}')
+        async with limiter:
+            await run_group(own, folder / group, rng, results)
+
     async with trio.open_nursery() as nursery:
         for group in dict.fromkeys(point.group for point in points):
-            own = tuple(p for p in points if p.group == group)
-            rng = random.Random(f'{seed} {group}')
-            nursery.start_soon(run_group, own, folder / group, rng, results)
+            nursery.start_soon(run, group)
     return tuple(results[point.name] for point in points)
 
 
--- a/drills/_tasks.py
+++ b/drills/_tasks.py
@@ -237,11 +237,17 @@
                 notes.append(f'{kind}: {reply.outcome}: {reply.message}')
                 continue
             await world.operator.do(f'return data_centre {place}', 20.0)
-            after = _history.latest_start(
-                world.runs('p4-'), {place}, accepted, until
-            )
+            runs = world.runs('p4-')
+            after = _history.latest_start(runs, {place}, accepted, until)
             latest.append(after)
-            notes.append(f'{kind}: last start {after:.2f} s after')
+            before = task_history.started_in(
+                runs, place, accepted - 2.0, accepted
+            )
+            elsewhere = sum(accepted < r.started < until for r in runs)
+            notes.append(
+                f'{kind}: {len(before)} starts in the 2 s before, last start'
+                f' {after:.2f} s after, {elsewhere} elsewhere'
+            )
         stop.set()
     late = sum(after > START_BOUND_S for after in latest)
     return _records.Figures(
--- a/drills/_world.py
+++ b/drills/_world.py
@@ -190,7 +190,9 @@
     # Failures
 
     def kill(self, name: str) -> None:
-        """End a process at once."""
+        """End a process at once, if it runs."""
+        if not self.system.group[name].running:
+            return
         self.system.group.kill(name)
         self._down.add(name)
         if name.startswith('worker-'):
@@ -198,9 +200,10 @@
             self.deaths[name] = (*times, time.monotonic())
 
     def revive(self, name: str) -> None:
-        """Start a killed process again."""
+        """Start a killed process again, unless it runs already."""
         self._down.discard(name)
-        self.system.group.restart(name)
+        if not self.system.group[name].running:
+            self.system.group.restart(name)
 
     async def kill_and_restart(self, name: str, down_s: float) -> None:
         """Kill a process and start it again after a time."""
