--- a/measure/_control.py
+++ b/measure/_control.py
@@ -1,33 +1,23 @@
 """The control loop of the policy measurement, over the shipped decisions."""
 
 import dataclasses
-import random
 
-from citronrail.model import resources
-from citronrail.model import settings
+from citronrail.model import messages
 from citronrail.model import specs
 from citronrail.scheduling import _drain_order as drain_order
 from citronrail.scheduling import _estimates as estimates
 from citronrail.scheduling import _health_evidence as evidence
 from citronrail.scheduling import _interference as interference
 from citronrail.scheduling import _placement as placement
-from citronrail.scheduling import _placement_admission as admission
-from citronrail.scheduling import _placement_score as score
-from citronrail.scheduling import _placement_types as types
 from citronrail.scheduling import _pressure as pressure
-from citronrail.scheduling import _quota_reclaim as quota_reclaim
-from citronrail.scheduling import _quotas as quotas
 from citronrail.scheduling import _return_ramp as return_ramp
 from citronrail.scheduling import _worker_health as worker_health
 from measure import _cluster as cluster
+from measure import _placing as placing
 from measure import _workload as workload
 
 # Time after which the tasks of a lost host get a new attempt.
 LOST_AGENT_S = 22.0
-HOLD_S = 15.0
-STARVED_HOLD_S = 120.0
-MIN_OBSERVATIONS = 3
-QUOTAS = quotas.QuotaSettings()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -57,35 +47,23 @@
     ) -> None:
         self.load = load
         self.contender = contender
-        self.fleet = cluster.Cluster(load, seed, contender.round_robin)
-        self.evictions = 0
-        self.starts = 0
-        self._rng = random.Random(f'policy/{seed}')
+        self.state = placing.State(
+            cluster.Cluster(load, seed, contender.round_robin)
+        )
+        self._placer = placing.Placer(
+            contender.placement, self.state, load.deployment, seed
+        )
         self._arrivals = list(reversed(load.arrivals))
-        self._pending: dict[specs.TaskId, cluster.Task] = {}
-        self._running: dict[specs.TaskId, cluster.Task] = {}
-        self._model = interference.InterferenceModel()
-        self._estimates = estimates.Estimates()
-        self._health = evidence.HealthRecord()
-        self._pressure = pressure.PressureState()
-        self._pressure_cfg = pressure.PressureSettings()
-        self._trials = types.TrialLedger()
-        self._holds: tuple[admission.Hold, ...] = ()
-        self._usage: dict[str, dict[specs.TaskId, object]] = {}
-        self._host_load: dict[str, float] = {}
-        self._ramps: dict[str, return_ramp.ReturnRamp] = {}
-        self._out: str | None = None
+        self._usage: dict[str, dict[specs.TaskId, messages.TaskUsage]] = {}
         self._replaced = 0
-        self._deferred: dict[specs.TaskId, float] = {}
-        self._teams = _teams(load.deployment)
         for item in workload.replicas(load.deployment):
-            self._pending[item.task] = cluster.Task(item, 0.0)
+            self.state.pending[item.task] = cluster.Task(item, 0.0)
 
     def tick(self, now: float) -> None:
         """Advance the fleet by one second and decide."""
         self._arrive(now)
         self._faults(now)
-        for ended in self.fleet.advance(now, 1.0):
+        for ended in self.state.fleet.advance(now, 1.0):
             self._take_end(ended, now)
         self._learn(now)
         outage = self.load.store_outage
@@ -93,19 +71,19 @@
         self._relieve(now, may_evict=not stopped)
         if not stopped:
             self._drain(now)
-            self._place(now)
-        self.fleet.serve(now, 1.0)
+            self._placer.place(now)
+        self.state.fleet.serve(now, 1.0)
 
     def _arrive(self, now: float) -> None:
         while self._arrivals and self._arrivals[-1][0] <= now:
             at, work = self._arrivals.pop()
-            self._pending[work.task] = cluster.Task(work, at)
+            self.state.pending[work.task] = cluster.Task(work, at)
 
     def _faults(self, now: float) -> None:
-        hosts = list(self.fleet.hosts.values())
+        hosts = list(self.state.fleet.hosts.values())
         faulty = hosts[self.load.faulty_index]
         if self.load.lost_host_at == now:
-            for ended in self.fleet.lose(faulty, now):
+            for ended in self.state.fleet.lose(faulty, now):
                 self._take_end(ended, now)
         if self.load.broken_from == now:
             faulty.broken = True
@@ -113,81 +91,83 @@
             return
         out_at, back_at = self.load.data_centre_out
         if now == out_at:
-            self._out = faulty.data_centre
+            self.state.out = faulty.data_centre
             if not self.contender.drains:
                 self._stop_all(now)
-        if now == back_at and self._out:
-            count = sum(h.data_centre == self._out for h in hosts)
+        if now == back_at and self.state.out:
+            count = sum(h.data_centre == self.state.out for h in hosts)
             if self.contender.drains:
-                self._ramps[self._out] = return_ramp.ReturnRamp(now, count)
-            self._out = None
+                self.state.ramps[self.state.out] = return_ramp.ReturnRamp(
+                    now, count
+                )
+            self.state.out = None
 
     def _stop_all(self, now: float) -> None:
-        for task in self._running.values():
-            host = self.fleet.hosts[task.node_id]
-            if host.data_centre == self._out:
-                self.fleet.stop(task, checkpoint=False, now=now)
-                self.evictions += not task.work.service
+        for task in self.state.running.values():
+            host = self.state.fleet.hosts[task.node_id]
+            if host.data_centre == self.state.out:
+                self.state.fleet.stop(task, checkpoint=False, now=now)
+                self.state.evictions += not task.work.service
 
     def _take_end(self, ended: cluster.Ended, now: float) -> None:
         task, work = ended.task, ended.task.work
-        del self._running[work.task]
+        del self.state.running[work.task]
         if ended.state in ('finished', 'failed'):
-            self._health = worker_health.task_ended(
-                self._health,
+            self.state.health = worker_health.task_ended(
+                self.state.health,
                 evidence.TaskEnd(
                     ended.node_id, work.task, ended.state == 'finished', now
                 ),
             )
         else:
-            self._health = worker_health.trial_abandoned(
-                self._health, ended.node_id, work.task, now
+            self.state.health = worker_health.trial_abandoned(
+                self.state.health, ended.node_id, work.task, now
             )
         if ended.state in ('finished', 'out of memory'):
             whole = ended.state == 'finished' and task.saved_s == 0.0
-            self._estimates = estimates.observe(
-                self._estimates,
-                _key(work),
+            self.state.known = estimates.observe(
+                self.state.known,
+                placing.key_of(work),
                 estimates.Declared(work.declared, work.declared_run_s),
                 estimates.Observed(work.true, ended.run_s if whole else None),
             )
-        self.evictions += ended.state == 'out of memory'
+        self.state.evictions += ended.state == 'out of memory'
         if ended.state == 'lost':
             task.ready_at = now + LOST_AGENT_S
         leaves = work.service and ended.state == 'stopped' and task.share < 0
         if ended.state != 'finished' and not leaves:
-            self._pending[work.task] = task
+            self.state.pending[work.task] = task
 
     def _learn(self, now: float) -> None:
         measured = []
-        for node_id, usage in self.fleet.reports(now):
+        for node_id, usage in self.state.fleet.reports(now):
             measured += [interference.measurement(u, 0.0) for u in usage]
             self._usage[node_id] = {u.attempt.task: u for u in usage}
             if usage:
-                self._host_load[node_id] = usage[0].host_load
-        self._model = interference.learn(self._model, measured, now)
+                self.state.host_load[node_id] = usage[0].host_load
+        self.state.model = interference.learn(self.state.model, measured, now)
 
     def _relieve(self, now: float, may_evict: bool) -> None:
-        predictions = interference.Predictions(self._model, now)
+        predictions = interference.Predictions(self.state.model, now)
         hosts = [
             self._host_pressure(host, predictions)
-            for host in self.fleet.hosts.values()
+            for host in self.state.fleet.hosts.values()
             if host.up
         ]
-        cfg = self._pressure_cfg
+        cfg = placing.PRESSURE
         if not may_evict:
             cfg = dataclasses.replace(cfg, max_evictions_a_minute=0)
-        self._pressure, actions = pressure.relieve(
-            self._pressure, hosts, now, cfg
+        self.state.relief, actions = pressure.relieve(
+            self.state.relief, hosts, now, cfg
         )
         for action in actions:
-            task = self._running[action.task]
+            task = self.state.running[action.task]
             match action:
                 case pressure.Throttle(share=share):
                     task.share = share
                 case pressure.Evict(checkpoint=checkpoint):
-                    self.fleet.stop(task, checkpoint, now)
-                    self.evictions += 1
+                    self.state.fleet.stop(task, checkpoint, now)
+                    self.state.evictions += 1
 
     def _host_pressure(
         self, host: cluster.Host, predictions: interference.Predictions
@@ -226,12 +206,13 @@
         )
 
     def _drain(self, now: float) -> None:
-        if self._out is None or not self.contender.drains:
+        if self.state.out is None or not self.contender.drains:
             return
         here = [
             task
-            for task in self._running.values()
-            if self.fleet.hosts[task.node_id].data_centre == self._out
+            for task in self.state.running.values()
+            if self.state.fleet.hosts[task.node_id].data_centre
+            == self.state.out
         ]
         stopping = [task for task in here if task.stops_at is not None]
         steps = drain_order.drain_steps(
@@ -248,38 +229,38 @@
             self._carry_out(step, now)
 
     def _carry_out(self, step: drain_order.DrainStep, now: float) -> None:
-        task = self._running[step.task]
+        task = self.state.running[step.task]
         match step.action:
             case drain_order.DrainAction.REPLACE:
                 self._replaced += 1
                 task_id = specs.TaskId(step.task.owner, 100 + self._replaced)
                 work = dataclasses.replace(task.work, task=task_id)
-                self._pending[task_id] = cluster.Task(work, now)
+                self.state.pending[task_id] = cluster.Task(work, now)
             case drain_order.DrainAction.STOP:
-                self.fleet.stop(task, checkpoint=False, now=now)
+                self.state.fleet.stop(task, checkpoint=False, now=now)
                 if task.work.service:
                     # Its replacement runs already; it does not come back.
                     task.share = -1.0
                 else:
-                    self.evictions += 1
+                    self.state.evictions += 1
             case drain_order.DrainAction.CHECKPOINT:
-                self.fleet.stop(task, checkpoint=True, now=now)
-                self.evictions += 1
+                self.state.fleet.stop(task, checkpoint=True, now=now)
+                self.state.evictions += 1
 
     def _replicas(self, name: str, now: float) -> drain_order.ServiceReplicas:
         counts = {'here': 0, 'elsewhere': 0, 'starting': 0}
-        for task in self._running.values():
+        for task in self.state.running.values():
             if task.work.service != name or task.stops_at is not None:
                 continue
-            host = self.fleet.hosts[task.node_id]
-            if host.data_centre == self._out:
+            host = self.state.fleet.hosts[task.node_id]
+            if host.data_centre == self.state.out:
                 counts['here'] += 1
             elif now >= task.started_at + cluster.SERVICE_START_S:
                 counts['elsewhere'] += 1
             else:
                 counts['starting'] += 1
         counts['starting'] += sum(
-            task.work.service == name for task in self._pending.values()
+            task.work.service == name for task in self.state.pending.values()
         )
         return drain_order.ServiceReplicas(
             workload.REPLICAS,
@@ -288,265 +269,6 @@
             counts['starting'],
         )
 
-    def _place(self, now: float) -> None:
-        self._holds = tuple(h for h in self._holds if h.until > now)
-        hosts = [self._candidate(h, now) for h in self.fleet.hosts.values()]
-        context = types.PlacementContext(
-            now,
-            self._rng,
-            self._model,
-            self._trials,
-            admission.count_replicas(hosts),
-        )
-        replicas = [t for t in self._pending.values() if t.work.service]
-        for task in replicas:
-            self._place_one(task, hosts, context, now)
-        claims = []
-        for entry in self._order(now):
-            task = self._pending[entry.task.task]
-            if not self._place_one(task, hosts, context, now):
-                if quota_reclaim.may_reclaim(entry, now, QUOTAS):
-                    claims.append(task)
-                self._hold_if_starved(task, hosts, now)
-        self._reclaim(replicas_left(replicas) + claims, hosts, now)
-
-    def _order(self, now: float) -> tuple[quotas.QueueEntry, ...]:
-        pending = [
-            quotas.PendingTask(
-                task.work.task,
-                task.work.team,
-                placement.reservation_of(
-                    self.contender.placement, self._request(task, now)
-                ),
-                task.work.priority,
-                task.ready_at,
-                None,
-                self._expected_run_s(task),
-            )
-            for task in self._pending.values()
-            if not task.work.service and task.ready_at <= now
-        ]
-        return quotas.queue_order(
-            pending, self._use(), self._teams, now, QUOTAS
-        )
-
-    def _use(self) -> dict[str, resources.Resources]:
-        return quotas.team_use(
-            (task.work.team, task.reservation)
-            for task in self._running.values()
-            if not task.work.service
-        )
-
-    def _place_one(
-        self,
-        task: cluster.Task,
-        hosts: list[types.Candidate],
-        context: types.PlacementContext,
-        now: float,
-    ) -> bool:
-        request = self._request(task, now)
-        decision = placement.choose(
-            self.contender.placement,
-            request,
-            admission.with_holds(hosts, self._holds, request.task, now),
-            context.continued(self._trials, admission.count_replicas(hosts)),
-        )
-        if isinstance(decision, types.NotPlaced):
-            if decision.deferred:
-                self._deferred.setdefault(request.task, now)
-            return False
-        self._deferred.pop(request.task, None)
-        self._trials = score.record_placement(self._trials, decision)
-        index = [h.node_id for h in hosts].index(decision.node_id)
-        del self._pending[request.task]
-        self._running[request.task] = task
-        self.fleet.start(task, decision.node_id, decision.reservation, now)
-        self.starts += 1
-        self._health = worker_health.task_started(
-            self._health, decision.node_id, request.task, now
-        )
-        self._holds = tuple(h for h in self._holds if h.task != request.task)
-        host = hosts[index].with_occupant(_occupant(task))
-        ramp = self._ramps.get(host.data_centre)
-        if ramp is not None:
-            self._ramps[host.data_centre] = return_ramp.with_starts(ramp, 1)
-        full = worker_health.one_at_a_time(self._health, host.node_id)
-        hosts[index] = dataclasses.replace(
-            host, accepting=not full and self._ramp_open(host, now)
-        )
-        return True
-
-    def _request(
-        self, task: cluster.Task, now: float
-    ) -> types.PlacementRequest:
-        work = task.work
-        estimated = None
-        key = _key(work)
-        if estimates.has_observations(self._estimates, key, MIN_OBSERVATIONS):
-            estimated = estimates.expected_size(
-                self._estimates, key, work.declared
-            )
-        return types.PlacementRequest(
-            work.task,
-            work.team,
-            work.work_class,
-            work.declared,
-            estimated,
-            work.service,
-            work.priority is specs.Priority.URGENT,
-            avoid=worker_health.avoided_workers(self._health, work.task),
-            waited_s=now - self._deferred.get(work.task, now),
-        )
-
-    def _expected_run_s(self, task: cluster.Task) -> float:
-        return estimates.expected_run_s(
-            self._estimates, _key(task.work), task.work.declared_run_s
-        )
-
-    def _candidate(self, host: cluster.Host, now: float) -> types.Candidate:
-        ramp = self._ramps.get(host.data_centre)
-        capacity = host.capacity
-        if ramp is not None:
-            capacity = return_ramp.ramped_capacity(
-                capacity, ramp, return_ramp.RampSettings(), now
-            )
-        occupants = tuple(_occupant(task) for task in host.tasks.values())
-        reserved = resources.Resources()
-        for item in occupants:
-            reserved += item.reservation
-        candidate = types.Candidate(
-            host.node_id,
-            host.data_centre,
-            host.rack,
-            capacity,
-            reserved,
-            occupants,
-            host.data_centre != self._out,
-            host.up
-            and worker_health.may_start(self._health, host.node_id, now),
-            self._host_load.get(host.node_id, 0.5),
-        )
-        open_ramp = self._ramp_open(candidate, now)
-        return dataclasses.replace(
-            candidate, accepting=candidate.accepting and open_ramp
-        )
-
-    def _ramp_open(self, host: types.Candidate, now: float) -> bool:
-        ramp = self._ramps.get(host.data_centre)
-        cfg = return_ramp.RampSettings()
-        return ramp is None or return_ramp.starts_allowed(ramp, cfg, now) > 0
-
-    def _hold_if_starved(
-        self, task: cluster.Task, hosts: list[types.Candidate], now: float
-    ) -> None:
-        waited_s = now - task.ready_at
-        if waited_s < QUOTAS.starve_s or self._holds:
-            return
-        request = self._request(task, now)
-        hold = quota_reclaim.hold_for_starved(
-            request,
-            placement.reservation_of(self.contender.placement, request),
-            hosts,
-            self._shared(),
-            now + STARVED_HOLD_S,
-        )
-        if hold is not None:
-            self._holds = (*self._holds, hold)
-
-    def _shared(self) -> list[quota_reclaim.RunningTask]:
-        return [
-            quota_reclaim.RunningTask(
-                task.work.task,
-                task.work.team,
-                task.node_id,
-                task.reservation,
-                task.work.priority,
-                task.work.service,
-                task.done_s - task.saved_s,
-                task.work.checkpointable,
-                task.stops_at is not None,
-                max(0.0, self._expected_run_s(task) - task.done_s),
-            )
-            for task in self._running.values()
-        ]
-
-    def _reclaim(
-        self,
-        claims: list[cluster.Task],
-        hosts: list[types.Candidate],
-        now: float,
-    ) -> None:
-        held = {hold.task for hold in self._holds}
-        requests = []
-        for task in claims:
-            if task.work.task in held:
-                continue
-            request = self._request(task, now)
-            size = placement.reservation_of(self.contender.placement, request)
-            requests.append(
-                dataclasses.replace(
-                    request,
-                    declared=size,
-                    urgent=request.urgent or bool(task.work.service),
-                )
-            )
-        if not requests:
-            return
-        found = quota_reclaim.reclaim(
-            requests,
-            admission.with_holds(hosts, self._holds, None, now),
-            self._shared(),
-            self._use(),
-            self._teams,
-            pressure.evictions_left(self._pressure, now, self._pressure_cfg),
-        )
-        size_of = {item.task: item.declared for item in requests}
-        for item in found:
-            hold = admission.Hold(
-                item.node_id,
-                item.claimant,
-                size_of[item.claimant],
-                now + HOLD_S,
-            )
-            self._holds = (*self._holds, hold)
-            for victim in item.victims:
-                task = self._running[victim.task]
-                self.fleet.stop(task, checkpoint=True, now=now)
-                self.evictions += 1
-            self._pressure = pressure.count_evictions(
-                self._pressure, len(item.victims), now
-            )
-
-
-def replicas_left(replicas: list[cluster.Task]) -> list[cluster.Task]:
-    """Return the replicas that found no host."""
-    return [task for task in replicas if not task.node_id]
-
-
-def _teams(
-    deployment: workload.Deployment,
-) -> dict[str, settings.TeamSettings]:
-    part = workload.WORKERS / len(workload.TEAMS)
-    quota = resources.Resources(
-        int(deployment.capacity.millicores * part),
-        int(deployment.capacity.memory_mb * part),
-    )
-    return {name: settings.TeamSettings(quota) for name in workload.TEAMS}
-
-
-def _key(work: workload.Work) -> estimates.WorkKey:
-    return estimates.WorkKey(work.team, work.work_class, work.task.owner)
-
-
-def _occupant(task: cluster.Task) -> types.Occupant:
-    return types.Occupant(
-        task.work.task,
-        task.work.work_class,
-        task.reservation,
-        task.work.service,
-        max(0.0, task.share),
-    )
-
 
 def _drain_task(task: cluster.Task, now: float) -> drain_order.DrainTask:
     return drain_order.DrainTask(
--- /dev/null
+++ b/measure/_placing.py
@@ -0,0 +1,347 @@
+"""Placement rounds of the policy measurement, over the shipped decisions."""
+
+import dataclasses
+import random
+
+from citronrail.model import resources
+from citronrail.model import settings
+from citronrail.model import specs
+from citronrail.scheduling import _estimates as estimates
+from citronrail.scheduling import _health_evidence as evidence
+from citronrail.scheduling import _interference as interference
+from citronrail.scheduling import _placement as placement
+from citronrail.scheduling import _placement_admission as admission
+from citronrail.scheduling import _placement_score as score
+from citronrail.scheduling import _placement_types as types
+from citronrail.scheduling import _pressure as pressure
+from citronrail.scheduling import _quota_reclaim as quota_reclaim
+from citronrail.scheduling import _quotas as quotas
+from citronrail.scheduling import _return_ramp as return_ramp
+from citronrail.scheduling import _worker_health as worker_health
+from measure import _cluster as cluster
+from measure import _workload as workload
+
+HOLD_S = 15.0
+STARVED_HOLD_S = 120.0
+MIN_OBSERVATIONS = 3
+QUOTAS = quotas.QuotaSettings()
+PRESSURE = pressure.PressureSettings()
+
+
+@dataclasses.dataclass
+class State:
+    """The fleet and the records that the decisions work on."""
+
+    fleet: cluster.Cluster
+    pending: dict[specs.TaskId, cluster.Task] = dataclasses.field(
+        default_factory=dict
+    )
+    running: dict[specs.TaskId, cluster.Task] = dataclasses.field(
+        default_factory=dict
+    )
+    deferred: dict[specs.TaskId, float] = dataclasses.field(
+        default_factory=dict
+    )
+    host_load: dict[str, float] = dataclasses.field(default_factory=dict)
+    ramps: dict[str, return_ramp.ReturnRamp] = dataclasses.field(
+        default_factory=dict
+    )
+    model: interference.InterferenceModel = interference.InterferenceModel()
+    health: evidence.HealthRecord = evidence.HealthRecord()
+    trials: types.TrialLedger = types.TrialLedger()
+    holds: tuple[admission.Hold, ...] = ()
+    out: str | None = None
+    evictions: int = 0
+    starts: int = 0
+    known: estimates.Estimates = estimates.Estimates()
+    relief: pressure.PressureState = pressure.PressureState()
+
+
+class Placer:
+    """Places pending tasks by one policy.
+
+    :param policy: the placement policy.
+    :param state: the fleet and the records.
+    :param deployment: for the quotas of the teams.
+    :param seed: for random choices of the policy.
+    """
+
+    def __init__(
+        self,
+        policy: placement.Policy,
+        state: State,
+        deployment: workload.Deployment,
+        seed: int,
+    ) -> None:
+        self.state = state
+        self._policy = policy
+        self._rng = random.Random(f'policy/{seed}')
+        self._teams = _teams(deployment)
+
+    def place(self, now: float) -> None:
+        """Start what may start, and free room for what must."""
+        self.state.holds = tuple(h for h in self.state.holds if h.until > now)
+        hosts = [
+            self._candidate(h, now) for h in self.state.fleet.hosts.values()
+        ]
+        context = types.PlacementContext(
+            now,
+            self._rng,
+            self.state.model,
+            self.state.trials,
+            admission.count_replicas(hosts),
+        )
+        replicas = [t for t in self.state.pending.values() if t.work.service]
+        for task in replicas:
+            self._place_one(task, hosts, context, now)
+        claims = []
+        for entry in self._order(now):
+            task = self.state.pending[entry.task.task]
+            if not self._place_one(task, hosts, context, now):
+                if quota_reclaim.may_reclaim(entry, now, QUOTAS):
+                    claims.append(task)
+                self._hold_if_starved(task, hosts, now)
+        self._reclaim(
+            [t for t in replicas if not t.node_id] + claims, hosts, now
+        )
+
+    def _order(self, now: float) -> tuple[quotas.QueueEntry, ...]:
+        pending = [
+            quotas.PendingTask(
+                task.work.task,
+                task.work.team,
+                placement.reservation_of(
+                    self._policy, self._request(task, now)
+                ),
+                task.work.priority,
+                task.ready_at,
+                None,
+                self._expected_run_s(task),
+            )
+            for task in self.state.pending.values()
+            if not task.work.service and task.ready_at <= now
+        ]
+        return quotas.queue_order(
+            pending, self._use(), self._teams, now, QUOTAS
+        )
+
+    def _use(self) -> dict[str, resources.Resources]:
+        return quotas.team_use(
+            (task.work.team, task.reservation)
+            for task in self.state.running.values()
+            if not task.work.service
+        )
+
+    def _place_one(
+        self,
+        task: cluster.Task,
+        hosts: list[types.Candidate],
+        context: types.PlacementContext,
+        now: float,
+    ) -> bool:
+        request = self._request(task, now)
+        decision = placement.choose(
+            self._policy,
+            request,
+            admission.with_holds(hosts, self.state.holds, request.task, now),
+            context.continued(
+                self.state.trials, admission.count_replicas(hosts)
+            ),
+        )
+        if isinstance(decision, types.NotPlaced):
+            if decision.deferred:
+                self.state.deferred.setdefault(request.task, now)
+            return False
+        self.state.deferred.pop(request.task, None)
+        self.state.trials = score.record_placement(self.state.trials, decision)
+        index = [h.node_id for h in hosts].index(decision.node_id)
+        del self.state.pending[request.task]
+        self.state.running[request.task] = task
+        self.state.fleet.start(
+            task, decision.node_id, decision.reservation, now
+        )
+        self.state.starts += 1
+        self.state.health = worker_health.task_started(
+            self.state.health, decision.node_id, request.task, now
+        )
+        self.state.holds = tuple(
+            h for h in self.state.holds if h.task != request.task
+        )
+        host = hosts[index].with_occupant(_occupant(task))
+        ramp = self.state.ramps.get(host.data_centre)
+        if ramp is not None:
+            self.state.ramps[host.data_centre] = return_ramp.with_starts(
+                ramp, 1
+            )
+        full = worker_health.one_at_a_time(self.state.health, host.node_id)
+        hosts[index] = dataclasses.replace(
+            host, accepting=not full and self._ramp_open(host, now)
+        )
+        return True
+
+    def _request(
+        self, task: cluster.Task, now: float
+    ) -> types.PlacementRequest:
+        work = task.work
+        estimated = None
+        key = key_of(work)
+        if estimates.has_observations(self.state.known, key, MIN_OBSERVATIONS):
+            estimated = estimates.expected_size(
+                self.state.known, key, work.declared
+            )
+        return types.PlacementRequest(
+            work.task,
+            work.team,
+            work.work_class,
+            work.declared,
+            estimated,
+            work.service,
+            work.priority is specs.Priority.URGENT,
+            avoid=worker_health.avoided_workers(self.state.health, work.task),
+            waited_s=now - self.state.deferred.get(work.task, now),
+        )
+
+    def _expected_run_s(self, task: cluster.Task) -> float:
+        return estimates.expected_run_s(
+            self.state.known, key_of(task.work), task.work.declared_run_s
+        )
+
+    def _candidate(self, host: cluster.Host, now: float) -> types.Candidate:
+        ramp = self.state.ramps.get(host.data_centre)
+        capacity = host.capacity
+        if ramp is not None:
+            capacity = return_ramp.ramped_capacity(
+                capacity, ramp, return_ramp.RampSettings(), now
+            )
+        occupants = tuple(_occupant(task) for task in host.tasks.values())
+        reserved = resources.Resources()
+        for item in occupants:
+            reserved += item.reservation
+        candidate = types.Candidate(
+            host.node_id,
+            host.data_centre,
+            host.rack,
+            capacity,
+            reserved,
+            occupants,
+            host.data_centre != self.state.out,
+            host.up
+            and worker_health.may_start(self.state.health, host.node_id, now),
+            self.state.host_load.get(host.node_id, 0.5),
+        )
+        open_ramp = self._ramp_open(candidate, now)
+        return dataclasses.replace(
+            candidate, accepting=candidate.accepting and open_ramp
+        )
+
+    def _ramp_open(self, host: types.Candidate, now: float) -> bool:
+        ramp = self.state.ramps.get(host.data_centre)
+        cfg = return_ramp.RampSettings()
+        return ramp is None or return_ramp.starts_allowed(ramp, cfg, now) > 0
+
+    def _hold_if_starved(
+        self, task: cluster.Task, hosts: list[types.Candidate], now: float
+    ) -> None:
+        waited_s = now - task.ready_at
+        if waited_s < QUOTAS.starve_s or self.state.holds:
+            return
+        request = self._request(task, now)
+        hold = quota_reclaim.hold_for_starved(
+            request,
+            placement.reservation_of(self._policy, request),
+            hosts,
+            self._shared(),
+            now + STARVED_HOLD_S,
+        )
+        if hold is not None:
+            self.state.holds = (*self.state.holds, hold)
+
+    def _shared(self) -> list[quota_reclaim.RunningTask]:
+        return [
+            quota_reclaim.RunningTask(
+                task.work.task,
+                task.work.team,
+                task.node_id,
+                task.reservation,
+                task.work.priority,
+                task.work.service,
+                task.done_s - task.saved_s,
+                task.work.checkpointable,
+                task.stops_at is not None,
+                max(0.0, self._expected_run_s(task) - task.done_s),
+            )
+            for task in self.state.running.values()
+        ]
+
+    def _reclaim(
+        self,
+        claims: list[cluster.Task],
+        hosts: list[types.Candidate],
+        now: float,
+    ) -> None:
+        held = {hold.task for hold in self.state.holds}
+        requests = []
+        for task in claims:
+            if task.work.task in held:
+                continue
+            request = self._request(task, now)
+            size = placement.reservation_of(self._policy, request)
+            requests.append(
+                dataclasses.replace(
+                    request,
+                    declared=size,
+                    urgent=request.urgent or bool(task.work.service),
+                )
+            )
+        if not requests:
+            return
+        found = quota_reclaim.reclaim(
+            requests,
+            admission.with_holds(hosts, self.state.holds, None, now),
+            self._shared(),
+            self._use(),
+            self._teams,
+            pressure.evictions_left(self.state.relief, now, PRESSURE),
+        )
+        size_of = {item.task: item.declared for item in requests}
+        for item in found:
+            hold = admission.Hold(
+                item.node_id,
+                item.claimant,
+                size_of[item.claimant],
+                now + HOLD_S,
+            )
+            self.state.holds = (*self.state.holds, hold)
+            for victim in item.victims:
+                task = self.state.running[victim.task]
+                self.state.fleet.stop(task, checkpoint=True, now=now)
+                self.state.evictions += 1
+            self.state.relief = pressure.count_evictions(
+                self.state.relief, len(item.victims), now
+            )
+
+
+def _teams(
+    deployment: workload.Deployment,
+) -> dict[str, settings.TeamSettings]:
+    part = workload.WORKERS / len(workload.TEAMS)
+    quota = resources.Resources(
+        int(deployment.capacity.millicores * part),
+        int(deployment.capacity.memory_mb * part),
+    )
+    return {name: settings.TeamSettings(quota) for name in workload.TEAMS}
+
+
+def key_of(work: workload.Work) -> estimates.WorkKey:
+    """Return what observations of a task are grouped by."""
+    return estimates.WorkKey(work.team, work.work_class, work.task.owner)
+
+
+def _occupant(task: cluster.Task) -> types.Occupant:
+    return types.Occupant(
+        task.work.task,
+        task.work.work_class,
+        task.reservation,
+        task.work.service,
+        max(0.0, task.share),
+    )
--- a/measure/policies.py
+++ b/measure/policies.py
@@ -61,12 +61,12 @@
     """
     load = workload.build(run.scenario, run.deployment, run.seed)
     controller = control.Controller(load, run.contender, run.seed)
-    fleet = controller.fleet
+    fleet = controller.state.fleet
     net = []
     evictions_before = 0
     for now in range(workload.RUN_S):
         if now == workload.WARM_UP_S:
-            evictions_before = controller.evictions
+            evictions_before = controller.state.evictions
         net.append(fleet.work_done - fleet.work_lost)
         controller.tick(float(now))
     net.append(fleet.work_done - fleet.work_lost)
@@ -88,7 +88,7 @@
         1000 * report.quantile(latencies, 0.99),
         1000 * report.quantile(latencies, 0.999),
         (net[-1] - net[workload.WARM_UP_S]) / span_s / 1000,
-        controller.evictions - evictions_before,
+        controller.state.evictions - evictions_before,
         None if completed is None else completed / 1000,
     )
 
