--- a/citronrail/scheduling/_placement_score.py
+++ b/citronrail/scheduling/_placement_score.py
@@ -42,7 +42,7 @@
     packing_weight: float = 0.02
     trial_share: float = 0.05
     sample: int = 32
-    service_slowdown_limit: float = 1.5
+    service_slowdown_limit: float = 1.7
     defer_s: float = 90.0
 
 
