--- /dev/null
+++ b/citronrail/adapters/_zmq_peers.py
@@ -0,0 +1,270 @@
+"""Connections between the project's processes over zmq."""
+
+import collections.abc
+import dataclasses
+import random
+
+import trio
+import zmq
+
+from citronrail.adapters import _curve
+from citronrail.adapters import _metrics
+from citronrail.adapters import _peer_connections
+from citronrail.adapters import _peer_inbox
+from citronrail.adapters import _peer_links
+from citronrail.adapters import _peer_port
+from citronrail.adapters import _zmq_sockets
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import adapters as events
+from citronrail import ports
+
+_LATE_S = 1.0  # this process itself was stopped if a wake-up is so late
+_FULL_QUEUE_PAUSE_S = 0.002
+
+Introduce = collections.abc.Callable[[], messages.Hello]
+
+
+class ZmqPeerHub:
+    """A :class:`citronrail.ports.PeerHub` over zmq.
+
+    Entries listen with a ROUTER; agents and entries connect to each entry
+    with a DEALER. Each connection begins with an exchange of Hello.
+
+    :param introduce: returns this process's Hello as of now; its clock is
+        set by the hub.
+    :param listen: ``tcp://IP:PORT`` of the peer port, or '' for none; port 0
+        chooses a free one.
+    :param curve: key files; None is allowed only with ``insecure``.
+    :param insecure: accept and make connections without keys.
+    :param limits: bounds of the port.
+    :param rng: spreads reconnects in time.
+    :raises citronrail.errors.ConfigError: if keys are missing or malformed.
+    """
+
+    def __init__(
+        self,
+        introduce: Introduce,
+        *,
+        listen: str = '',
+        curve: _curve.CurveFiles | None = None,
+        insecure: bool = False,
+        limits: _zmq_sockets.PeerLimits | None = None,
+        rng: random.Random,
+    ) -> None:
+        if (curve is None) != insecure:
+            raise errors.ConfigError(
+                'give either key files or the setting for no keys',
+                step='peers.keys',
+            )
+        hello = introduce()
+        self.address = ''
+        self._introduce = introduce
+        self._node_id = hello.node_id
+        self._boot_id = hello.boot_id
+        self._listen = listen
+        self._keys = _curve.CurveKeys(curve) if curve else None
+        self._limits = limits or _zmq_sockets.PeerLimits()
+        self._ctx: zmq.Context[zmq.Socket[bytes]] = zmq.Context()
+        self._table = _peer_links.LinkTable()
+        self._inbox = _peer_inbox.PeerInbox(self._table, self._limits)
+        self._connections = _peer_connections.EntryConnections(
+            self._ctx,
+            self._inbox,
+            self._table,
+            self._hello,
+            self._keys,
+            self._limits,
+            rng,
+        )
+        self._wanted: frozenset[str] = frozenset()
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def node_id(self) -> identifiers.NodeId:
+        """Node id of this process."""
+        return self._node_id
+
+    @property
+    def boot_id(self) -> identifiers.BootId:
+        """Boot id of this process."""
+        return self._boot_id
+
+    def subscribe(self, kind: type, handler: ports.Handler) -> None:
+        """Call ``handler(peer, message, payload)`` for each ``kind``.
+
+        :param kind: a registered message class.
+        :param handler: awaited in the peer's own task.
+        """
+        self._inbox.subscribe(kind, handler)
+
+    def listen(
+        self,
+        on_connect: ports.Listener,
+        on_disconnect: ports.Listener,
+    ) -> None:
+        """Call functions when peers connect and disconnect.
+
+        :param on_connect: gets the peer; called for present peers at once.
+        :param on_disconnect: gets the peer.
+        """
+        self._table.listen(on_connect, on_disconnect)
+
+    def peers(self, role: str) -> tuple[ports.Peer, ...]:
+        """Return the connected peers of a role.
+
+        :param role: ``entry`` or ``agent``.
+        """
+        return self._table.peers(role)
+
+    def find_peer(self, node_id: identifiers.NodeId) -> ports.Peer | None:
+        """Return a connected peer, None if it is not connected.
+
+        :param node_id: the peer.
+        """
+        link = self._table.link(node_id)
+        return None if link is None else link.peer
+
+    def to_peer_clock(
+        self, peer: identifiers.NodeId, deadline: float
+    ) -> float:
+        """Express a local deadline on the peer's clock.
+
+        :param peer: node id of the receiver.
+        :param deadline: time in seconds on this process's clock.
+        :returns: a time on the peer's clock that is never later.
+        :raises citronrail.errors.PeerUnreachable: if no clock reading of the
+            peer's present boot is known.
+        """
+        reading = self._table.clock(peer)
+        if reading is None:
+            raise errors.PeerUnreachable(
+                'no clock reading', step='peers.clock', peer=peer
+            )
+        return reading.convert(deadline, trio.current_time())
+
+    async def send(
+        self,
+        peer: identifiers.NodeId,
+        message: object,
+        payload: bytes | None = None,
+    ) -> None:
+        """Hand a message to the peer's socket.
+
+        Waits at most ``send_wait_s`` while the peer's queue is full; sends
+        to other peers go on meanwhile.
+
+        :param peer: node id of the receiver.
+        :param message: an instance of a registered message.
+        :param payload: raw bytes for frame 1.
+        :raises citronrail.errors.PeerUnreachable: if nothing was handed to
+            a socket.
+        """
+        frames = [messages.pack(message)]
+        if payload is not None:
+            frames.append(payload)
+        reason = await self._hand_over(self._table.link(peer), frames)
+        if reason:
+            _metrics.PEER_SENDS_FAILED.inc()
+            raise errors.PeerUnreachable(reason, step='peers.send', peer=peer)
+
+    def set_entries(self, addresses: collections.abc.Iterable[str]) -> None:
+        """Connect to these entries and disconnect from all others.
+
+        :param addresses: peer ports as ``tcp://IP:PORT``; this process's own
+            is ignored.
+        """
+        self._wanted = frozenset(addresses) - {self.address}
+        if self._nursery is not None:
+            self._connections.apply(self._wanted, self._nursery)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Serve the peer port and the connections until cancelled.
+
+        :param task_status: started with the address of the peer port, or ''.
+        """
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                if self._keys is not None:
+                    await nursery.start(self._keys.authenticate, self._ctx)
+                else:
+                    observability.emit(events.PEER_PORT_INSECURE)
+                self._inbox.open(nursery)
+                if self._listen:
+                    nursery.start_soon(self._open_port().run)
+                nursery.start_soon(self._keep_alive)
+                self._connections.apply(self._wanted, nursery)
+                task_status.started(self.address)
+        finally:
+            self._nursery = None
+            self._ctx.destroy(linger=0)
+
+    def _open_port(self) -> _peer_port.PeerPort:
+        sock = _zmq_sockets.open_router(self._ctx, self._limits)
+        if self._keys is not None:
+            self._keys.secure_server(sock)
+        sock.bind(self._listen)
+        self.address = str(sock.getsockopt_string(zmq.LAST_ENDPOINT))
+        observability.emit(events.PEER_PORT_OPEN, address=self.address)
+        return _peer_port.PeerPort(
+            _zmq_sockets.TrioSocket(sock),
+            self._inbox,
+            self._table,
+            self._hello,
+            self._keys,
+        )
+
+    async def _hand_over(
+        self, link: _peer_links.Link | None, frames: list[bytes]
+    ) -> str:
+        """Hand frames to a link; return '' or why it was impossible."""
+        if link is None:
+            await trio.lowlevel.checkpoint()
+            return 'not connected'
+        if sum(map(len, frames)) > self._limits.max_message_bytes:
+            return 'the message is too large'
+        with trio.move_on_after(self._limits.send_wait_s):
+            async with link.lock:
+                try:
+                    while not link.try_send(frames):
+                        await trio.sleep(_FULL_QUEUE_PAUSE_S)
+                except zmq.ZMQError as exc:
+                    return str(exc)
+                return ''
+        return 'the queue is full'
+
+    def _hello(self) -> messages.Hello:
+        return dataclasses.replace(
+            self._introduce(), clock=trio.current_time()
+        )
+
+    async def _keep_alive(self) -> None:
+        """Probe idle connections and drop silent ones."""
+        tick_s = self._limits.keep_alive_s / 4
+        while True:
+            due = trio.current_time() + tick_s
+            await trio.sleep(tick_s)
+            now = trio.current_time()
+            if now > due + _LATE_S:
+                # What peers sent meanwhile has not been read yet.
+                for link in self._table.links():
+                    link.heard_at = now
+            for link in self._table.links():
+                if now - link.heard_at > self._limits.silence_s:
+                    link.close('no message for too long')
+                elif now - link.sent_at > self._limits.keep_alive_s:
+                    self._probe(link, now)
+
+    def _probe(self, link: _peer_links.Link, now: float) -> None:
+        alive = messages.Alive(self._boot_id, now)
+        try:
+            link.try_send([messages.pack(alive)])
+        except zmq.ZMQError:
+            return
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -22,6 +22,7 @@
 _KINDS: dict[str, type] = {}
 
 
+@typing.dataclass_transform(frozen_default=True)
 def _message(cls: type[M]) -> type[M]:
     """Make a class a frozen data class and register it as a message."""
     frozen = dataclasses.dataclass(frozen=True)(cls)
@@ -83,7 +84,8 @@
     """An attempt that the agent's worker holds.
 
     ``state`` is one of ``starting``, ``running``, ``throttled``,
-    ``checkpointing``.
+    ``checkpointing``, or ``ended`` for an attempt whose report is not yet
+    acknowledged.
     """
 
     attempt: specs.AttemptId
@@ -129,6 +131,14 @@
     address: str = ''
 
 
+@_message
+class Alive:
+    """Sent by the peer port on a connection that was idle for a second."""
+
+    boot_id: identifiers.BootId
+    clock: float  # the sender's monotonic clock
+
+
 @_message
 class Heartbeat:
     """Agent to entry, each second."""
@@ -142,6 +152,7 @@
     settings_version: int = 0
     leaving: bool = False
     ready: bool = True
+    entries_known: int = 0  # checksum of the entries that the agent knows
 
 
 @_message
@@ -149,7 +160,7 @@
     """Entry to agent; extends the permit to start tasks.
 
     ``permit_until`` is 0 when the entry can't vouch for fresh settings.
-    ``entries`` is empty unless it changed since the last acknowledgement.
+    ``entries`` is empty unless the agent's list differs from the entry's.
     """
 
     boot_id: identifiers.BootId
@@ -175,10 +186,14 @@
 
 @_message
 class EntryHeartbeat:
-    """Entry to entry, each second.
+    """Entry to entry, twice a second.
 
     ``fresh_age_s`` is the time since the settings of ``settings_version``
     were last confirmed to be the latest, counted back from the sending.
+    ``echo_seq`` is the last heartbeat received from the addressee and
+    ``echo_age_s`` the time since then; 0 if there was none. An entry that is
+    no member in the sender's read of the store at ``view_revision`` may
+    acknowledge agents for at most ``outsiders_for_s`` more.
     """
 
     boot_id: identifiers.BootId
@@ -189,6 +204,10 @@
     ranges: tuple[RangeClaim, ...] = ()
     silent: tuple[SilentAgent, ...] = ()
     draining: bool = False
+    echo_seq: int = 0
+    echo_age_s: float = 0.0
+    view_revision: int = 0
+    outsiders_for_s: float = 0.0
 
 
 @_message
@@ -207,6 +226,14 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class TeamReservation:
+    """What the running tasks of a team reserve on the sender's host."""
+
+    team: identifiers.TeamName
+    reserved: resources.Resources
+
+
 @_message
 class UsageReport:
     """Agent to entry, every few seconds; usage lags behind the work."""
@@ -214,6 +241,7 @@
     boot_id: identifiers.BootId
     clock: float  # the sender's monotonic clock
     usage: tuple[TaskUsage, ...] = ()
+    reserved: tuple[TeamReservation, ...] = ()
 
 
 @_message
@@ -252,6 +280,35 @@
     reason: str = ''
 
 
+@_message
+class TaskQuery:
+    """Owner to agent: what became of these attempts.
+
+    Answered by a :class:`TaskQueryReply` from a list that the agent asked
+    its worker for after the query arrived.
+    """
+
+    attempts: tuple[specs.AttemptId, ...]
+    range_id: identifiers.RangeId
+    fencing: identifiers.FencingToken
+
+
+@_message
+class TaskQueryReply:
+    """Agent to owner: what became of the attempts that were asked for.
+
+    An attempt in ``absent`` doesn't run, and a late :class:`StartTask` for it
+    is refused. One in neither list is being started or has ended; a
+    :class:`StartReply` or :class:`TaskReport` follows. ``throttled`` names
+    those of ``running`` that are limited to a share of their processors.
+    """
+
+    range_id: identifiers.RangeId
+    running: tuple[specs.AttemptId, ...] = ()
+    absent: tuple[specs.AttemptId, ...] = ()
+    throttled: tuple[specs.AttemptId, ...] = ()
+
+
 @_message
 class ThrottleTask:
     """Owner to agent: limit an attempt to a share of its processors."""
@@ -305,25 +362,32 @@
 
 @_message
 class RequestRefused:
-    """Agent to entry: the request was not run and never will be."""
+    """Agent to entry: the request was not run and never will be.
+
+    ``leaving`` tells that the agent or its backend servers leave, ``full``
+    that there was no room in time.
+    """
 
     request_id: identifiers.RequestId
     attempt: int
     reason: str
     leaving: bool = False
+    full: bool = False
 
 
 @_message
 class RequestFailed:
     """Agent to entry: the run broke off; its effect is unknown.
 
-    ``ended`` is True when no run of it can still be in progress.
+    ``ended`` is True when no run of it can still be in progress, and
+    ``timed_out`` when its time was over.
     """
 
     request_id: identifiers.RequestId
     attempt: int
     reason: str
     ended: bool = False
+    timed_out: bool = False
 
 
 @_message
@@ -442,7 +506,12 @@
     """State of an idempotency or exclusive key.
 
     ``verdict`` is ``in progress``, ``done`` or ``unknown``. Ages count back
-    from the sending of the message; ``expires_in_s`` counts forward.
+    from the sending of the message; ``expires_in_s`` counts forward, as does
+    ``run_ends_in_s``, after which no granted run can be in progress. A record
+    of kind ``takeover`` passes on what the sender itself didn't know: keys
+    born before ``expires_in_s`` from the sending (mostly negative) may have
+    run unless there is a record of them, and exclusive keys may be held until
+    ``run_ends_in_s``.
     """
 
     key: str
@@ -454,6 +523,7 @@
     status: int = 0
     headers: Headers = ()
     body: bytes = b''
+    run_ends_in_s: float = 0.0
 
 
 @_message
@@ -491,8 +561,10 @@
 class ExtendOwnership:
     """Range owner to every other entry while it can't reach the store.
 
-    Asks the receiver to promise not to take the ranges over, and to help no
-    one else to, until ``promise_until``.
+    Asks the receiver not to take the ranges over, and to help no one else to,
+    for the fixed promise time from the receipt. The owner counts that time
+    from before it sent the message. A message received after
+    ``promise_until`` was held up and gets no promise.
     """
 
     seq: int
@@ -524,14 +596,17 @@
     """Entry to the one that wants a range.
 
     ``promised_until`` is the end of the receiver's last promise, on the
-    querying entry's clock; 0 if it gave none. ``still_owner`` is True when
-    the receiver itself owns the range.
+    querying entry's clock; 0 if it gave none. It is a lower bound, so the
+    querying entry waits ``promise_left_s`` from the receipt instead, which
+    counts from the sending. ``still_owner`` is True when the receiver itself
+    owns the range.
     """
 
     seq: int
     range_id: identifiers.RangeId
     promised_until: float
     still_owner: bool = False
+    promise_left_s: float = 0.0
 
 
 Cell = str | int | float | bool | None
@@ -539,7 +614,12 @@
 
 @_message
 class CommandReply:
-    """Result of a command or query, with a table for queries."""
+    """Result of a command or query, with a table for queries.
+
+    ``more`` tells that rows were left out. Between entries, ``ranges`` names
+    the ranges that the sender owned from the start of the command to its
+    end, and ``count`` how many tasks or jobs it cancelled in them.
+    """
 
     command_id: identifiers.CommandId
     outcome: outcomes.Outcome
@@ -547,6 +627,24 @@
     settings_version: int = 0
     columns: tuple[str, ...] = ()
     rows: tuple[tuple[Cell, ...], ...] = ()
+    more: bool = False
+    ranges: tuple[identifiers.RangeId, ...] = ()
+    count: int = 0
+
+
+@_message
+class TimelineQuery:
+    """Entry to any process: send your timeline, at most ``limit`` events."""
+
+    seq: int
+    limit: int
+
+
+@_message
+class TimelineReply:
+    """Answer to a timeline query; frame 1 is the compressed timeline."""
+
+    seq: int
 
 
 @_message
