Keep the built hosts between placement calls and compare 16 of them

Cause: one call for 64 candidates rebuilt every host and scored 32 of them. Change: a host is rebuilt only when its reports, placements or free amounts changed; at most 16 hosts are scored in place of 32; replicas are spread by the places that the request names.

--- a/citronrail/scheduling/_decision_adapters.py
+++ b/citronrail/scheduling/_decision_adapters.py
@@ -83,7 +83,11 @@
         )
         places: Mapping[identifiers.ServiceName, Mapping[str, int]] = {}
         if request.service is not None:
-            places = {request.service: memory.replica_places(request.siblings)}
+            places = {
+                request.service: memory.replica_places(
+                    request.siblings, request.sibling_places
+                )
+            }
         context = types.PlacementContext(
             now, memory.rng, memory.interference, memory.trials, places
         )
--- a/citronrail/scheduling/_decision_memory.py
+++ b/citronrail/scheduling/_decision_memory.py
@@ -5,6 +5,7 @@
 host from usage reports and from this process's own placements.
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
@@ -39,11 +40,13 @@
 class HostUsage:
     """The latest usage of the tasks on a host, by attempt.
 
-    Times are local, in seconds.
+    ``measured_at`` is the local time of the newest record, in seconds.
     """
 
     usage: Mapping[specs.AttemptId, messages.TaskUsage]
-    received_at: float
+    occupants: tuple[types.Occupant, ...]
+    host_load: float
+    measured_at: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -54,6 +57,16 @@
     placed_at: float
 
 
+@dataclasses.dataclass(frozen=True)
+class KeptCandidate:
+    """A host as it was last built, with what it was built from."""
+
+    known: HostUsage | None
+    assumed: tuple[types.Occupant, ...]
+    free: resources.Resources
+    candidate: types.Candidate
+
+
 def service_of(task: specs.TaskId) -> identifiers.ServiceName | None:
     """Return the service that a task is a replica of.
 
@@ -85,6 +98,7 @@
         self._assumed: dict[identifiers.NodeId, list[AssumedTask]] = {}
         self._places: dict[identifiers.NodeId, tuple[str, str]] = {}
         self._deferred: dict[specs.TaskId, float] = {}
+        self._candidates: dict[identifiers.NodeId, KeptCandidate] = {}
 
     def observe_usage(
         self,
@@ -107,9 +121,8 @@
             [interference.measurement(item, 0.0) for item in usage],
             now,
         )
-        latest = {item.attempt: item for item in usage}
-        self._usage[node_id] = HostUsage(latest, now)
         shown_until = max((item.measured_at for item in usage), default=now)
+        self._usage[node_id] = _host_usage(usage, shown_until)
         self._assumed[node_id] = [
             item
             for item in self._assumed.get(node_id, [])
@@ -159,19 +172,22 @@
             self._places[agent.node_id] = (agent.data_centre, agent.rack)
 
     def replica_places(
-        self, siblings: Iterable[identifiers.NodeId]
+        self,
+        siblings: Sequence[identifiers.NodeId],
+        places: Sequence[tuple[identifiers.DataCentreName, str]] = (),
     ) -> Mapping[str, int]:
         """Count the replicas of a service by host, rack and data centre.
 
         :param siblings: hosts of its replicas.
+        :param places: their data centres and racks; if empty, what is
+            remembered of the hosts.
         :returns: counts by name, a rack as ``data_centre/rack``.
         """
-        counts: dict[str, int] = {}
-        for node_id in siblings:
-            data_centre, rack = self._places.get(node_id, ('', ''))
-            for name in (node_id, f'{data_centre}/{rack}', data_centre):
-                counts[name] = counts.get(name, 0) + 1
-        return counts
+        names: list[str] = list(siblings)
+        remembered = [self._places.get(i, ('', '')) for i in siblings]
+        for data_centre, rack in places or remembered:
+            names += [f'{data_centre}/{rack}', data_centre]
+        return collections.Counter(names)
 
     def candidate(self, agent: views.AgentView, now: float) -> types.Candidate:
         """Build the placement view of a host.
@@ -180,34 +196,42 @@
         :param now: local time in seconds.
         :returns: the host with the tasks known to be on it.
         """
-        usage = self.usage_on(agent.node_id, now)
-        occupants = [
-            types.Occupant(
-                item.attempt.task,
-                item.work_class,
-                item.usage,
-                service_of(item.attempt.task),
-            )
-            for item in usage
-        ]
-        occupants += [
+        known = self._usage.get(agent.node_id)
+        if known is not None and known.measured_at + USAGE_MAX_AGE_S <= now:
+            known = None
+        assumed = tuple(
             item.occupant
-            for item in self._assumed.get(agent.node_id, [])
+            for item in self._assumed.get(agent.node_id, ())
             if now - item.placed_at <= ASSUMED_RUNNING_S
-        ]
+        )
+        # A round asks for the same hosts again and again; keeping them keeps
+        # the counts that they have computed.
+        kept = self._candidates.get(agent.node_id)
+        if (
+            kept is not None
+            and kept.known is known
+            and kept.assumed == assumed
+            and kept.free == agent.free
+        ):
+            return kept.candidate
         reserved = agent.capacity - agent.free
         load = reserved.millicores / max(1, agent.capacity.millicores)
-        if usage:
-            load = max(usage, key=lambda item: item.measured_at).host_load
-        return types.Candidate(
+        shown: tuple[types.Occupant, ...] = ()
+        if known is not None:
+            shown, load = known.occupants, known.host_load
+        candidate = types.Candidate(
             agent.node_id,
             agent.data_centre,
             agent.rack,
             agent.capacity,
             reserved,
-            tuple(occupants),
+            shown + assumed,
             load=load,
         )
+        self._candidates[agent.node_id] = KeptCandidate(
+            known, assumed, agent.free, candidate
+        )
+        return candidate
 
     def waited_s(self, task: specs.TaskId, now: float) -> float:
         """Return the time since a task was first deferred.
@@ -242,4 +266,25 @@
         self._usage.pop(node_id, None)
         self._assumed.pop(node_id, None)
         self._places.pop(node_id, None)
+        self._candidates.pop(node_id, None)
         self.health = worker_health.forget_worker(self.health, node_id)
+
+
+def _host_usage(
+    usage: Sequence[messages.TaskUsage], measured_at: float
+) -> HostUsage:
+    newest = max(usage, key=lambda item: item.measured_at, default=None)
+    return HostUsage(
+        {item.attempt: item for item in usage},
+        tuple(
+            types.Occupant(
+                item.attempt.task,
+                item.work_class,
+                item.usage,
+                service_of(item.attempt.task),
+            )
+            for item in usage
+        ),
+        newest.host_load if newest is not None else 0.0,
+        measured_at,
+    )
--- a/citronrail/scheduling/_placement_score.py
+++ b/citronrail/scheduling/_placement_score.py
@@ -41,7 +41,7 @@
     isolation_weight: float = 6.0
     packing_weight: float = 0.02
     trial_share: float = 0.05
-    sample: int = 32
+    sample: int = 16
     service_slowdown_limit: float = 1.7
     defer_s: float = 90.0
 
