--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -144,6 +144,7 @@
             self.directory,
             self.mesh,
             lambda: tuple(c.range_id for c in self.claims()),
+            self._request_rows,
         )
         checks = language.PolicyChecks(
             {
@@ -259,6 +260,21 @@
             self.hub.set_entries([entry.address for entry in entries])
             await trio.sleep(CONNECT_INTERVAL_S)
 
+    def _request_rows(self) -> tuple[language.RequestRow, ...]:
+        now = trio.current_time()
+        return tuple(
+            language.RequestRow(
+                req.request_id,
+                self._cfg.node_id,
+                req.service,
+                'running' if req.attempt else 'waiting',
+                req.worker,
+                req.attempt,
+                round(now - req.started_at, 3),
+            )
+            for req in self.router.open_requests()
+        )
+
     # Planned stop
 
     async def _await_balancer(self) -> None:
--- a/citronrail/membership/_entry_mesh.py
+++ b/citronrail/membership/_entry_mesh.py
@@ -164,10 +164,14 @@
         """Return the other entry that claims a range, or None.
 
         :param range_id: the range.
-        :returns: the claimant with the highest fencing token.
+        :returns: the claimant with the highest fencing token among the
+            connected entries; a claim of one that has left doesn't count.
         """
         best: tuple[int, identifiers.NodeId] | None = None
+        connected = {peer.node_id for peer in self._hub.peers('entry')}
         for view in self._views.values():
+            if view.node_id not in connected:
+                continue
             for claim in view.ranges:
                 candidate = (int(claim.fencing), view.node_id)
                 if claim.range_id == range_id and (
--- a/citronrail/routing/__init__.py
+++ b/citronrail/routing/__init__.py
@@ -6,6 +6,7 @@
 from citronrail.routing._keys import KeyService
 from citronrail.routing._owned_keys import OwnedKeys
 from citronrail.routing._requests import CallerRequest
+from citronrail.routing._requests import OpenRequest
 from citronrail.routing._requests import Problem
 from citronrail.routing._requests import Respond
 from citronrail.routing._router import RequestRouter
@@ -17,6 +18,7 @@
     'Keeper',
     'KeyAnswer',
     'KeyService',
+    'OpenRequest',
     'OwnedKeys',
     'Problem',
     'RequestRouter',
--- a/citronrail/routing/_requests.py
+++ b/citronrail/routing/_requests.py
@@ -172,3 +172,18 @@
     if len(text) > MAX_KEY_LENGTH:
         raise BadRequest('Citronrail-Exclusive is too long')
     return text
+
+
+@dataclasses.dataclass(frozen=True)
+class OpenRequest:
+    """A request in progress at this entry.
+
+    ``worker`` is the agent of the latest attempt, or ''; ``attempt`` its
+    number, 0 before the first. ``started_at`` is local time in seconds.
+    """
+
+    request_id: identifiers.RequestId
+    service: identifiers.ServiceName
+    started_at: float
+    worker: str = ''
+    attempt: int = 0
--- a/citronrail/routing/_router.py
+++ b/citronrail/routing/_router.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import contextlib
+import dataclasses
 import random
 
 import trio
@@ -69,6 +70,8 @@
         )
         self._feeds: set[relays.FeedRelay] = set()
         self._in_progress = 0
+        self._open: dict[identifiers.RequestId, _requests.OpenRequest] = {}
+        self._running: dict[identifiers.RequestId, _attempts.Progress] = {}
         self._draining = False
         self._nursery: trio.Nursery | None = None
 
@@ -77,6 +80,23 @@
         """Number of requests that have not ended."""
         return self._in_progress
 
+    def open_requests(self) -> tuple[_requests.OpenRequest, ...]:
+        """Return the requests in progress, oldest first."""
+        return tuple(
+            self._with_attempt(open_) for open_ in self._open.values()
+        )
+
+    def _with_attempt(
+        self, open_: _requests.OpenRequest
+    ) -> _requests.OpenRequest:
+        progress = self._running.get(open_.request_id)
+        if progress is None or not progress.exchanges:
+            return open_
+        latest = progress.exchanges[-1]
+        return dataclasses.replace(
+            open_, worker=latest.peer.node_id, attempt=latest.attempt
+        )
+
     async def run(
         self,
         *,
@@ -121,6 +141,9 @@
         """
         started_at = trio.current_time()
         self._in_progress += 1
+        self._open[req.request_id] = _requests.OpenRequest(
+            req.request_id, req.service, started_at
+        )
         _metrics.IN_PROGRESS.inc()
         try:
             problem = await self._answer(req, respond)
@@ -129,6 +152,8 @@
                 await respond.problem(problem)
         finally:
             self._in_progress -= 1
+            self._open.pop(req.request_id, None)
+            self._running.pop(req.request_id, None)
             _metrics.IN_PROGRESS.dec()
             taken = trio.current_time() - started_at
             _metrics.REQUEST_SECONDS.observe(taken)
@@ -184,6 +209,7 @@
         self, progress: _attempts.Progress, respond: _requests.Respond
     ) -> _requests.Problem | None:
         """Run a request whose keys are reserved."""
+        self._running[progress.req.request_id] = progress
         try:
             exchange = await self._attempts.until_started(progress)
             if exchange is not None:
