Export the daemon's program

Cause: the script citronraild named a function that its package didn't export. Ruled out: the installation; python -m citronrail.daemon worked, which is what demo and drills use, so nothing noticed. Before: ImportError.

--- a/citronrail/daemon/__init__.py
+++ b/citronrail/daemon/__init__.py
@@ -7,6 +7,7 @@
 from citronrail.daemon._process_settings import ProcessSettings
 from citronrail.daemon._process_settings import StoreSettings
 from citronrail.daemon._process_settings import Times
+from citronrail.daemon._program import main
 from citronrail.daemon._settings_file import decode
 from citronrail.daemon._settings_file import load
 
@@ -20,4 +21,5 @@
     'Times',
     'decode',
     'load',
+    'main',
 ]
--- /dev/null
+++ b/citronrail/daemon/_program.py
@@ -0,0 +1,17 @@
+"""Entry point of ``citronraild``."""
+
+import collections.abc
+import importlib
+
+
+def main(argv: collections.abc.Sequence[str] | None = None) -> int:
+    """Run the daemon until a planned stop is complete.
+
+    :param argv: arguments without the program's name; those of the process
+        if None.
+    :returns: exit status: 0 after a planned stop, 2 for wrong settings.
+    """
+    # Imported late: the operators' tool uses this package for its settings
+    # and starts faster without the transports.
+    program = importlib.import_module('citronrail.daemon._main')
+    return int(program.main(argv))
