Follow entries that acknowledge agents after they left the membership

(1) A member whose store lease had lapsed but which kept contact with another entry went on acknowledging; its bound was fixed at its departure. (2) A member was in neither list between the read of the store and the next update. (3) A verdict relied on a read of the store older than itself, and an entry acknowledged before its membership key was written. Change: former members stay in view while their heartbeats come; verdicts end at the time of the read; nothing is acknowledged before joining; an entry is forgotten only on a fresh read.

--- a/citronrail/coordination/_ownership_view.py
+++ b/citronrail/coordination/_ownership_view.py
@@ -52,14 +52,18 @@
 class MembershipState:
     """The entries as last read, and the state of the own store lease.
 
-    ``revision`` is that of the read, 0 before the first. ``last_contact`` is
-    the local time before the last renewal that was answered. ``has_history``
-    tells whether any range was ever owned.
+    ``revision`` is that of the read, 0 before the first, and ``read_at`` the
+    local time before the read left. ``lease_holds`` tells whether the own
+    membership key certainly lasts, ``joined_at`` when it was written, and
+    ``last_contact`` is the local time before the last renewal that was
+    answered. ``has_history`` tells whether any range was ever owned.
     """
 
     entries: tuple[EntryMember, ...]
     revision: int
+    read_at: float
     lease_holds: bool
+    joined_at: float
     last_contact: float
     has_history: bool
 
--- a/citronrail/coordination/_range_ownership.py
+++ b/citronrail/coordination/_range_ownership.py
@@ -77,6 +77,9 @@
         self._draining = False
         self._wake = trio.Event()
         self._joined = trio.Event()
+        self._joined_lease_id = -1
+        self._joined_at = _store_lease.NEVER
+        self._read_at = _store_lease.NEVER
         self._released_at = _store_lease.NEVER
         self._calls = _listener_calls.ListenerCalls(range_count)
         self._lease = _store_lease.StoreLease(store, self._timing.lease_ttl_s)
@@ -128,11 +131,17 @@
         return views.MembershipState(
             entries=self._view.entries,
             revision=self._view.revision,
-            lease_holds=self._lease.holds,
+            read_at=self._read_at,
+            lease_holds=self._lease.holds and self._is_member(),
+            joined_at=self._joined_at,
             last_contact=self._lease.last_contact,
             has_history=any(place.record for place in self._view.places),
         )
 
+    def _is_member(self) -> bool:
+        """Tell whether the membership key was written under this lease."""
+        return self._joined_lease_id == self._lease.lease_id
+
     def add_listener(self, listener: ranges.OwnershipListener) -> None:
         """Tell a listener of changes; add it before ``run``."""
         self._calls.add(listener)
@@ -216,6 +225,9 @@
             self._lease.lease_id,
         )
         await _store_calls.bounded(self._store.txn([], [put]), 'entry.join')
+        if self._joined_lease_id != put.lease_id:
+            self._joined_lease_id = put.lease_id
+            self._joined_at = trio.current_time()
 
     def _tell_lost_lease(self) -> None:
         now = trio.current_time()
@@ -271,10 +283,12 @@
 
     async def _read_view(self) -> bool:
         """Read the store; False if an old state was read."""
+        read_at = trio.current_time()
         view = await views.read_view(self._store, self._range_count)
         if view.revision < self._view.revision:
             return False
         self._view = view
+        self._read_at = read_at
         for held in self._claims.drop_taken(view):
             self._tell_lost(held.range_id, 'the store shows no such holder')
         self._claims.know_members(view)
--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -256,7 +256,6 @@
         task_status.started()
         while True:
             entries = self.ownership.entries()
-            self.mesh.forget({entry.node_id for entry in entries})
             self.hub.set_entries([entry.address for entry in entries])
             await trio.sleep(CONNECT_INTERVAL_S)
 
--- a/citronrail/membership/_agent_directory.py
+++ b/citronrail/membership/_agent_directory.py
@@ -82,7 +82,8 @@
         self._sent_version: dict[identifiers.NodeId, int] = {}
         self._started_at = 0.0
         self._draining = False
-        self._may_acknowledge = True
+        # Not before the membership key is written: others could not know.
+        self._may_acknowledge = False
         hub.subscribe(messages.Heartbeat, self._on_heartbeat)
         hub.subscribe(messages.BackendUpdate, self._on_backend_update)
 
--- a/citronrail/membership/_entry_mesh.py
+++ b/citronrail/membership/_entry_mesh.py
@@ -22,6 +22,8 @@
 SENT_TIMES_KEPT = 64
 CLOCK_RATE_MARGIN = 0.01
 NEVER = float('-inf')
+# Longer than the age up to which a read of the members counts as fresh.
+FORGET_AFTER_S = 10.0
 
 
 class SettingsNews(_agent_directory.SettingsSource, typing.Protocol):
@@ -37,9 +39,8 @@
 class OutsiderBound(typing.Protocol):
     """Until when entries that are no members may acknowledge agents."""
 
-    @property
-    def until(self) -> float:
-        """Local time."""
+    def told_until(self, now: float) -> float:
+        """Return the local time that other entries may rely on."""
         ...
 
     @property
@@ -212,7 +213,7 @@
             echo_seq=echo_seq,
             echo_age_s=now - received_at,
             view_revision=self._outsiders.revision,
-            outsiders_for_s=max(0.0, self._outsiders.until - now),
+            outsiders_for_s=max(0.0, self._outsiders.told_until(now) - now),
         )
 
     async def _on_heartbeat(
@@ -287,11 +288,16 @@
             yield from view.last_acks
 
     def forget(self, live: collections.abc.Collection[str]) -> None:
-        """Drop the entries that are no longer members.
+        """Drop entries that are no members and have fallen silent.
+
+        Call it only with members that were read from the store just now: an
+        entry that is dropped no longer counts among those whose contact this
+        entry needs in an outage.
 
         :param live: node ids of the present members.
         """
-        for node_id in list(self._views):
-            if node_id not in live:
+        limit = trio.current_time() - FORGET_AFTER_S
+        for node_id, view in list(self._views.items()):
+            if node_id not in live and view.heard_at < limit:
                 del self._views[node_id]
                 self._received.pop(node_id, None)
