Cancel single tasks and list pending and ended ones

Cause: conditions of "cancel tasks" could only choose whole jobs, and "show tasks" listed live attempts only, through row classes of its own. Change: JobScheduler.cancel_tasks takes a condition on task rows and cancels in one change of each shard; rows are tested with checkpoints, and tasks that moved on since are tested again in the commit. The scheduler makes the rows of citronrail.model.rows one by one; queries keep at most twice the rows of their result. A job with finished tasks counts as finished unless it was cancelled as a whole. The unused table of services went with its class. Conclusion: single tasks are cancelled, and every task of a job that has not ended as a whole has a row.

--- a/citronrail/language/_ports.py
+++ b/citronrail/language/_ports.py
@@ -9,7 +9,7 @@
 from citronrail.model import settings as settings_model
 from citronrail.model import specs
 
-JobRows = tuple[rows.TaskRow, ...] | tuple[rows.JobRow, ...]
+JobRows = collections.abc.Iterable[rows.JobRow | rows.TaskRow]
 ChangeSettings = collections.abc.Callable[
     [settings_model.Settings], settings_model.Settings
 ]
@@ -104,7 +104,7 @@
         ...
 
     def rows(self, kind: str) -> JobRows:
-        """Return the rows of the owned shards.
+        """Return the rows of the owned shards, to be read once.
 
         :param kind: ``tasks`` or ``jobs``.
         """
--- a/citronrail/language/_query.py
+++ b/citronrail/language/_query.py
@@ -242,6 +242,46 @@
     return summarise(show, [row for row in rows if met(row)])
 
 
+class Summary:
+    """Counts, orders and limits rows that meet the condition of a query.
+
+    At most twice the rows of the result are kept at any time.
+
+    :param show: the query.
+    """
+
+    def __init__(self, show: _nodes.Show) -> None:
+        self._show = show
+        names = result_columns(show)
+        self._cells = operator.attrgetter(
+            *(names if show.count_by is None else names[:1])
+        )
+        self._value = operator.attrgetter(names[0])
+        self._counts: collections.Counter[messages.Cell] = (
+            collections.Counter()
+        )
+        self._rows: list[Cells] = []
+        self._more = False
+
+    def add(self, rows: collections.abc.Iterable[object]) -> None:
+        """Take in rows of the table that meet the condition."""
+        if self._show.count_by is not None:
+            self._counts.update(self._value(row) for row in rows)
+            return
+        self._rows.extend(self._cells(row) for row in rows)
+        if len(self._rows) > 2 * _limit(self._show):
+            # The order is total, so what is cut here can't come back.
+            self._rows = list(self.result().rows)
+
+    def result(self) -> Result:
+        """Return the result over all rows added so far."""
+        if self._show.count_by is not None:
+            return _finish(self._show, list(self._counts.items()))
+        result = _finish(self._show, self._rows)
+        self._more = self._more or result.more
+        return dataclasses.replace(result, more=self._more)
+
+
 def summarise(
     show: _nodes.Show, rows: collections.abc.Iterable[object]
 ) -> Result:
@@ -251,13 +291,10 @@
     :param rows: rows of its table.
     :returns: the result.
     """
-    names = result_columns(show)
-    if show.count_by is None:
-        cells = operator.attrgetter(*names)
-        return _finish(show, [cells(row) for row in rows])
-    value = operator.attrgetter(names[0])
-    counts = collections.Counter(value(row) for row in rows)
-    return _finish(show, list(counts.items()))
+    summary = Summary(show)
+    for row in rows:
+        summary.add((row,))
+    return summary.result()
 
 
 def for_part(show: _nodes.Show) -> _nodes.Show:
@@ -318,7 +355,7 @@
     # first column breaks ties, so that merged limits are well defined.
     for position, descending in ((0, False), *reversed(_order(show))):
         rows.sort(key=_sort_key(position, descending), reverse=descending)
-    limit = MAX_ROWS if show.limit is None else min(show.limit, MAX_ROWS)
+    limit = _limit(show)
     asked = len(rows) if show.limit is None else show.limit
     more = len(rows) > limit and asked > limit
     return Result(result_columns(show), tuple(rows[:limit]), more)
@@ -336,3 +373,7 @@
         return (descending, isinstance(cell, str), cell)
 
     return key
+
+
+def _limit(show: _nodes.Show) -> int:
+    return MAX_ROWS if show.limit is None else min(show.limit, MAX_ROWS)
--- a/citronrail/language/_shard_commands.py
+++ b/citronrail/language/_shard_commands.py
@@ -1,5 +1,8 @@
 """Carries out commands and queries on what this entry itself owns."""
 
+import collections.abc
+import itertools
+
 import trio
 
 from citronrail import errors
@@ -102,18 +105,20 @@
         owned = self._shards.owned_ranges()
         match show.table:
             case _nodes.TableName.TASKS | _nodes.TableName.JOBS:
-                rows: tuple[object, ...] = self._shards.rows(show.table.value)
+                rows: collections.abc.Iterable[object] = self._shards.rows(
+                    show.table.value
+                )
             case _:
                 rows = _local_rows.local_rows(
                     show.table, self._views, facts, trio.current_time()
                 )
         met = _query.predicate(show.table, show.where)
-        found: list[object] = []
-        for start in range(0, len(rows), ROWS_AT_A_TIME):
-            part = rows[start : start + ROWS_AT_A_TIME]
-            found.extend(row for row in part if met(row))
+        summary = _query.Summary(show)
+        remaining = iter(rows)
+        while part := tuple(itertools.islice(remaining, ROWS_AT_A_TIME)):
+            summary.add(row for row in part if met(row))
             await trio.lowlevel.checkpoint()
-        result = _query.summarise(show, found)
+        result = summary.result()
         return messages.CommandReply(
             command_id,
             outcomes.Outcome.DONE,
--- a/citronrail/language/tests/test_query.py
+++ b/citronrail/language/tests/test_query.py
@@ -1,5 +1,7 @@
 """Guards the evaluation of queries."""
 
+import random
+
 import hypothesis
 from hypothesis import strategies as st
 import pytest
@@ -146,3 +148,20 @@
     """Guards against an empty answer to a mistyped query."""
     with pytest.raises(errors.CommandRefused, match=reason):
         language.evaluate(language.parse(text), [])
+
+
+def test_large_table_is_summarised_in_bounded_memory():
+    """Guards against keeping all rows of a table of pending tasks."""
+    show = language.parse('show tasks order by task desc limit 3')
+    summary = _query.Summary(show)
+    table = [rows.TaskRow(f'{n:05}', 'j', 'h', 'c', 's') for n in range(900)]
+    random.Random(1).shuffle(table)
+    for row in table:
+        summary.add((row,))
+        assert len(summary._rows) <= 6
+    assert summary.result() == language.evaluate(show, table)
+    assert [row[0] for row in summary.result().rows] == [
+        '00899',
+        '00898',
+        '00897',
+    ]
--- a/citronrail/model/rows.py
+++ b/citronrail/model/rows.py
@@ -9,12 +9,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class TaskRow:
-    """A task of a job, or replica of a service, that has an attempt.
-
-    Tasks that wait are counted in the rows of their jobs. ``job`` is the job
-    id, or ``service:NAME``. ``state`` is ``starting``, ``running`` and so on.
-    ``worker`` is the node id of the agent that holds the attempt, and
-    ``since_at`` when the state began.
+    """A task of a job, or replica of a service.
+
+    ``job`` is the job id, or ``service:NAME``. ``state`` is ``pending``,
+    ``assigned``, ``running``, ``moving``, ``stopping``, ``parked``,
+    ``finished`` or ``cancelled``. ``attempt`` is the number of the last
+    attempt, 0 if there was none or it is not kept. ``worker`` is the node id
+    of the agent that holds the attempt, and ``since_at`` when the state
+    began, as far as it is kept. Tasks of a job that ended as a whole are
+    only counted in its row, but for a few results.
     """
 
     task: str
--- a/citronrail/scheduling/_index_runs.py
+++ b/citronrail/scheduling/_index_runs.py
@@ -75,16 +75,36 @@
     :param removed: indexes; those not in the runs are ignored.
     :returns: what is left.
     """
-    gaps = union((), ((index, index + 1) for index in removed))
+    return subtract(runs, union((), ((index, index + 1) for index in removed)))
+
+
+def subtract(runs: Runs, removed: Runs) -> Runs:
+    """Remove runs in one pass over both.
+
+    :param runs: where to remove.
+    :param removed: indexes; those not in the runs are ignored.
+    :returns: what is left.
+    """
     kept: list[Run] = []
+    first_gap = 0
     for start, end in runs:
         at = start
-        for low, high in gaps:
-            if high <= at or low >= end:
-                continue
+        while first_gap < len(removed) and removed[first_gap][1] <= start:
+            first_gap += 1
+        gap = first_gap
+        while gap < len(removed) and removed[gap][0] < end:
+            low, high = removed[gap]
             if at < low:
                 kept.append((at, low))
             at = high
+            gap += 1
+        # The last gap may reach into the next run.
+        first_gap = max(first_gap, gap - 1)
         if at < end:
             kept.append((at, end))
     return tuple(kept)
+
+
+def intersect(first_runs: Runs, second: Runs) -> Runs:
+    """Return the indexes that are in both."""
+    return subtract(first_runs, subtract(first_runs, second))
--- a/citronrail/scheduling/_job_changes.py
+++ b/citronrail/scheduling/_job_changes.py
@@ -118,6 +118,25 @@
             continue
         affected += _unfinished(group)
         groups[group.owner] = cancel_group(group, reason, now)
+    return record_command(state, groups, command_id, affected, now)
+
+
+def record_command(
+    state: _shard_state.ShardState,
+    groups: dict[str, _shard_state.Group],
+    command_id: identifiers.CommandId,
+    affected: int,
+    now: float,
+) -> _shard_state.ShardState:
+    """Put the groups that a command changed into the shard.
+
+    :param state: the shard.
+    :param groups: all groups.
+    :param command_id: identity of the command.
+    :param affected: number of tasks that it changed.
+    :param now: Unix time in seconds.
+    :returns: the changed shard, without jobs that ended.
+    """
     command = _shard_state.ShardCommand(command_id, affected)
     return retire_jobs(
         structs.replace(
@@ -281,7 +300,7 @@
         job_id=identifiers.JobId(group.owner),
         team=group.team,
         command_id=group.command_id,
-        outcome='cancelled' if cancelled else 'finished',
+        outcome='cancelled' if _was_cancelled(group) else 'finished',
         reason=group.reason,
         finished=_index_runs.size(group.finished),
         cancelled=cancelled,
@@ -289,3 +308,11 @@
         ended_at=now,
         results=group.results[-_shard_state.MAX_RESULTS_ENDED :],
     )
+
+
+def _was_cancelled(group: _shard_state.Group) -> bool:
+    """Tell whether a job ended by a command and not by its own tasks."""
+    if not group.cancelled:
+        return False
+    whole = group.phase is _shard_state.Phase.CANCELLED
+    return whole or not group.finished
--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import itertools
 import random
 import time
 import typing
@@ -11,10 +12,12 @@
 from citronrail import errors
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail.model import rows as rows_model
 from citronrail.model import specs
 from citronrail import observability
 from citronrail.observability.catalogue import scheduling as catalogue
 from citronrail.ports import peers
+from citronrail.scheduling import _cancellation
 from citronrail.scheduling import _candidates
 from citronrail.scheduling import _context
 from citronrail.scheduling import _document_task
@@ -28,6 +31,7 @@
 from citronrail.scheduling import _rows
 from citronrail.scheduling import _shard_runner
 from citronrail.scheduling import _shard_state
+from citronrail.scheduling import _task_cancel
 
 _NOBODY = identifiers.NodeId('')
 REOPEN_S = 0.5
@@ -39,18 +43,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True)
-class CancelResult:
-    """How many tasks were cancelled.
-
-    In the ``failed`` ranges the outcome is unknown or nothing changed; the
-    command may be repeated with the same id.
-    """
-
-    tasks: int
-    failed: tuple[identifiers.RangeId, ...] = ()
-
-
 class JobScheduler:
     """Schedules the job shards of the ranges that this entry owns.
 
@@ -256,7 +248,7 @@
         predicate: _job_changes.JobPredicate,
         command_id: identifiers.CommandId,
         reason: str = 'cancelled by command',
-    ) -> CancelResult:
+    ) -> _cancellation.CancelResult:
         """Cancel the matching jobs of all owned ranges.
 
         :param predicate: which jobs to cancel.
@@ -264,29 +256,37 @@
         :param reason: shown with the jobs.
         :returns: how many tasks had not ended, and where it failed.
         """
-        counts: list[int] = []
-        # Shards that are still being loaded may hold matching jobs.
-        failed = [n for n in self._scopes if n not in self._runners]
-
-        async def cancel_one(runner: _shard_runner.ShardRunner) -> None:
-            try:
-                count = await runner.cancel(predicate, command_id, reason)
-            except errors.CitronrailError:
-                failed.append(runner.owned.range_id)
-                return
-            counts.append(count)
-            observability.emit(
-                catalogue.JOBS_CANCELLED,
-                cause=command_id,
-                command=command_id,
-                tasks=count,
-                range=runner.owned.range_id,
-            )
+        return await self._cancel_everywhere(
+            lambda runner: runner.cancel(predicate, command_id, reason),
+            command_id,
+        )
 
-        async with trio.open_nursery() as nursery:
-            for runner in tuple(self._runners.values()):
-                nursery.start_soon(cancel_one, runner)
-        return CancelResult(sum(counts), tuple(failed))
+    async def cancel_tasks(
+        self,
+        predicate: _task_cancel.TaskPredicate,
+        command_id: identifiers.CommandId,
+        reason: str = 'cancelled by command',
+    ) -> _cancellation.CancelResult:
+        """Cancel single tasks, but no replicas, in all owned ranges.
+
+        :param predicate: takes a row of a task that has not ended.
+        :param command_id: identity of the command; repeating it is harmless.
+        :param reason: shown with the attempts that are stopped.
+        :returns: how many tasks were cancelled, and where it failed.
+        """
+        return await self._cancel_everywhere(
+            lambda runner: runner.cancel_tasks(predicate, command_id, reason),
+            command_id,
+        )
+
+    async def _cancel_everywhere(
+        self, cancel: _cancellation.CancelShard, command_id: str
+    ) -> _cancellation.CancelResult:
+        # Shards that are still being loaded may hold matching jobs.
+        loading = [n for n in self._scopes if n not in self._runners]
+        return await _cancellation.cancel_in(
+            tuple(self._runners.values()), loading, cancel, command_id
+        )
 
     async def resume(self, job_id: identifiers.JobId) -> None:
         """Let a parked job start again.
@@ -302,18 +302,29 @@
         await runner.resume(job_id)
         observability.emit(catalogue.JOB_RESUMED, job=job_id)
 
-    def rows(self, kind: str) -> tuple[_rows.Row, ...]:
+    def rows(
+        self, kind: str
+    ) -> tuple[rows_model.JobRow | rows_model.TaskRow, ...]:
         """Return a table of the owned shards.
 
-        :param kind: ``jobs``, ``tasks`` or ``services``.
-        :returns: rows, see :class:`JobRow`, :class:`TaskRow` and
-            :class:`ServiceRow`.
+        :param kind: ``jobs`` or ``tasks``.
+        :returns: its rows.
         :raises ValueError: if there is no such table.
         """
-        return tuple(
-            row
-            for _, runner in sorted(self._runners.items())
-            for row in _rows.rows(runner.state, kind, runner.blocked)
+        return tuple(self.iterate_rows(kind))
+
+    def iterate_rows(
+        self, kind: str
+    ) -> collections.abc.Iterator[rows_model.JobRow | rows_model.TaskRow]:
+        """Iterate over the rows of :meth:`rows`, made one by one.
+
+        Later changes of the shards don't affect them.
+        """
+        return itertools.chain.from_iterable(
+            [
+                _rows.rows(runner.state, kind, runner.blocked)
+                for _, runner in sorted(self._runners.items())
+            ]
         )
 
     def owned_ranges(self) -> tuple[identifiers.RangeId, ...]:
--- a/citronrail/scheduling/_rows.py
+++ b/citronrail/scheduling/_rows.py
@@ -1,111 +1,59 @@
-"""Tables of jobs, tasks and services for operators' queries."""
+"""Tables of jobs and tasks for operators' queries."""
 
 import collections.abc
 import dataclasses
 
-from citronrail.scheduling import _followup
+from citronrail.model import rows as rows_model
+from citronrail.model import specs
 from citronrail.scheduling import _index_runs
 from citronrail.scheduling import _pending
 from citronrail.scheduling import _shard_state
 
-
-@dataclasses.dataclass(frozen=True)
-class JobRow:
-    """A job; times are Unix time in seconds."""
-
-    job: str
-    team: str
-    work_class: str
-    priority: str
-    state: str
-    tasks: int
-    pending: int
-    running: int
-    finished: int
-    cancelled: int
-    parked: int
-    failures: int
-    submitted_at: float | None
-    finish_before: float | None
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class TaskRow:
-    """An attempt that may be running."""
-
-    task: str
-    attempt: int
-    owner: str
-    team: str
-    work_class: str
-    node: str
-    state: str
-    since: float
-    checkpoint: str
-    reason: str
-
-
-@dataclasses.dataclass(frozen=True)
-class ServiceRow:
-    """A service and its replicas."""
-
-    service: str
-    team: str
-    work_class: str
-    replicas: int
-    running: int
-    waiting: int
-    draining: bool
-
-
-Row = JobRow | TaskRow | ServiceRow
+Row = rows_model.JobRow | rows_model.TaskRow
+Blocked = collections.abc.Mapping[str, str]
+TaskRows = collections.abc.Iterator[rows_model.TaskRow]
 
 
 def rows(
-    state: _shard_state.ShardState,
-    kind: str,
-    blocked: collections.abc.Mapping[str, str],
-) -> tuple[Row, ...]:
-    """Return a table of a shard.
+    state: _shard_state.ShardState, kind: str, blocked: Blocked
+) -> collections.abc.Iterator[Row]:
+    """Iterate over a table of a shard; rows are made one by one.
 
     :param state: the shard.
-    :param kind: ``jobs``, ``tasks`` or ``services``.
+    :param kind: ``jobs`` or ``tasks``.
     :param blocked: reasons why jobs fit no known worker.
-    :returns: rows, jobs that ended last.
+    :returns: rows, jobs and tasks that ended last.
     :raises ValueError: if there is no such table.
     """
     match kind:
         case 'jobs':
-            return (
-                *(
-                    _job_row(group, blocked.get(group.owner, ''))
-                    for group in state.groups.values()
-                    if group.job is not None
-                ),
-                *(_ended_row(job) for job in state.ended),
-            )
+            return _job_rows(state, blocked)
         case 'tasks':
-            return tuple(_task_rows(state))
-        case 'services':
-            return tuple(
-                _service_row(group)
-                for group in state.groups.values()
-                if group.service is not None
-            )
+            return _task_rows(state, blocked)
         case _:
             raise ValueError(f'there is no table {kind!r}')
 
 
-def _job_row(group: _shard_state.Group, blocked: str) -> JobRow:
-    job = group.job
-    return JobRow(
+def _job_rows(
+    state: _shard_state.ShardState, blocked: Blocked
+) -> collections.abc.Iterator[Row]:
+    for group in state.groups.values():
+        if group.job is not None:
+            yield _job_row(group, group.job, blocked.get(group.owner, ''))
+    for job in state.ended:
+        yield _ended_row(job)
+
+
+def _job_row(
+    group: _shard_state.Group, job: specs.JobSpec, blocked: str
+) -> rows_model.JobRow:
+    return rows_model.JobRow(
         job=group.owner,
         team=group.team,
         work_class=group.work_class,
         priority=_pending.priority(group).value,
         state=group.phase.value,
-        tasks=job.task_count if job else 0,
+        tasks=job.task_count,
         pending=_index_runs.size(group.pending) + len(group.waiting),
         running=len(group.live),
         finished=_index_runs.size(group.finished),
@@ -113,59 +61,119 @@
         parked=_index_runs.size(group.parked),
         failures=group.failures,
         submitted_at=group.submitted_at,
-        finish_before=job.finish_before if job else None,
+        finish_before=job.finish_before,
         reason=group.reason or blocked,
     )
 
 
-def _ended_row(job: _shard_state.EndedJob) -> JobRow:
-    return JobRow(
+def _ended_row(job: _shard_state.EndedJob) -> rows_model.JobRow:
+    return rows_model.JobRow(
         job=job.job_id,
         team=job.team,
         work_class='',
         priority='',
         state=job.outcome,
         tasks=job.finished + job.cancelled,
-        pending=0,
-        running=0,
         finished=job.finished,
         cancelled=job.cancelled,
-        parked=0,
         failures=job.failures,
-        submitted_at=None,
-        finish_before=None,
         reason=job.reason,
     )
 
 
 def _task_rows(
-    state: _shard_state.ShardState,
-) -> collections.abc.Iterator[TaskRow]:
-    for attempt, live in _followup.live_attempts(state):
-        group = state.groups[attempt.task.owner]
-        yield TaskRow(
-            task=str(attempt.task),
-            attempt=attempt.number,
-            owner=group.owner,
-            team=group.team,
-            work_class=group.work_class,
-            node=live.node,
-            state=live.state.name.lower(),
-            since=live.since,
-            checkpoint=live.checkpoint,
-            reason=live.reason,
-        )
+    state: _shard_state.ShardState, blocked: Blocked
+) -> collections.abc.Iterator[Row]:
+    for group in state.groups.values():
+        yield from live_rows(group)
+    for group in state.groups.values():
+        reason = blocked.get(group.owner, '')
+        yield from waiting_rows(group, reason)
+        yield from parked_rows(group)
+        yield from pending_rows(group, reason)
+    for group in state.groups.values():
+        yield from _ended_task_rows(group)
+    for job in state.ended:
+        for result in job.results:
+            yield rows_model.TaskRow(
+                task=str(specs.TaskId(job.job_id, result.index)),
+                job=job.job_id,
+                team=job.team,
+                work_class='',
+                state='finished',
+                attempt=result.number,
+            )
 
 
-def _service_row(group: _shard_state.Group) -> ServiceRow:
-    service = group.service
-    running = _shard_state.LiveState.RUNNING
-    return ServiceRow(
-        service=service.name if service else '',
+def _row(
+    group: _shard_state.Group, index: int, state: str
+) -> rows_model.TaskRow:
+    return rows_model.TaskRow(
+        task=str(specs.TaskId(group.owner, index)),
+        job=group.owner,
         team=group.team,
         work_class=group.work_class,
-        replicas=service.replicas if service else 0,
-        running=sum(1 for a in group.live.values() if a.state is running),
-        waiting=len(group.waiting),
-        draining=service.draining if service else False,
+        state=state,
     )
+
+
+def live_rows(group: _shard_state.Group) -> TaskRows:
+    """Iterate over the tasks with an attempt that may be running."""
+    for index, live in group.live.items():
+        yield dataclasses.replace(
+            _row(group, index, live.state.name.lower()),
+            attempt=live.number,
+            worker=live.node,
+            since_at=live.since,
+            checkpoint=live.checkpoint,
+            reason=live.reason,
+        )
+
+
+def waiting_rows(group: _shard_state.Group, blocked: str) -> TaskRows:
+    """Iterate over the tasks that ran before, and replicas to be started.
+
+    :param group: the group.
+    :param blocked: why the group fits no known worker, or empty.
+    """
+    for index, entry in group.waiting.items():
+        yield dataclasses.replace(
+            _row(group, index, 'pending'),
+            attempt=entry.number,
+            checkpoint=entry.checkpoint,
+            reason=group.reason or blocked,
+        )
+
+
+def parked_rows(group: _shard_state.Group) -> TaskRows:
+    """Iterate over the parked tasks."""
+    for index in _index_runs.indexes(group.parked):
+        yield dataclasses.replace(
+            _row(group, index, 'parked'),
+            attempt=group.parked_numbers.get(index, 0),
+            reason=group.reason,
+        )
+
+
+def pending_rows(group: _shard_state.Group, blocked: str) -> TaskRows:
+    """Iterate over the tasks that never had an attempt.
+
+    :param group: the group.
+    :param blocked: why the group fits no known worker, or empty.
+    """
+    for index in _index_runs.indexes(group.pending):
+        yield dataclasses.replace(
+            _row(group, index, 'pending'),
+            since_at=group.submitted_at,
+            reason=group.reason or blocked,
+        )
+
+
+def _ended_task_rows(group: _shard_state.Group) -> TaskRows:
+    numbers = {result.index: result.number for result in group.results}
+    for index in _index_runs.indexes(group.finished):
+        yield dataclasses.replace(
+            _row(group, index, 'finished'), attempt=numbers.get(index, 0)
+        )
+    for index in _index_runs.indexes(group.cancelled):
+        yield _row(group, index, 'cancelled')
--- a/citronrail/scheduling/_shard_runner.py
+++ b/citronrail/scheduling/_shard_runner.py
@@ -23,6 +23,7 @@
 from citronrail.scheduling import _pending
 from citronrail.scheduling import _round
 from citronrail.scheduling import _shard_state
+from citronrail.scheduling import _task_cancel
 from citronrail.scheduling import _upkeep
 
 RETRY_S = 0.5  # pause after a commit that the store did not take
@@ -115,6 +116,28 @@
         self._wake.set()
         return _job_changes.affected_by(state, command_id) or 0
 
+    async def cancel_tasks(
+        self,
+        predicate: _task_cancel.TaskPredicate,
+        command_id: identifiers.CommandId,
+        reason: str,
+    ) -> int:
+        """Cancel matching tasks in one change.
+
+        :returns: number of tasks cancelled.
+        :raises citronrail.errors.StoreError: if the commit failed.
+        """
+        blocked = self.blocked
+        selection = await _task_cancel.select(self.state, predicate, blocked)
+        now = self._context.wall_clock()
+        state = await self._document.commit(
+            lambda current: _task_cancel.cancel_selected(
+                current, selection, command_id, reason, now
+            )
+        )
+        self._wake.set()
+        return _job_changes.affected_by(state, command_id) or 0
+
     async def resume(self, owner: str) -> None:
         """Let a parked job start again.
 
--- /dev/null
+++ b/citronrail/scheduling/_task_cancel.py
@@ -0,0 +1,182 @@
+"""Cancels single tasks of jobs that meet a condition on their rows."""
+
+import collections.abc
+import dataclasses
+import itertools
+
+import msgspec
+import trio
+
+from citronrail.model import identifiers
+from citronrail.model import rows as rows_model
+from citronrail.scheduling import _index_runs
+from citronrail.scheduling import _job_changes
+from citronrail.scheduling import _rows
+from citronrail.scheduling import _shard_state
+
+structs = msgspec.structs
+TaskPredicate = collections.abc.Callable[[rows_model.TaskRow], bool]
+# Rows tested between two checkpoints: well under 1 ms, so that requests in
+# the same process are not held up.
+ROWS_AT_A_TIME = 200
+
+
+@dataclasses.dataclass(frozen=True)
+class Selection:
+    """Tasks that met a condition when it was tested.
+
+    ``chosen`` holds task indexes by job id. ``predicate`` is tested again
+    for tasks that have changed their place since.
+    """
+
+    chosen: collections.abc.Mapping[str, _index_runs.Runs]
+    predicate: TaskPredicate
+    blocked: collections.abc.Mapping[str, str]
+
+
+async def select(
+    state: _shard_state.ShardState,
+    predicate: TaskPredicate,
+    blocked: collections.abc.Mapping[str, str],
+) -> Selection:
+    """Test all tasks of jobs that have not ended, with checkpoints.
+
+    :param state: the shard.
+    :param predicate: the condition.
+    :param blocked: reasons why jobs fit no known worker.
+    :returns: the tasks that meet it.
+    """
+    chosen = {}
+    for owner, group in state.groups.items():
+        if group.job is None:
+            continue
+        found: list[_index_runs.Run] = []
+        remaining = _indexed_rows(group, blocked.get(owner, ''))
+        while part := tuple(itertools.islice(remaining, ROWS_AT_A_TIME)):
+            for index, row in part:
+                if predicate(row):
+                    _append(found, index)
+            await trio.lowlevel.checkpoint()
+        if found:
+            chosen[owner] = _index_runs.union((), found)
+    return Selection(chosen, predicate, blocked)
+
+
+def _append(found: list[_index_runs.Run], index: int) -> None:
+    if found and found[-1][1] == index:
+        found[-1] = (found[-1][0], index + 1)
+    else:
+        found.append((index, index + 1))
+
+
+def _indexed_rows(
+    group: _shard_state.Group, blocked: str
+) -> collections.abc.Iterator[tuple[int, rows_model.TaskRow]]:
+    return itertools.chain(
+        _placed_rows(group, blocked),
+        zip(
+            _index_runs.indexes(group.pending),
+            _rows.pending_rows(group, blocked),
+        ),
+    )
+
+
+def _placed_rows(
+    group: _shard_state.Group, blocked: str
+) -> collections.abc.Iterator[tuple[int, rows_model.TaskRow]]:
+    """Iterate over tasks that have or had an attempt, and have not ended."""
+    stopping = _shard_state.LiveState.STOPPING
+    for (index, live), row in zip(group.live.items(), _rows.live_rows(group)):
+        if live.state is not stopping:
+            yield index, row
+    yield from zip(group.waiting, _rows.waiting_rows(group, blocked))
+    yield from zip(_index_runs.indexes(group.parked), _rows.parked_rows(group))
+
+
+def cancel_selected(
+    state: _shard_state.ShardState,
+    selection: Selection,
+    command_id: identifiers.CommandId,
+    reason: str,
+    now: float,
+) -> _shard_state.ShardState:
+    """Cancel the selected tasks that have not ended, in one change.
+
+    Tasks without an attempt end at once; attempts are stopped, and one that
+    finishes before it is stopped counts as finished.
+
+    :param state: the shard, perhaps a later one than that of the selection.
+    :param selection: the tasks.
+    :param command_id: identity of the command; repeating it changes nothing.
+    :param reason: kept with the attempts.
+    :param now: Unix time in seconds.
+    :returns: the changed shard.
+    """
+    if _job_changes.affected_by(state, command_id) is not None:
+        return state
+    groups = dict(state.groups)
+    affected = 0
+    for owner, chosen in selection.chosen.items():
+        group = groups.get(owner)
+        if group is None or group.job is None:
+            continue
+        still = _still_meeting(group, chosen, selection)
+        affected += _index_runs.size(still)
+        groups[owner] = _cancel_tasks(group, still, reason, now)
+    return _job_changes.record_command(
+        state, groups, command_id, affected, now
+    )
+
+
+def _still_meeting(
+    group: _shard_state.Group,
+    chosen: _index_runs.Runs,
+    selection: Selection,
+) -> _index_runs.Runs:
+    """Return the chosen tasks to cancel now.
+
+    A task that never had an attempt is as it was when it was chosen. Others
+    may have been chosen as pending and run now.
+    """
+    blocked = selection.blocked.get(group.owner, '')
+    placed = (
+        (index, index + 1)
+        for index, row in _placed_rows(group, blocked)
+        if _index_runs.contains(chosen, index) and selection.predicate(row)
+    )
+    return _index_runs.union(
+        _index_runs.intersect(chosen, group.pending), placed
+    )
+
+
+def _cancel_tasks(
+    group: _shard_state.Group,
+    cancelled: _index_runs.Runs,
+    reason: str,
+    now: float,
+) -> _shard_state.Group:
+    ended = _index_runs.subtract(
+        cancelled,
+        _index_runs.union((), ((index, index + 1) for index in group.live)),
+    )
+    live = dict(group.live)
+    for index, attempt in group.live.items():
+        if _index_runs.contains(cancelled, index):
+            live[index] = _job_changes.stopping(attempt, reason, now)
+    return structs.replace(
+        group,
+        pending=_index_runs.subtract(group.pending, ended),
+        parked=_index_runs.subtract(group.parked, ended),
+        parked_numbers={
+            index: number
+            for index, number in group.parked_numbers.items()
+            if not _index_runs.contains(ended, index)
+        },
+        waiting={
+            index: entry
+            for index, entry in group.waiting.items()
+            if not _index_runs.contains(ended, index)
+        },
+        cancelled=_index_runs.union(group.cancelled, ended),
+        live=live,
+    )
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -130,6 +130,30 @@
     await _run(scenario)
 
 
+async def test_single_tasks_of_a_job_are_cancelled(autojump_clock):
+    """Guards against cancelling the other tasks of the same job."""
+
+    async def scenario(cluster):
+        scheduler = cluster.owner.scheduler
+        await scheduler.submit(_cluster.job('rota', 40, run_s=20.0), 'c')
+        await trio.sleep(5.0)
+        pending = _row(cluster).pending
+        assert pending
+        for _ in range(2):
+            result = await scheduler.cancel_tasks(
+                lambda row: row.state == 'pending', 'x'
+            )
+            assert (result.tasks, result.failed) == (pending, ())
+        states = {row.state for row in scheduler.rows('tasks')}
+        assert states == {'running', 'cancelled'}
+        await trio.sleep(40.0)
+        row = _row(cluster)
+        assert (row.state, row.cancelled) == ('finished', pending)
+        assert row.finished == 40 - pending
+
+    await _run(scenario)
+
+
 async def test_pressure_throttles_and_evicts(autojump_clock):
     """Guards the way from a relief to the worker, and its undoing."""
     reliefs = []
--- a/citronrail/scheduling/tests/test_shard_state.py
+++ b/citronrail/scheduling/tests/test_shard_state.py
@@ -1,11 +1,14 @@
 """Guards what must always hold in a job shard."""
 
+import collections
 import random
 import time
+import tracemalloc
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+import trio
 
 from citronrail import errors
 from citronrail.model import identifiers
@@ -17,13 +20,19 @@
 from citronrail.scheduling import _index_runs as runs
 from citronrail.scheduling import _job_changes as jobs
 from citronrail.scheduling import _replica_changes as replicas
+from citronrail.scheduling import _rows
 from citronrail.scheduling import _shard_state as shards
+from citronrail.scheduling import _task_cancel as task_cancel
 from citronrail.scheduling.tests import _cluster
 
 NODES = tuple(identifiers.NodeId(f'node{n}') for n in range(4))
 ENDS = ('refused', 'finished', 'failed', 'stopped', 'checkpointed', 'lost')
 
 
+def _selected(state, predicate):
+    return trio.run(task_cancel.select, state, predicate, {})
+
+
 def _service(replicas_wanted=2, **fields):
     return specs.ServiceSpec(
         identifiers.ServiceName('seats'),
@@ -64,6 +73,7 @@
                 self.stale_end,
                 self.move,
                 self.cancel,
+                self.cancel_tasks,
                 self.services,
                 self.replace,
                 self.resume,
@@ -177,6 +187,21 @@
                 self.now,
             )
 
+    def cancel_tasks(self):
+        if self.rng.random() < 0.6:
+            return
+        state = self.rng.choice(('pending', 'running', 'parked'))
+        selection = _selected(
+            self.state, lambda r: r.state == state and r.task.endswith('1')
+        )
+        if self.rng.random() < 0.5:
+            self.assign()
+        command = f'y{self.rng.randrange(10**9)}'
+        for _ in range(2):
+            self.state = task_cancel.cancel_selected(
+                self.state, selection, command, 'cancelled', self.now
+            )
+
     def services(self):
         self.state = replicas.adjust_service(
             self.state, _service(), self.rng.randint(0, 3), self.now
@@ -242,6 +267,11 @@
     assert set(runs.indexes(runs.difference(left, second))) == first - second
     index = data.draw(st.integers(0, 41))
     assert runs.contains(left, index) == (index in first)
+    removed = runs.union((), ((n, n + 1) for n in second))
+    kept = runs.subtract(left, removed)
+    assert list(runs.indexes(kept)) == sorted(first - second)
+    both = runs.intersect(left, removed)
+    assert list(runs.indexes(both)) == sorted(first & second)
     assert runs.size(left) == len(first)
     assert list(runs.take(left, 5)) == sorted(first)[:5]
     assert all(a[1] < b[0] for a, b in zip(left, left[1:]))
@@ -285,6 +315,62 @@
     assert len(shards.encode(changed)) < len(shards.encode(state)) * 1.2
 
 
+def test_thousands_of_single_tasks_are_cancelled_in_one_change():
+    """Guards against cancelling whole jobs, or in quadratic time."""
+    state = _big_shard()
+    selection = _selected(
+        state, lambda row: row.state == 'pending' and row.task[-1] in '02468'
+    )
+    assert selection.chosen, 'pending tasks have no rows'
+    # A task that was pending when it was chosen starts before the commit.
+    started = specs.TaskId('nightly-capacity-plan-0', 30)
+    node = identifiers.NodeId('late')
+    state = attempts.assign(state, [attempts.Assignment(started, node)], 2.0)
+    begun = time.perf_counter()
+    changed = task_cancel.cancel_selected(state, selection, 'c', 'x', 2.0)
+    assert time.perf_counter() - begun < 5.0
+    assert jobs.affected_by(changed, 'c') == 60 * 135 - 1
+    assert shards.live_count(changed) == 1_801
+    for group in changed.groups.values():
+        assert group.phase is shards.Phase.ACTIVE
+        assert all(
+            a.state is not shards.LiveState.STOPPING
+            for a in group.live.values()
+        )
+    assert len(shards.encode(changed)) < shards.MAX_ENCODED_BYTES
+    assert changed == task_cancel.cancel_selected(
+        changed, selection, 'c', 'x', 3.0
+    )
+
+
+def test_tasks_in_every_state_have_a_row_made_on_demand():
+    """Guards against missing tasks and a table held in memory."""
+    state = _big_shard()
+    task = specs.TaskId('nightly-capacity-plan-0', 0)
+    for name in ('finished', 'lost'):
+        state = attempts.end_attempt(
+            state, attempts.AttemptEnd(specs.AttemptId(task, 1), name), 3.0
+        )
+        task = specs.TaskId(task.owner, task.index + 1)
+    selection = _selected(state, lambda row: row.task.endswith('-1/299'))
+    state = task_cancel.cancel_selected(state, selection, 'c', 'x', 2.0)
+    tracemalloc.start()
+    try:
+        counts = collections.Counter(
+            row.state for row in _rows.rows(state, 'tasks', {})
+        )
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert counts == {
+        'assigned': 1_798,
+        'finished': 1,
+        'pending': 16_200,
+        'cancelled': 1,
+    }
+    assert peak_bytes < 500_000
+
+
 def test_task_that_fails_everywhere_is_parked_with_its_job():
     """Guards against a job that fails for ever on healthy workers."""
     state = jobs.submit_job(
