Replace the replicas of a changed service one after another

Cause: a change of a service's size, class or data centres only applied to replicas started later; running ones kept the old specification for ever. Change: a group's generation rises with such a change, and each attempt keeps the generation that its worker was chosen by. Upkeep replaces one outdated replica at a time, none while another starts, stops or is being replaced. A replacement on the same worker counts as answering only when there are as many backend servers as replicas. Conclusion: changes of a service reach all its replicas without a gap.

--- a/citronrail/scheduling/_attempt_changes.py
+++ b/citronrail/scheduling/_attempt_changes.py
@@ -26,10 +26,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Assignment:
-    """A task and the node on which its next attempt shall run."""
+    """A task and the node on which its next attempt shall run.
+
+    ``generation`` is that of the specification that the node was chosen by.
+    """
 
     task: specs.TaskId
     node: identifiers.NodeId
+    generation: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -118,6 +122,7 @@
             failures=entry.failures,
             avoid=entry.avoid,
             replaces=entry.replaces,
+            generation=item.generation,
         )
     return structs.replace(
         group,
--- a/citronrail/scheduling/_moves.py
+++ b/citronrail/scheduling/_moves.py
@@ -14,6 +14,7 @@
 from citronrail.scheduling import _batch
 from citronrail.scheduling import _context
 from citronrail.scheduling import _followup
+from citronrail.scheduling import _replica_changes
 from citronrail.scheduling import _shard_state
 
 LiveState = _shard_state.LiveState
@@ -98,11 +99,24 @@
             replaced.append(move)
         elif _may_move(group, now - since, limits):
             moves.append(move)
+    replaced.extend(_outdated(state))
     room = max(0, limits.moves_a_round - under_way)
     moves.sort(key=lambda move: _order(state, move))
     return Moves(tuple(replaced), tuple(ready), tuple(moves[:room]))
 
 
+def _outdated(
+    state: _shard_state.ShardState,
+) -> collections.abc.Iterator[_batch.Move]:
+    """Iterate over replicas that don't fit their changed service."""
+    for owner, group in state.groups.items():
+        index = _replica_changes.outdated_replica(group)
+        if index is not None:
+            live = group.live[index]
+            attempt = specs.AttemptId(specs.TaskId(owner, index), live.number)
+            yield _batch.Move(attempt, live.node, 'the service has changed')
+
+
 def _may_move(
     group: _shard_state.Group, leaving_s: float, limits: _context.Limits
 ) -> bool:
@@ -136,7 +150,12 @@
     if group.service is None:
         return True
     view = agents.get(live.node)
-    if view is not None and any(
+    # The replica that it replaces may run on the same node.
+    replicas = sum(
+        other.node == live.node and other.state is LiveState.RUNNING
+        for other in group.live.values()
+    )
+    if view is not None and replicas <= sum(
         backend.service == group.service.name and not backend.leaving
         for backend in view.backends
     ):
--- a/citronrail/scheduling/_replica_changes.py
+++ b/citronrail/scheduling/_replica_changes.py
@@ -44,7 +44,11 @@
             command_id=identifiers.CommandId(''),
             submitted_at=now,
         )
-    target = structs.replace(group, service=spec)
+    target = structs.replace(
+        group,
+        service=spec,
+        generation=group.generation + _needs_new_replicas(group, spec),
+    )
     members = _members(target)
     next_replica = state.next_replica
     if len(members) < wanted:
@@ -63,6 +67,44 @@
     )
 
 
+def _needs_new_replicas(
+    group: _shard_state.Group, spec: specs.ServiceSpec
+) -> bool:
+    """Tell whether running replicas don't fit the changed service."""
+    return (group.resources, group.work_class, group.data_centres) != (
+        spec.resources,
+        spec.work_class,
+        spec.data_centres,
+    )
+
+
+def outdated_replica(group: _shard_state.Group) -> int | None:
+    """Return the replica to replace next after the service changed.
+
+    One at a time: there is none while another replica starts, stops or is
+    being replaced.
+
+    :param group: group of a service.
+    :returns: the index of a running replica, or None.
+    """
+    running = _shard_state.LiveState.RUNNING
+    if group.service is None or group.service.draining or group.waiting:
+        return None
+    if any(
+        live.state is not running or live.replaces >= 0
+        for live in group.live.values()
+    ):
+        return None
+    return min(
+        (
+            index
+            for index, live in group.live.items()
+            if live.generation != group.generation
+        ),
+        default=None,
+    )
+
+
 def _members(group: _shard_state.Group) -> list[int]:
     """Return replicas in order of worth: confirmed ones first."""
     stopping = _shard_state.LiveState.STOPPING
@@ -124,13 +166,9 @@
     :returns: the changed shard, or the same one if it is being replaced.
     """
     group = state.groups.get(owner)
-    if group is None or index not in group.live:
+    if group is None or not may_replace(group, index):
         return state
     live = group.live[index]
-    if live.state is _shard_state.LiveState.STOPPING or live.replaces >= 0:
-        return state
-    if _attempt_changes.replacement_of(group, index) is not None:
-        return state
     new = state.next_replica
     entry = _shard_state.Waiting(new, 0, avoid=(live.node,), replaces=index)
     marked = structs.replace(live, reason=_shard_state.cut(reason))
@@ -144,6 +182,21 @@
     )
 
 
+def may_replace(group: _shard_state.Group, index: int) -> bool:
+    """Tell whether a replacement may be asked for.
+
+    :param group: group of the service.
+    :param index: the replica.
+    :returns: False if it ends, is being replaced or is a replacement itself.
+    """
+    live = group.live.get(index)
+    if live is None or live.replaces >= 0:
+        return False
+    if live.state is _shard_state.LiveState.STOPPING:
+        return False
+    return _attempt_changes.replacement_of(group, index) is None
+
+
 def retire_replaced(
     state: _shard_state.ShardState, owner: str, index: int, now: float
 ) -> _shard_state.ShardState:
--- a/citronrail/scheduling/_round.py
+++ b/citronrail/scheduling/_round.py
@@ -96,7 +96,9 @@
             placed.append(choice)
             self._candidates.take(choice, request.resources)
             self.assignments.append(
-                _attempt_changes.Assignment(request.task, choice)
+                _attempt_changes.Assignment(
+                    request.task, choice, group.generation
+                )
             )
 
     async def _give_turn(self) -> None:
--- a/citronrail/scheduling/_shard_state.py
+++ b/citronrail/scheduling/_shard_state.py
@@ -69,7 +69,8 @@
     """The one attempt of a task that may be running.
 
     ``checkpoint`` is what it resumed from. ``confirmed`` is True once the
-    agent said that it started.
+    agent said that it started. ``generation`` is that of the group's
+    specification when its worker was chosen.
     """
 
     number: int
@@ -82,6 +83,7 @@
     avoid: tuple[identifiers.NodeId, ...] = ()
     replaces: int = -1
     reason: str = ''
+    generation: int = 0
 
 
 class Result(msgspec.Struct, frozen=True, array_like=True):
@@ -99,7 +101,8 @@
     ``waiting``, ``live``, ``finished``, ``cancelled`` and ``parked``.
     ``parked_numbers`` holds the last attempt of each parked task.
     ``failed_on`` names distinct healthy workers on which tasks failed since
-    the last one finished.
+    the last one finished. ``generation`` rises when the size, class or data
+    centres of a service change.
     """
 
     owner: str
@@ -119,6 +122,7 @@
     failed_on: tuple[identifiers.NodeId, ...] = ()
     failures: int = 0
     results: tuple[Result, ...] = ()
+    generation: int = 0
 
     @property
     def team(self) -> identifiers.TeamName:
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -283,6 +283,43 @@
     await _run(scenario)
 
 
+async def test_changed_service_is_replaced_one_by_one(autojump_clock):
+    """Guards against replicas of the old size, and against a short service."""
+
+    def running(cluster):
+        return [
+            task.spec.resources.millicores
+            for agent in cluster.agents.values()
+            for task in agent.worker.core.tasks().running
+        ]
+
+    async def scenario(cluster):
+        cluster.set_service(_service(3))
+        await trio.sleep(6.0)
+        assert running(cluster) == [1000] * 3
+        changed = _service(3)
+        for spec in (
+            dataclasses.replace(
+                changed, resources=resources.Resources(1500, 1000)
+            ),
+            dataclasses.replace(
+                changed,
+                data_centres=(identifiers.DataCentreName('Leicester'),),
+            ),
+        ):
+            before = len([r for r in cluster.history() if r.event == 'start'])
+            cluster.set_service(spec)
+            for _ in range(300):
+                await trio.sleep(0.1)
+                assert 3 <= len(running(cluster)) <= 4
+            assert running(cluster) == [spec.resources.millicores] * 3
+            starts = [r for r in cluster.history() if r.event == 'start']
+            assert len(starts) - before == 3
+        assert {a.data_centre for a in _answering(cluster)} == {'Leicester'}
+
+    await _run(scenario, agents=6)
+
+
 async def test_replica_comes_back_after_its_host_is_lost(autojump_clock):
     """Guards against a service that stays short after a failure."""
 
--- a/citronrail/scheduling/tests/test_shard_state.py
+++ b/citronrail/scheduling/tests/test_shard_state.py
@@ -1,6 +1,7 @@
 """Guards what must always hold in a job shard."""
 
 import collections
+import dataclasses
 import random
 import time
 import tracemalloc
@@ -12,13 +13,17 @@
 
 from citronrail import errors
 from citronrail.model import identifiers
+from citronrail.model import messages
 from citronrail.model import resources
 from citronrail.model import specs
+from citronrail.model import views
 from citronrail.scheduling import _attempt_changes as attempts
 from citronrail.scheduling import _batch
+from citronrail.scheduling import _context
 from citronrail.scheduling import _followup
 from citronrail.scheduling import _index_runs as runs
 from citronrail.scheduling import _job_changes as jobs
+from citronrail.scheduling import _moves
 from citronrail.scheduling import _replica_changes as replicas
 from citronrail.scheduling import _rows
 from citronrail.scheduling import _shard_state as shards
@@ -437,6 +442,65 @@
     assert replicas.adjust_service(state, _service(1), 1, 4.0) is state
 
 
+@pytest.mark.parametrize('backends, answers', [(1, False), (2, True)])
+def test_replacement_beside_the_replaced_one_answers_itself(backends, answers):
+    """Guards against taking the old backend server for the new one."""
+    state = replicas.adjust_service(shards.ShardState(), _service(1), 1, 1.0)
+    for index in range(2):
+        task = specs.TaskId('service:seats', index)
+        state = attempts.assign(
+            state, [attempts.Assignment(task, NODES[0])], 1.0
+        )
+        state = attempts.confirm_started(state, specs.AttemptId(task, 1), 2.0)
+        state = replicas.replace_replica(state, task.owner, 0, 'changed')
+    view = views.AgentView(
+        NODES[0],
+        identifiers.BootId('boot'),
+        identifiers.DataCentreName('Leicester'),
+        'rack',
+        resources.Resources(4000, 4000),
+        resources.Resources(4000, 4000),
+        messages.AgentLoad(),
+        (messages.BackendState(identifiers.ServiceName('seats'), 1),)
+        * backends,
+        2.0,
+    )
+    limits = _context.Limits()
+    moves = _moves.plan_moves(state, {NODES[0]: view}, {}, limits, 2.0, 2.0)
+    assert bool(moves.ready) is answers
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'resources': resources.Resources(700, 500)},
+        {'work_class': identifiers.WorkClass('gate')},
+        {'data_centres': (identifiers.DataCentreName('Leicester'),)},
+    ],
+)
+def test_change_of_a_service_makes_its_replicas_outdated(change):
+    """Guards against replicas that keep a size, class or place for ever."""
+    spec = _service()
+    state = replicas.adjust_service(shards.ShardState(), spec, 2, 1.0)
+    wanted = [
+        attempts.Assignment(specs.TaskId('service:seats', index), NODES[0])
+        for index in range(2)
+    ]
+    state = attempts.assign(state, wanted, 1.0)
+    for item in wanted:
+        attempt = specs.AttemptId(item.task, 1)
+        assert replicas.outdated_replica(state.groups[item.task.owner]) is None
+        state = attempts.confirm_started(state, attempt, 2.0)
+    for fields, outdated in (({'max_run_s': 9.0}, None), (change, 0)):
+        spec = dataclasses.replace(spec, **fields)
+        state = replicas.adjust_service(state, spec, 2, 3.0)
+        group = state.groups['service:seats']
+        assert replicas.outdated_replica(group) == outdated
+    state = replicas.replace_replica(state, group.owner, 0, 'changed')
+    group = state.groups['service:seats']
+    assert replicas.outdated_replica(group) is None, 'two at once'
+
+
 @pytest.mark.parametrize(
     'spec',
     [
