Restart a task from the beginning when its checkpoint is lost

Cause: a start from a checkpoint that the platform no longer has was refused like any other, so that the task was refused on one worker after another. Change: the worker port tells an unknown checkpoint apart (errors.CheckpointUnknown, "checkpoint_unknown" in the HTTP answer), the start reply carries it, and the owner commits the end of that attempt without the checkpoint. Event CR1419 tells it once for each lost checkpoint. A checkpoint that can't be read at the moment is still only tried again. Tests: the adapter's test of refusals expects the narrower error. Conclusion: a lost checkpoint costs the work before it, and nothing else.

--- a/citronrail/adapters/_http_worker.py
+++ b/citronrail/adapters/_http_worker.py
@@ -59,6 +59,7 @@
 @dataclasses.dataclass(frozen=True)
 class _Refused:
     refused: str
+    checkpoint_unknown: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
@@ -151,7 +152,8 @@
         """Make a call and tell its outcomes apart.
 
         :raises citronrail.errors.WorkerRefused: no connection was made, or
-            the worker answered with a status of 400 to 499.
+            the worker answered with a status of 400 to 499;
+            :class:`~citronrail.errors.CheckpointUnknown` if it said so.
         :raises citronrail.errors.WorkerOutcomeUnknown: anything else that is
             no complete, well-formed answer with status 200.
         """
@@ -181,9 +183,7 @@
 
     def _read(self, answer: httpx.Response, step: str, kind: type[T]) -> T:
         if 400 <= answer.status_code < 500:
-            raise errors.WorkerRefused(
-                _reason(answer), step=step, peer=self._url
-            )
+            raise _refusal(answer, step, self._url)
         if answer.status_code != 200:
             raise errors.WorkerOutcomeUnknown(
                 f'status {answer.status_code}', step=step, peer=self._url
@@ -198,8 +198,13 @@
             ) from exc
 
 
-def _reason(answer: httpx.Response) -> str:
+def _refusal(
+    answer: httpx.Response, step: str, peer: str
+) -> errors.WorkerRefused:
     try:
-        return codec.from_json(answer.content, _Refused).refused
+        body = codec.from_json(answer.content, _Refused)
     except msgspec.DecodeError:
-        return f'status {answer.status_code}'
+        body = _Refused(f'status {answer.status_code}')
+    if body.checkpoint_unknown:
+        return errors.CheckpointUnknown(body.refused, step=step, peer=peer)
+    return errors.WorkerRefused(body.refused, step=step, peer=peer)
--- a/citronrail/adapters/tests/test_http_worker.py
+++ b/citronrail/adapters/tests/test_http_worker.py
@@ -125,7 +125,7 @@
         big = _spec(size=resources.Resources(2001, 1))
         with pytest.raises(errors.WorkerRefused):
             await _start(adapter, _attempt(), big)
-        with pytest.raises(errors.WorkerRefused):
+        with pytest.raises(errors.CheckpointUnknown):
             await _start(adapter, _attempt(), _spec(checkpoint='missing'))
         core.switch(drop_answers=True)
         with pytest.raises(errors.WorkerOutcomeUnknown):
--- a/citronrail/errors.py
+++ b/citronrail/errors.py
@@ -106,6 +106,10 @@
     outcome = outcomes.Outcome.NOT_RUN
 
 
+class CheckpointUnknown(WorkerRefused):
+    """The platform no longer has the checkpoint that a start resumes from."""
+
+
 class WorkerOutcomeUnknown(CitronrailError):
     """The worker may have carried out the call."""
 
--- a/citronrail/model/messages.py
+++ b/citronrail/model/messages.py
@@ -262,11 +262,14 @@
 
     ``outcome`` is ``done``, ``not run`` (refused for ``reason``) or
     ``unknown``; after ``unknown`` a :class:`TaskReport` follows.
+    ``checkpoint_lost`` tells that the platform doesn't have the checkpoint
+    any more, so that no other worker can resume from it either.
     """
 
     attempt: specs.AttemptId
     outcome: outcomes.Outcome
     reason: str = ''
+    checkpoint_lost: bool = False
 
 
 @_message
--- a/citronrail/observability/catalogue/scheduling.py
+++ b/citronrail/observability/catalogue/scheduling.py
@@ -40,6 +40,12 @@
 UNKNOWN_ATTEMPT = observability.EventKind(
     1418, 'WARNING', 'attempt {attempt} on {node} is not in the shard; stopped'
 )
+CHECKPOINT_LOST = observability.EventKind(
+    1419,
+    'WARNING',
+    'checkpoint of attempt {attempt} is lost, says {node}; its task starts '
+    'from the beginning',
+)
 REPLICA_REPLACED = observability.EventKind(
     1420, 'INFO', 'replica {replica} of {owner} replaces {replaced}'
 )
--- a/citronrail/ports/worker.py
+++ b/citronrail/ports/worker.py
@@ -48,6 +48,8 @@
 class Worker(typing.Protocol):
     """A worker that runs tasks under leases.
 
+    A start raises :class:`citronrail.errors.CheckpointUnknown` when the
+    platform has lost the checkpoint.
     Calls raise :class:`citronrail.errors.WorkerRefused` when the worker
     confirmed that nothing happened and
     :class:`citronrail.errors.WorkerOutcomeUnknown` otherwise. Times are in
--- a/citronrail/scheduling/_attempt_changes.py
+++ b/citronrail/scheduling/_attempt_changes.py
@@ -43,7 +43,8 @@
     ``state`` is one of those of a
     :class:`citronrail.model.messages.TaskReport`, or ``refused`` for an
     attempt that was never run. ``healthy`` tells whether the worker is
-    healthy, so that the failure speaks against the task.
+    healthy, so that the failure speaks against the task. After
+    ``checkpoint_lost`` the task starts from the beginning.
     """
 
     attempt: specs.AttemptId
@@ -52,6 +53,7 @@
     checkpoint: str = ''
     reason: str = ''
     healthy: bool = True
+    checkpoint_lost: bool = False
 
 
 def find_live(
@@ -258,7 +260,9 @@
         index=index,
         number=live.number,
         not_before=now,
-        checkpoint=end.checkpoint or live.checkpoint,
+        checkpoint=(
+            '' if end.checkpoint_lost else end.checkpoint or live.checkpoint
+        ),
         failures=live.failures,
         avoid=live.avoid,
         replaces=live.replaces,
--- a/citronrail/scheduling/_dispatch.py
+++ b/citronrail/scheduling/_dispatch.py
@@ -111,6 +111,13 @@
         change = item.change
         self._context.reservations.release(item.node, change.attempt)
         _metrics.ATTEMPTS.labels(change.state).inc()
+        if change.checkpoint_lost:
+            observability.emit(
+                catalogue.CHECKPOINT_LOST,
+                attempt=change.attempt,
+                node=item.node,
+            )
+            return
         if change.state == 'refused':
             self._context.reservations.cool(item.node, now)
             observability.emit(
--- a/citronrail/scheduling/_inbox.py
+++ b/citronrail/scheduling/_inbox.py
@@ -147,7 +147,13 @@
             case outcomes.Outcome.DONE:
                 self.started.append(reply.attempt)
             case outcomes.Outcome.NOT_RUN if not live.confirmed:
-                self._end(node, reply.attempt, 'refused', reply.reason)
+                self._end(
+                    node,
+                    reply.attempt,
+                    'refused',
+                    reply.reason,
+                    reply.checkpoint_lost and bool(live.checkpoint),
+                )
             case _:
                 self.doubtful.append(reply.attempt)
 
@@ -157,14 +163,16 @@
         attempt: specs.AttemptId,
         state: str,
         reason: str,
+        checkpoint_lost: bool = False,
     ) -> None:
-        self.ended.setdefault(
-            attempt,
-            Ended(
-                _attempt_changes.AttemptEnd(attempt, state, reason=reason),
-                node,
-            ),
+        change = _attempt_changes.AttemptEnd(
+            attempt, state, reason=reason, checkpoint_lost=checkpoint_lost
         )
+        known = self.ended.get(attempt)
+        # A query answered "absent" doesn't tell why the start was refused.
+        unexplained = known is not None and known.change.state == 'refused'
+        if known is None or (checkpoint_lost and unexplained):
+            self.ended[attempt] = Ended(change, node)
 
     def _report(
         self, node: identifiers.NodeId, report: messages.TaskReport
--- a/citronrail/scheduling/_task_starter.py
+++ b/citronrail/scheduling/_task_starter.py
@@ -127,7 +127,8 @@
             )
         except errors.WorkerRefused as exc:
             if self._table.is_starting(start.attempt):
-                await self.never_ran(task, exc.message)
+                lost = isinstance(exc, errors.CheckpointUnknown)
+                await self.never_ran(task, exc.message, lost)
         except errors.CitronrailError as exc:
             return not self._leave_open(task, exc.message)
         else:
@@ -164,33 +165,43 @@
         self._table.set_state(task.attempt, LocalState.RUNNING)
         _metrics.STARTS.labels('started').inc()
         observability.emit(catalogue.TASK_STARTED, attempt=task.attempt)
-        await self._reply(task.owner, task.attempt, outcomes.Outcome.DONE, '')
+        await self._reply(
+            task.owner,
+            messages.StartReply(task.attempt, outcomes.Outcome.DONE),
+        )
 
     async def never_ran(
-        self, task: _local_tasks.LocalTask, reason: str
+        self,
+        task: _local_tasks.LocalTask,
+        reason: str,
+        checkpoint_lost: bool = False,
     ) -> None:
         """Release an attempt that was not started and tell its owner."""
         self._table.drop(task.attempt)
-        await self._refuse(task.owner, task.attempt, reason)
+        await self._refuse(task.owner, task.attempt, reason, checkpoint_lost)
 
     async def _refuse(
-        self, owner: identifiers.NodeId, attempt: specs.AttemptId, reason: str
+        self,
+        owner: identifiers.NodeId,
+        attempt: specs.AttemptId,
+        reason: str,
+        checkpoint_lost: bool = False,
     ) -> None:
         _metrics.STARTS.labels('refused').inc()
         observability.emit(
             catalogue.TASK_REFUSED, attempt=attempt, reason=reason
         )
-        await self._reply(owner, attempt, outcomes.Outcome.NOT_RUN, reason)
+        await self._reply(
+            owner,
+            messages.StartReply(
+                attempt, outcomes.Outcome.NOT_RUN, reason, checkpoint_lost
+            ),
+        )
 
     async def _reply(
-        self,
-        owner: identifiers.NodeId,
-        attempt: specs.AttemptId,
-        outcome: outcomes.Outcome,
-        reason: str,
+        self, owner: identifiers.NodeId, reply: messages.StartReply
     ) -> None:
         if owner:
-            reply = messages.StartReply(attempt, outcome, reason)
             await send_or_drop(self._hub, owner, reply)
 
 
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -9,6 +9,7 @@
 from citronrail.model import identifiers
 from citronrail.model import resources
 from citronrail.model import specs
+from citronrail import observability
 from citronrail import scheduling
 from citronrail.scheduling import _policies
 from citronrail.scheduling.tests import _cluster
@@ -264,6 +265,43 @@
     await _run(scenario)
 
 
+async def test_lost_checkpoint_restarts_the_task_once(autojump_clock):
+    """Guards against a task that is refused for ever, or restarted twice."""
+    recorder = observability.Recorder('test')
+    observability.use_recorder(recorder)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=3, run_s=20.0), 'c'
+        )
+        await trio.sleep(5.0)
+        cluster.checkpoints.get = _forget(cluster.checkpoints)
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(60.0)
+        lost = len(cluster.checkpoints.kept)
+        assert lost
+        row = _row(cluster)
+        assert (row.state, row.finished) == ('finished', 3)
+        starts = [r for r in cluster.history() if r.event == 'start']
+        assert len(starts) == 3 + lost
+        assert not any(record.detail for record in starts)
+        told = [r for r in recorder.records() if r.number == 1419]
+        assert len(told) == lost
+        assert len({record.text for record in told}) == lost
+
+    await _run(scenario)
+
+
+def _forget(checkpoints):
+    """Return a read of a store that has lost every checkpoint."""
+
+    async def get(token):
+        await trio.lowlevel.checkpoint()
+        assert token in checkpoints.kept
+
+    return get
+
+
 async def test_replicas_follow_the_configured_count(autojump_clock):
     """Guards services against too few or too many replicas."""
 
--- a/standins/worker/_memory_worker.py
+++ b/standins/worker/_memory_worker.py
@@ -120,7 +120,7 @@
                 f'the checkpoint can not be read: {exc}', step='worker.start'
             ) from exc
         if progress_s is None:
-            raise errors.WorkerRefused(
+            raise errors.CheckpointUnknown(
                 'the checkpoint is unknown', step='worker.start'
             )
         return progress_s
--- a/standins/worker/_service.py
+++ b/standins/worker/_service.py
@@ -196,6 +196,9 @@
     async def guarded() -> quart.Response:
         try:
             return await handler()
+        except errors.CheckpointUnknown as exc:
+            refusal = {'refused': exc.message, 'checkpoint_unknown': True}
+            return _json(refusal, 409)
         except errors.WorkerRefused as exc:
             return _json({'refused': exc.message}, 409)
         except errors.WorkerOutcomeUnknown as exc:
