--- a/citronrail/scheduling/_attempt_changes.py
+++ b/citronrail/scheduling/_attempt_changes.py
@@ -26,10 +26,14 @@
 
 @dataclasses.dataclass(frozen=True)
 class Assignment:
-    """A task and the node on which its next attempt shall run."""
+    """A task and the node on which its next attempt shall run.
+
+    ``generation`` is that of the specification that the node was chosen by.
+    """
 
     task: specs.TaskId
     node: identifiers.NodeId
+    generation: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,7 +43,8 @@
     ``state`` is one of those of a
     :class:`citronrail.model.messages.TaskReport`, or ``refused`` for an
     attempt that was never run. ``healthy`` tells whether the worker is
-    healthy, so that the failure speaks against the task.
+    healthy, so that the failure speaks against the task. After
+    ``checkpoint_lost`` the task starts from the beginning.
     """
 
     attempt: specs.AttemptId
@@ -48,6 +53,7 @@
     checkpoint: str = ''
     reason: str = ''
     healthy: bool = True
+    checkpoint_lost: bool = False
 
 
 def find_live(
@@ -118,6 +124,7 @@
             failures=entry.failures,
             avoid=entry.avoid,
             replaces=entry.replaces,
+            generation=item.generation,
         )
     return structs.replace(
         group,
@@ -253,7 +260,9 @@
         index=index,
         number=live.number,
         not_before=now,
-        checkpoint=end.checkpoint or live.checkpoint,
+        checkpoint=(
+            '' if end.checkpoint_lost else end.checkpoint or live.checkpoint
+        ),
         failures=live.failures,
         avoid=live.avoid,
         replaces=live.replaces,
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -9,6 +9,7 @@
 from citronrail.model import identifiers
 from citronrail.model import resources
 from citronrail.model import specs
+from citronrail import observability
 from citronrail import scheduling
 from citronrail.scheduling import _policies
 from citronrail.scheduling.tests import _cluster
@@ -130,6 +131,30 @@
     await _run(scenario)
 
 
+async def test_single_tasks_of_a_job_are_cancelled(autojump_clock):
+    """Guards against cancelling the other tasks of the same job."""
+
+    async def scenario(cluster):
+        scheduler = cluster.owner.scheduler
+        await scheduler.submit(_cluster.job('rota', 40, run_s=20.0), 'c')
+        await trio.sleep(5.0)
+        pending = _row(cluster).pending
+        assert pending
+        for _ in range(2):
+            result = await scheduler.cancel_tasks(
+                lambda row: row.state == 'pending', 'x'
+            )
+            assert (result.tasks, result.failed) == (pending, ())
+        states = {row.state for row in scheduler.rows('tasks')}
+        assert states == {'running', 'cancelled'}
+        await trio.sleep(40.0)
+        row = _row(cluster)
+        assert (row.state, row.cancelled) == ('finished', pending)
+        assert row.finished == 40 - pending
+
+    await _run(scenario)
+
+
 async def test_pressure_throttles_and_evicts(autojump_clock):
     """Guards the way from a relief to the worker, and its undoing."""
     reliefs = []
@@ -240,6 +265,43 @@
     await _run(scenario)
 
 
+async def test_lost_checkpoint_restarts_the_task_once(autojump_clock):
+    """Guards against a task that is refused for ever, or restarted twice."""
+    recorder = observability.Recorder('test')
+    observability.use_recorder(recorder)
+
+    async def scenario(cluster):
+        await cluster.owner.scheduler.submit(
+            _cluster.job(tasks=3, run_s=20.0), 'c'
+        )
+        await trio.sleep(5.0)
+        cluster.checkpoints.get = _forget(cluster.checkpoints)
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(60.0)
+        lost = len(cluster.checkpoints.kept)
+        assert lost
+        row = _row(cluster)
+        assert (row.state, row.finished) == ('finished', 3)
+        starts = [r for r in cluster.history() if r.event == 'start']
+        assert len(starts) == 3 + lost
+        assert not any(record.detail for record in starts)
+        told = [r for r in recorder.records() if r.number == 1419]
+        assert len(told) == lost
+        assert len({record.text for record in told}) == lost
+
+    await _run(scenario)
+
+
+def _forget(checkpoints):
+    """Return a read of a store that has lost every checkpoint."""
+
+    async def get(token):
+        await trio.lowlevel.checkpoint()
+        assert token in checkpoints.kept
+
+    return get
+
+
 async def test_replicas_follow_the_configured_count(autojump_clock):
     """Guards services against too few or too many replicas."""
 
@@ -259,6 +321,43 @@
     await _run(scenario)
 
 
+async def test_changed_service_is_replaced_one_by_one(autojump_clock):
+    """Guards against replicas of the old size, and against a short service."""
+
+    def running(cluster):
+        return [
+            task.spec.resources.millicores
+            for agent in cluster.agents.values()
+            for task in agent.worker.core.tasks().running
+        ]
+
+    async def scenario(cluster):
+        cluster.set_service(_service(3))
+        await trio.sleep(6.0)
+        assert running(cluster) == [1000] * 3
+        changed = _service(3)
+        for spec in (
+            dataclasses.replace(
+                changed, resources=resources.Resources(1500, 1000)
+            ),
+            dataclasses.replace(
+                changed,
+                data_centres=(identifiers.DataCentreName('Leicester'),),
+            ),
+        ):
+            before = len([r for r in cluster.history() if r.event == 'start'])
+            cluster.set_service(spec)
+            for _ in range(300):
+                await trio.sleep(0.1)
+                assert 3 <= len(running(cluster)) <= 4
+            assert running(cluster) == [spec.resources.millicores] * 3
+            starts = [r for r in cluster.history() if r.event == 'start']
+            assert len(starts) - before == 3
+        assert {a.data_centre for a in _answering(cluster)} == {'Leicester'}
+
+    await _run(scenario, agents=6)
+
+
 async def test_replica_comes_back_after_its_host_is_lost(autojump_clock):
     """Guards against a service that stays short after a failure."""
 
--- a/citronrail/scheduling/tests/test_shard_state.py
+++ b/citronrail/scheduling/tests/test_shard_state.py
@@ -1,29 +1,43 @@
 """Guards what must always hold in a job shard."""
 
+import collections
+import dataclasses
 import random
 import time
+import tracemalloc
 
 import hypothesis
 from hypothesis import strategies as st
 import pytest
+import trio
 
 from citronrail import errors
 from citronrail.model import identifiers
+from citronrail.model import messages
 from citronrail.model import resources
 from citronrail.model import specs
+from citronrail.model import views
 from citronrail.scheduling import _attempt_changes as attempts
 from citronrail.scheduling import _batch
+from citronrail.scheduling import _context
 from citronrail.scheduling import _followup
 from citronrail.scheduling import _index_runs as runs
 from citronrail.scheduling import _job_changes as jobs
+from citronrail.scheduling import _moves
 from citronrail.scheduling import _replica_changes as replicas
+from citronrail.scheduling import _rows
 from citronrail.scheduling import _shard_state as shards
+from citronrail.scheduling import _task_cancel as task_cancel
 from citronrail.scheduling.tests import _cluster
 
 NODES = tuple(identifiers.NodeId(f'node{n}') for n in range(4))
 ENDS = ('refused', 'finished', 'failed', 'stopped', 'checkpointed', 'lost')
 
 
+def _selected(state, predicate):
+    return trio.run(task_cancel.select, state, predicate, {})
+
+
 def _service(replicas_wanted=2, **fields):
     return specs.ServiceSpec(
         identifiers.ServiceName('seats'),
@@ -64,6 +78,7 @@
                 self.stale_end,
                 self.move,
                 self.cancel,
+                self.cancel_tasks,
                 self.services,
                 self.replace,
                 self.resume,
@@ -177,6 +192,21 @@
                 self.now,
             )
 
+    def cancel_tasks(self):
+        if self.rng.random() < 0.6:
+            return
+        state = self.rng.choice(('pending', 'running', 'parked'))
+        selection = _selected(
+            self.state, lambda r: r.state == state and r.task.endswith('1')
+        )
+        if self.rng.random() < 0.5:
+            self.assign()
+        command = f'y{self.rng.randrange(10**9)}'
+        for _ in range(2):
+            self.state = task_cancel.cancel_selected(
+                self.state, selection, command, 'cancelled', self.now
+            )
+
     def services(self):
         self.state = replicas.adjust_service(
             self.state, _service(), self.rng.randint(0, 3), self.now
@@ -242,6 +272,11 @@
     assert set(runs.indexes(runs.difference(left, second))) == first - second
     index = data.draw(st.integers(0, 41))
     assert runs.contains(left, index) == (index in first)
+    removed = runs.union((), ((n, n + 1) for n in second))
+    kept = runs.subtract(left, removed)
+    assert list(runs.indexes(kept)) == sorted(first - second)
+    both = runs.intersect(left, removed)
+    assert list(runs.indexes(both)) == sorted(first & second)
     assert runs.size(left) == len(first)
     assert list(runs.take(left, 5)) == sorted(first)[:5]
     assert all(a[1] < b[0] for a, b in zip(left, left[1:]))
@@ -285,6 +320,62 @@
     assert len(shards.encode(changed)) < len(shards.encode(state)) * 1.2
 
 
+def test_thousands_of_single_tasks_are_cancelled_in_one_change():
+    """Guards against cancelling whole jobs, or in quadratic time."""
+    state = _big_shard()
+    selection = _selected(
+        state, lambda row: row.state == 'pending' and row.task[-1] in '02468'
+    )
+    assert selection.chosen, 'pending tasks have no rows'
+    # A task that was pending when it was chosen starts before the commit.
+    started = specs.TaskId('nightly-capacity-plan-0', 30)
+    node = identifiers.NodeId('late')
+    state = attempts.assign(state, [attempts.Assignment(started, node)], 2.0)
+    begun = time.perf_counter()
+    changed = task_cancel.cancel_selected(state, selection, 'c', 'x', 2.0)
+    assert time.perf_counter() - begun < 5.0
+    assert jobs.affected_by(changed, 'c') == 60 * 135 - 1
+    assert shards.live_count(changed) == 1_801
+    for group in changed.groups.values():
+        assert group.phase is shards.Phase.ACTIVE
+        assert all(
+            a.state is not shards.LiveState.STOPPING
+            for a in group.live.values()
+        )
+    assert len(shards.encode(changed)) < shards.MAX_ENCODED_BYTES
+    assert changed == task_cancel.cancel_selected(
+        changed, selection, 'c', 'x', 3.0
+    )
+
+
+def test_tasks_in_every_state_have_a_row_made_on_demand():
+    """Guards against missing tasks and a table held in memory."""
+    state = _big_shard()
+    task = specs.TaskId('nightly-capacity-plan-0', 0)
+    for name in ('finished', 'lost'):
+        state = attempts.end_attempt(
+            state, attempts.AttemptEnd(specs.AttemptId(task, 1), name), 3.0
+        )
+        task = specs.TaskId(task.owner, task.index + 1)
+    selection = _selected(state, lambda row: row.task.endswith('-1/299'))
+    state = task_cancel.cancel_selected(state, selection, 'c', 'x', 2.0)
+    tracemalloc.start()
+    try:
+        counts = collections.Counter(
+            row.state for row in _rows.rows(state, 'tasks', {})
+        )
+        peak_bytes = tracemalloc.get_traced_memory()[1]
+    finally:
+        tracemalloc.stop()
+    assert counts == {
+        'assigned': 1_798,
+        'finished': 1,
+        'pending': 16_200,
+        'cancelled': 1,
+    }
+    assert peak_bytes < 500_000
+
+
 def test_task_that_fails_everywhere_is_parked_with_its_job():
     """Guards against a job that fails for ever on healthy workers."""
     state = jobs.submit_job(
@@ -351,6 +442,65 @@
     assert replicas.adjust_service(state, _service(1), 1, 4.0) is state
 
 
+@pytest.mark.parametrize('backends, answers', [(1, False), (2, True)])
+def test_replacement_beside_the_replaced_one_answers_itself(backends, answers):
+    """Guards against taking the old backend server for the new one."""
+    state = replicas.adjust_service(shards.ShardState(), _service(1), 1, 1.0)
+    for index in range(2):
+        task = specs.TaskId('service:seats', index)
+        state = attempts.assign(
+            state, [attempts.Assignment(task, NODES[0])], 1.0
+        )
+        state = attempts.confirm_started(state, specs.AttemptId(task, 1), 2.0)
+        state = replicas.replace_replica(state, task.owner, 0, 'changed')
+    view = views.AgentView(
+        NODES[0],
+        identifiers.BootId('boot'),
+        identifiers.DataCentreName('Leicester'),
+        'rack',
+        resources.Resources(4000, 4000),
+        resources.Resources(4000, 4000),
+        messages.AgentLoad(),
+        (messages.BackendState(identifiers.ServiceName('seats'), 1),)
+        * backends,
+        2.0,
+    )
+    limits = _context.Limits()
+    moves = _moves.plan_moves(state, {NODES[0]: view}, {}, limits, 2.0, 2.0)
+    assert bool(moves.ready) is answers
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'resources': resources.Resources(700, 500)},
+        {'work_class': identifiers.WorkClass('gate')},
+        {'data_centres': (identifiers.DataCentreName('Leicester'),)},
+    ],
+)
+def test_change_of_a_service_makes_its_replicas_outdated(change):
+    """Guards against replicas that keep a size, class or place for ever."""
+    spec = _service()
+    state = replicas.adjust_service(shards.ShardState(), spec, 2, 1.0)
+    wanted = [
+        attempts.Assignment(specs.TaskId('service:seats', index), NODES[0])
+        for index in range(2)
+    ]
+    state = attempts.assign(state, wanted, 1.0)
+    for item in wanted:
+        attempt = specs.AttemptId(item.task, 1)
+        assert replicas.outdated_replica(state.groups[item.task.owner]) is None
+        state = attempts.confirm_started(state, attempt, 2.0)
+    for fields, outdated in (({'max_run_s': 9.0}, None), (change, 0)):
+        spec = dataclasses.replace(spec, **fields)
+        state = replicas.adjust_service(state, spec, 2, 3.0)
+        group = state.groups['service:seats']
+        assert replicas.outdated_replica(group) == outdated
+    state = replicas.replace_replica(state, group.owner, 0, 'changed')
+    group = state.groups['service:seats']
+    assert replicas.outdated_replica(group) is None, 'two at once'
+
+
 @pytest.mark.parametrize(
     'spec',
     [
