Hand a small answer to the caller's connection as a whole

Cause: each part of an answer passed a rendezvous between the router's task and the connection's task, also for a body of a few bytes. Change: an answer that declares at most 64 KB is handed over once it is finished; one that breaks off still breaks the connection off.

--- a/citronrail/adapters/_caller_app.py
+++ b/citronrail/adapters/_caller_app.py
@@ -1,6 +1,7 @@
 """The callers' HTTP port."""
 
 import collections.abc
+import math
 import typing
 
 import quart
@@ -21,6 +22,8 @@
 MAX_HEADERS = 100
 MAX_HEADER_BYTES = 16 * 1024
 BODY_TIMEOUT_S = 30
+# Handing over the parts of an answer costs a small one more than its memory.
+SMALL_BYTES = 64 * 1024
 METHODS = ('GET', 'HEAD', 'POST', 'PUT', 'PATCH', 'DELETE', 'OPTIONS')
 
 Ready = collections.abc.Callable[[], bool]
@@ -167,9 +170,20 @@
     return f'/{rest}?{text}' if text else f'/{rest}'
 
 
+def _declared_bytes(headers: messages.Headers) -> float:
+    """Return the length that an answer declares, infinite if it does not."""
+    lengths = {value for name, value in headers if name == 'content-length'}
+    value = lengths.pop() if len(lengths) == 1 else ''
+    return int(value) if value.isascii() and value.isdigit() else math.inf
+
+
 class _Answer:
     """Hands an answer from the router's task to quart's.
 
+    An answer that is declared to be small is handed over as a whole once it
+    is finished; one that then breaks off is handed over as it is, so that the
+    caller's connection is broken off visibly.
+
     :param request_id: sent to the caller with the answer.
     """
 
@@ -179,6 +193,7 @@
         self._begun = trio.Event()
         self._response: quart.Response | None = None
         self._whole = False
+        self._small: list[bytes] | None = None  # parts of a small answer
         self._send, self._receive = trio.open_memory_channel[bytes](0)
 
     async def produce(
@@ -220,16 +235,26 @@
         response.headers[_problem_json.REQUEST_ID_HEADER] = self._request_id
         response.timeout = None
         self._response = response
-        self._begun.set()
+        if _declared_bytes(headers) <= SMALL_BYTES:
+            self._small = []
+        else:
+            self._begun.set()
 
     async def write(self, data: bytes) -> None:
         """Send a part of the body; waits for a slow caller."""
-        if data:
+        if self._small is not None:
+            self._small.append(data)
+        elif data:
             await self._send.send(data)
 
     async def finish(self) -> None:
         """End the answer normally."""
         self._whole = True
+        if self._small is not None and self._response is not None:
+            # The declared length stays: an answer to HEAD has no body.
+            self._response.automatically_set_content_length = False
+            self._response.set_data(b''.join(self._small))
+            self._begun.set()
         await self._send.aclose()
 
     async def problem(self, problem: routing.Problem) -> None:
