Use one drain rule and one ramp in the daemon and the measurement

Cause: the daemon decided by _moves and _ramps, the measurement grid by _drain_order and _return_ramp, so the grid measured rules not in force. Change: both use _drain_order for what leaves and _ramps for the return. Replicas: the daemon's rule, each is stopped only when its own replacement answers; the other one stopped up to half of them after 30 s without. Batch: the other rule, by which a task that can't be checkpointed and is not expected to finish in the grace time leaves at once; waiting only delayed it. Urgent work first, as in the daemon. Return: the daemon's ramp over whole workers; a cold worker then warms up once, and a test of the scheduler demands it. _return_ramp is gone.

--- a/citronrail/scheduling/_candidates.py
+++ b/citronrail/scheduling/_candidates.py
@@ -2,7 +2,6 @@
 
 import collections.abc
 import dataclasses
-import math
 import random
 
 from citronrail.model import identifiers
@@ -10,6 +9,7 @@
 from citronrail.model import settings as settings_model
 from citronrail.model import views
 from citronrail.scheduling import _policies
+from citronrail.scheduling import _ramps
 from citronrail.scheduling import _reservations
 
 HEARD_WITHIN_S = 3.0
@@ -153,11 +153,9 @@
         return eligible
     kept = [v for v in eligible if v.data_centre not in ramps]
     for name, share in ramps.items():
-        here = sorted(
-            (v for v in eligible if v.data_centre == name),
-            key=lambda v: v.node_id,
-        )
-        kept.extend(here[: math.ceil(len(here) * share)])
+        here = [v for v in eligible if v.data_centre == name]
+        usable = _ramps.usable((v.node_id for v in here), share)
+        kept.extend(v for v in here if v.node_id in usable)
     return kept
 
 
--- a/citronrail/scheduling/_moves.py
+++ b/citronrail/scheduling/_moves.py
@@ -13,7 +13,10 @@
 from citronrail.model import views
 from citronrail.scheduling import _batch
 from citronrail.scheduling import _context
+from citronrail.scheduling import _drain_order
 from citronrail.scheduling import _followup
+from citronrail.scheduling import _pending
+from citronrail.scheduling import _policies
 from citronrail.scheduling import _replica_changes
 from citronrail.scheduling import _shard_state
 
@@ -64,6 +67,7 @@
     agents: Agents,
     leaving: collections.abc.Mapping[identifiers.NodeId, tuple[str, float]],
     limits: _context.Limits,
+    estimator: _policies.Estimator,
     now: float,
     unix_now: float,
 ) -> Moves:
@@ -73,16 +77,17 @@
     :param agents: agents by node id.
     :param leaving: nodes to leave, from :class:`LeavingNodes`.
     :param limits: how many checkpoints are under way at once.
+    :param estimator: estimates run times.
     :param now: local time in seconds.
     :param unix_now: Unix time in seconds.
     :returns: the moves.
     """
-    replaced: list[_batch.Move] = []
-    ready: list[specs.TaskId] = []
-    moves: list[_batch.Move] = []
+    ready: dict[specs.TaskId, specs.TaskId] = {}
+    going: dict[specs.TaskId, tuple[_batch.Move, float]] = {}
     under_way = 0
     for attempt, live in _followup.live_attempts(state):
-        group = state.groups[attempt.task.owner]
+        task = attempt.task
+        group = state.groups[task.owner]
         if live.state is LiveState.MOVING:
             under_way += 1
         if live.state is not LiveState.RUNNING:
@@ -90,19 +95,67 @@
         if live.replaces >= 0 and _answers(
             group, live, agents, limits, unix_now
         ):
-            ready.append(attempt.task)
-        if live.node not in leaving:
-            continue
-        reason, since = leaving[live.node]
-        move = _batch.Move(attempt, live.node, reason)
-        if group.service is not None:
-            replaced.append(move)
-        elif _may_move(group, now - since, limits):
-            moves.append(move)
-    replaced.extend(_outdated(state))
-    room = max(0, limits.moves_a_round - under_way)
-    moves.sort(key=lambda move: _order(state, move))
-    return Moves(tuple(replaced), tuple(ready), tuple(moves[:room]))
+            ready[specs.TaskId(task.owner, live.replaces)] = task
+        if live.node in leaving:
+            reason, since = leaving[live.node]
+            move = _batch.Move(attempt, live.node, reason)
+            going[task] = (move, now - since)
+    for move in _outdated(state):
+        going.setdefault(move.attempt.task, (move, 0.0))
+    steps = _drain_order.drain_steps(
+        [
+            _drain_task(state, move, leaving_s, estimator, unix_now)
+            for move, leaving_s in going.values()
+            if move.attempt.task not in ready
+        ],
+        under_way,
+        _drain_order.DrainSettings(limits.moves_a_round, limits.drain_grace_s),
+    )
+    by_action = {
+        action: tuple(
+            going[step.task][0] for step in steps if step.action is action
+        )
+        for action in _drain_order.DrainAction
+    }
+    return Moves(
+        by_action[_drain_order.DrainAction.REPLACE],
+        tuple(ready.values()),
+        (
+            *by_action[_drain_order.DrainAction.STOP],
+            *by_action[_drain_order.DrainAction.CHECKPOINT],
+        ),
+    )
+
+
+def _drain_task(
+    state: _shard_state.ShardState,
+    move: _batch.Move,
+    leaving_s: float,
+    estimator: _policies.Estimator,
+    unix_now: float,
+) -> _drain_order.DrainTask:
+    task = move.attempt.task
+    group = state.groups[task.owner]
+    run_s = max(0.0, unix_now - group.live[task.index].since)
+    job = group.job
+    if job is None:
+        free = _replica_changes.may_replace(group, task.index)
+        return _drain_order.DrainTask(
+            task,
+            _drain_order.Replacement.NONE
+            if free
+            else _drain_order.Replacement.STARTING,
+        )
+    return _drain_order.DrainTask(
+        task,
+        lost_s=run_s,
+        remaining_s=max(
+            0.0, _pending.expected_run_s(group, estimator) - run_s
+        ),
+        leaving_s=leaving_s,
+        checkpointable=job.checkpointable,
+        urgent=job.priority is specs.Priority.URGENT,
+    )
 
 
 def _outdated(
@@ -117,28 +170,6 @@
             yield _batch.Move(attempt, live.node, 'the service has changed')
 
 
-def _may_move(
-    group: _shard_state.Group, leaving_s: float, limits: _context.Limits
-) -> bool:
-    """Let tasks without checkpoints finish within the grace time."""
-    job = group.job
-    return (
-        job is None or job.checkpointable or leaving_s >= limits.drain_grace_s
-    )
-
-
-def _order(
-    state: _shard_state.ShardState, move: _batch.Move
-) -> tuple[bool, float, specs.AttemptId]:
-    """Urgent work first, then what ran longest and has most to lose."""
-    group = state.groups[move.attempt.task.owner]
-    urgent = (
-        group.job is not None and group.job.priority is specs.Priority.URGENT
-    )
-    live = group.live[move.attempt.task.index]
-    return (not urgent, live.since, move.attempt)
-
-
 def _answers(
     group: _shard_state.Group,
     live: _shard_state.Live,
--- a/citronrail/scheduling/_ramps.py
+++ b/citronrail/scheduling/_ramps.py
@@ -1,7 +1,9 @@
 """How much of a data centre that came back may be used."""
 
 import collections.abc
+import math
 
+from citronrail.model import identifiers
 from citronrail.model import settings as settings_model
 from citronrail.scheduling import _context
 
@@ -43,13 +45,38 @@
         self._out = out
         shares = {}
         for name, since in tuple(self._returned_at.items()):
-            share = self._share(now - since)
+            share = ramp_share(now - since, self._limits)
             if share >= 1.0:
                 del self._returned_at[name]
             else:
                 shares[name] = share
         return shares
 
-    def _share(self, elapsed_s: float) -> float:
-        first = self._limits.ramp_first_share
-        return first + (1.0 - first) * elapsed_s / self._limits.ramp_s
+
+def ramp_share(elapsed_s: float, limits: _context.Limits) -> float:
+    """Return the share of its workers that a data centre may use.
+
+    :param elapsed_s: seconds since its return.
+    :param limits: duration of a ramp and the share at its start.
+    :returns: rises evenly to 1.0.
+    """
+    if limits.ramp_s <= 0.0:
+        return 1.0
+    first = limits.ramp_first_share
+    passed = max(0.0, elapsed_s) / limits.ramp_s
+    return min(1.0, first + (1.0 - first) * passed)
+
+
+def usable(
+    nodes: collections.abc.Iterable[identifiers.NodeId], share: float
+) -> frozenset[identifiers.NodeId]:
+    """Return the workers of a data centre that may be used, at least one.
+
+    They are always the first ones by name: a worker once in use stays so.
+
+    :param nodes: node ids of the workers' agents.
+    :param share: from :func:`ramp_share`.
+    :returns: node ids.
+    """
+    names = sorted(nodes)
+    return frozenset(names[: math.ceil(len(names) * share)])
--- a/citronrail/scheduling/_upkeep.py
+++ b/citronrail/scheduling/_upkeep.py
@@ -86,6 +86,7 @@
             agents,
             self._leaving.update(settings, agents, now),
             self._context.limits,
+            self._context.policies.estimator,
             now,
             self._context.wall_clock(),
         )
--- a/citronrail/scheduling/tests/test_shard_state.py
+++ b/citronrail/scheduling/tests/test_shard_state.py
@@ -466,7 +466,9 @@
         2.0,
     )
     limits = _context.Limits()
-    moves = _moves.plan_moves(state, {NODES[0]: view}, {}, limits, 2.0, 2.0)
+    moves = _moves.plan_moves(
+        state, {NODES[0]: view}, {}, limits, None, 2.0, 2.0
+    )
     assert bool(moves.ready) is answers
 
 
--- a/measure/_control.py
+++ b/measure/_control.py
@@ -6,6 +6,7 @@
 from citronrail.model import resources
 from citronrail.model import settings
 from citronrail.model import specs
+from citronrail.scheduling import _context as scheduler_context
 from citronrail.scheduling import _drain_order as drain_order
 from citronrail.scheduling import _estimates as estimates
 from citronrail.scheduling import _health_evidence as evidence
@@ -17,7 +18,7 @@
 from citronrail.scheduling import _pressure as pressure
 from citronrail.scheduling import _quota_reclaim as quota_reclaim
 from citronrail.scheduling import _quotas as quotas
-from citronrail.scheduling import _return_ramp as return_ramp
+from citronrail.scheduling import _ramps as ramps
 from citronrail.scheduling import _worker_health as worker_health
 from measure import _cluster as cluster
 from measure import _workload as workload
@@ -28,6 +29,7 @@
 STARVED_HOLD_S = 120.0
 MIN_OBSERVATIONS = 3
 QUOTAS = quotas.QuotaSettings()
+LIMITS = scheduler_context.Limits()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,9 +75,9 @@
         self._holds: tuple[admission.Hold, ...] = ()
         self._usage: dict[str, dict[specs.TaskId, object]] = {}
         self._host_load: dict[str, float] = {}
-        self._ramps: dict[str, return_ramp.ReturnRamp] = {}
+        self._returned_at: dict[str, float] = {}
         self._out: str | None = None
-        self._replaced = 0
+        self._replaced_by: dict[specs.TaskId, specs.TaskId] = {}
         self._deferred: dict[specs.TaskId, float] = {}
         self._teams = _teams(load.deployment)
         for item in workload.replicas(load.deployment):
@@ -117,9 +119,8 @@
             if not self.contender.drains:
                 self._stop_all(now)
         if now == back_at and self._out:
-            count = sum(h.data_centre == self._out for h in hosts)
             if self.contender.drains:
-                self._ramps[self._out] = return_ramp.ReturnRamp(now, count)
+                self._returned_at[self._out] = now
             self._out = None
 
     def _stop_all(self, now: float) -> None:
@@ -234,15 +235,17 @@
             if self.fleet.hosts[task.node_id].data_centre == self._out
         ]
         stopping = [task for task in here if task.stops_at is not None]
+        leaving_s = now - self.load.data_centre_out[0]
         steps = drain_order.drain_steps(
-            [_drain_task(t, now) for t in here if t.stops_at is None],
-            {
-                name: self._replicas(name, now)
-                for name in self.load.deployment.services
-            },
+            [
+                self._drain_task(task, leaving_s, now)
+                for task in here
+                if task.stops_at is None
+            ],
             len(stopping),
-            now - self.load.data_centre_out[0],
-            drain_order.DrainSettings(),
+            drain_order.DrainSettings(
+                LIMITS.moves_a_round, LIMITS.drain_grace_s
+            ),
         )
         for step in steps:
             self._carry_out(step, now)
@@ -251,8 +254,9 @@
         task = self._running[step.task]
         match step.action:
             case drain_order.DrainAction.REPLACE:
-                self._replaced += 1
-                task_id = specs.TaskId(step.task.owner, 100 + self._replaced)
+                index = 100 + len(self._replaced_by)
+                task_id = specs.TaskId(step.task.owner, index)
+                self._replaced_by[step.task] = task_id
                 work = dataclasses.replace(task.work, task=task_id)
                 self._pending[task_id] = cluster.Task(work, now)
             case drain_order.DrainAction.STOP:
@@ -266,28 +270,33 @@
                 self.fleet.stop(task, checkpoint=True, now=now)
                 self.evictions += 1
 
-    def _replicas(self, name: str, now: float) -> drain_order.ServiceReplicas:
-        counts = {'here': 0, 'elsewhere': 0, 'starting': 0}
-        for task in self._running.values():
-            if task.work.service != name or task.stops_at is not None:
-                continue
-            host = self.fleet.hosts[task.node_id]
-            if host.data_centre == self._out:
-                counts['here'] += 1
-            elif now >= task.started_at + cluster.SERVICE_START_S:
-                counts['elsewhere'] += 1
-            else:
-                counts['starting'] += 1
-        counts['starting'] += sum(
-            task.work.service == name for task in self._pending.values()
-        )
-        return drain_order.ServiceReplicas(
-            workload.REPLICAS,
-            counts['here'],
-            counts['elsewhere'],
-            counts['starting'],
+    def _drain_task(
+        self, task: cluster.Task, leaving_s: float, now: float
+    ) -> drain_order.DrainTask:
+        work = task.work
+        return drain_order.DrainTask(
+            work.task,
+            self._replacement(work.task, now) if work.service else None,
+            now - task.started_at,
+            max(0.0, self._expected_run_s(task) - (now - task.started_at)),
+            leaving_s,
+            work.checkpointable,
+            work.priority is specs.Priority.URGENT,
         )
 
+    def _replacement(
+        self, task: specs.TaskId, now: float
+    ) -> drain_order.Replacement:
+        successor = self._replaced_by.get(task)
+        if successor is None:
+            return drain_order.Replacement.NONE
+        running = self._running.get(successor)
+        if running is None or now < (
+            running.started_at + cluster.SERVICE_START_S
+        ):
+            return drain_order.Replacement.STARTING
+        return drain_order.Replacement.ANSWERS
+
     def _place(self, now: float) -> None:
         self._holds = tuple(h for h in self._holds if h.until > now)
         hosts = [self._candidate(h, now) for h in self.fleet.hosts.values()]
@@ -367,13 +376,8 @@
         )
         self._holds = tuple(h for h in self._holds if h.task != request.task)
         host = hosts[index].with_occupant(_occupant(task))
-        ramp = self._ramps.get(host.data_centre)
-        if ramp is not None:
-            self._ramps[host.data_centre] = return_ramp.with_starts(ramp, 1)
         full = worker_health.one_at_a_time(self._health, host.node_id)
-        hosts[index] = dataclasses.replace(
-            host, accepting=not full and self._ramp_open(host, now)
-        )
+        hosts[index] = dataclasses.replace(host, accepting=not full)
         return True
 
     def _request(
@@ -404,37 +408,35 @@
         )
 
     def _candidate(self, host: cluster.Host, now: float) -> types.Candidate:
-        ramp = self._ramps.get(host.data_centre)
-        capacity = host.capacity
-        if ramp is not None:
-            capacity = return_ramp.ramped_capacity(
-                capacity, ramp, return_ramp.RampSettings(), now
-            )
         occupants = tuple(_occupant(task) for task in host.tasks.values())
         reserved = resources.Resources()
         for item in occupants:
             reserved += item.reservation
-        candidate = types.Candidate(
+        return types.Candidate(
             host.node_id,
             host.data_centre,
             host.rack,
-            capacity,
+            host.capacity,
             reserved,
             occupants,
             host.data_centre != self._out,
             host.up
-            and worker_health.may_start(self._health, host.node_id, now),
+            and worker_health.may_start(self._health, host.node_id, now)
+            and self._ramp_open(host, now),
             self._host_load.get(host.node_id, 0.5),
         )
-        open_ramp = self._ramp_open(candidate, now)
-        return dataclasses.replace(
-            candidate, accepting=candidate.accepting and open_ramp
-        )
 
-    def _ramp_open(self, host: types.Candidate, now: float) -> bool:
-        ramp = self._ramps.get(host.data_centre)
-        cfg = return_ramp.RampSettings()
-        return ramp is None or return_ramp.starts_allowed(ramp, cfg, now) > 0
+    def _ramp_open(self, host: cluster.Host, now: float) -> bool:
+        since = self._returned_at.get(host.data_centre)
+        if since is None:
+            return True
+        here = [
+            other.node_id
+            for other in self.fleet.hosts.values()
+            if other.up and other.data_centre == host.data_centre
+        ]
+        share = ramps.ramp_share(now - since, LIMITS)
+        return host.node_id in ramps.usable(here, share)
 
     def _hold_if_starved(
         self, task: cluster.Task, hosts: list[types.Candidate], now: float
@@ -546,13 +548,3 @@
         task.work.service,
         max(0.0, task.share),
     )
-
-
-def _drain_task(task: cluster.Task, now: float) -> drain_order.DrainTask:
-    return drain_order.DrainTask(
-        task.work.task,
-        task.work.service,
-        now - task.started_at,
-        max(0.0, task.work.declared_run_s - task.done_s),
-        task.work.checkpointable,
-    )
