Derive the ramp of a returned data centre from the settings

Cause: the ramp was kept in memory, so an entry that did not see the return filled the data centre at once. Change: DataCentreSettings.changed_at is the Unix time of the command, and the ramp is a plain function of the settings and the time. A return further ahead than a ramp lasts counts as a wrong clock and does not ramp. Tests: the test of the gradual return looked at one moment, at which a host whose tasks end together may be empty; the ramp now begins at the command and not up to 0.5 s later, which moved it to such a moment. It now looks at every 0.1 s: over the whole first 6 s some host must be unused, which is stricter, and in 4 s after the ramp all must be used. Conclusion: a change of owner no longer ends a ramp.

--- a/citronrail/language/_changes.py
+++ b/citronrail/language/_changes.py
@@ -67,7 +67,7 @@
         case _nodes.Drain():
             return _drain(settings, command, facts)
         case _nodes.Return():
-            return _return(settings, command)
+            return _return(settings, command, facts)
         case _nodes.ChangeTeam():
             return _change_team(settings, command)
         case _nodes.ChangePolicy():
@@ -185,7 +185,9 @@
             return _drain_worker(settings, name)
         case _nodes.Place.DATA_CENTRE:
             _check_seen(command, facts.known_data_centres(settings))
-            return _set_in_service(settings, name, in_service=False)
+            return _set_in_service(
+                settings, name, facts.now_unix_s, in_service=False
+            )
 
 
 def _check_seen(
@@ -215,11 +217,17 @@
 
 
 def _set_in_service(
-    settings: settings_model.Settings, name: str, *, in_service: bool
+    settings: settings_model.Settings,
+    name: str,
+    now_unix_s: float,
+    *,
+    in_service: bool,
 ) -> settings_model.Settings:
     if settings.data_centre_in_service(name) == in_service:
         return settings
-    state = settings_model.DataCentreSettings(in_service, settings.version + 1)
+    state = settings_model.DataCentreSettings(
+        in_service, settings.version + 1, now_unix_s
+    )
     data_centres = {**settings.data_centres, name: state}
     if len(data_centres) > _checks.MAX_DATA_CENTRES:
         raise _facts.refuse('too many data centres are named already')
@@ -227,7 +235,9 @@
 
 
 def _return(
-    settings: settings_model.Settings, command: _nodes.Return
+    settings: settings_model.Settings,
+    command: _nodes.Return,
+    facts: _facts.Facts,
 ) -> settings_model.Settings:
     name = command.name
     match command.place:
@@ -244,7 +254,9 @@
             return dataclasses.replace(settings, drained_workers=drained)
         case _nodes.Place.DATA_CENTRE:
             _check_drained(command, set(settings.data_centres), settings)
-            return _set_in_service(settings, name, in_service=True)
+            return _set_in_service(
+                settings, name, facts.now_unix_s, in_service=True
+            )
 
 
 def _check_drained(
--- a/citronrail/language/tests/test_changes.py
+++ b/citronrail/language/tests/test_changes.py
@@ -84,6 +84,7 @@
     settings = _run(settings, 'return data_centre leon; return worker w2')
     assert settings.data_centre_in_service('leon')
     assert settings.data_centres['leon'].changed_in == 7
+    assert settings.data_centres['leon'].changed_at == FACTS.now_unix_s
     assert settings.drained_workers == ()
     assert not _run(
         settings, 'drain data_centre oviedo unseen'
--- a/citronrail/model/settings.py
+++ b/citronrail/model/settings.py
@@ -12,11 +12,14 @@
 class DataCentreSettings:
     """Whether a data centre may be given work.
 
-    ``changed_in`` is the settings version of the last change.
+    ``changed_in`` is the settings version of the last change and
+    ``changed_at`` its Unix time in seconds by the clock of the entry that
+    received the command; 0.0 if it is not known.
     """
 
     in_service: bool = True
     changed_in: int = 0
+    changed_at: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -77,7 +77,6 @@
         limits = limits or _context.Limits()
         self._ranges = ranges
         self._make_document = make_document
-        self._ramps = _ramps.Ramps(limits)
         self._context = _context.Context(
             hub,
             settings,
@@ -388,8 +387,10 @@
             observer.observe_usage(peer.node_id, usage, now)
 
     def _update_ramps(self) -> None:
-        shares = self._ramps.update(
-            self._context.settings.settings, trio.current_time()
+        shares = _ramps.ramps(
+            self._context.settings.settings,
+            self._context.limits,
+            self._context.wall_clock(),
         )
         self._context.ramps.clear()
         self._context.ramps.update(shares)
--- a/citronrail/scheduling/_ramps.py
+++ b/citronrail/scheduling/_ramps.py
@@ -8,49 +8,33 @@
 from citronrail.scheduling import _context
 
 
-class Ramps:
-    """Watches data centres return and widens their share step by step.
+def ramps(
+    settings: settings_model.Settings,
+    limits: _context.Limits,
+    unix_now: float,
+) -> dict[str, float]:
+    """Return the share of its agents that each returned data centre may use.
 
     Filling a returned data centre at once would move work there in one
-    burst, onto hosts whose caches are cold. Kept in memory: a new owner that
-    didn't see the return does not ramp.
+    burst, onto hosts whose caches are cold. The time of the return is part of
+    the settings, so that an owner that did not see it ramps as well.
 
+    :param settings: latest settings.
     :param limits: duration of a ramp and the share at its start.
+    :param unix_now: Unix time in seconds.
+    :returns: shares below 1.0; data centres without a ramp are not named.
     """
-
-    def __init__(self, limits: _context.Limits) -> None:
-        self._limits = limits
-        self._out: set[str] = set()
-        self._returned_at: dict[str, float] = {}
-
-    def update(
-        self, settings: settings_model.Settings, now: float
-    ) -> collections.abc.Mapping[str, float]:
-        """Take in the settings.
-
-        :param settings: latest settings.
-        :param now: local time in seconds.
-        :returns: share of its agents that each returned data centre may use;
-            data centres without a ramp are not named.
-        """
-        out = {
-            name
-            for name, state in settings.data_centres.items()
-            if not state.in_service
-        }
-        for name in self._out - out:
-            self._returned_at[name] = now
-        for name in out:
-            self._returned_at.pop(name, None)
-        self._out = out
-        shares = {}
-        for name, since in tuple(self._returned_at.items()):
-            share = ramp_share(now - since, self._limits)
-            if share >= 1.0:
-                del self._returned_at[name]
-            else:
-                shares[name] = share
-        return shares
+    shares = {}
+    for name, state in settings.data_centres.items():
+        elapsed_s = unix_now - state.changed_at
+        # A return further ahead than a ramp lasts shows a wrong clock, by
+        # which the ramp might never end.
+        if not state.in_service or elapsed_s < -limits.ramp_s:
+            continue
+        share = ramp_share(elapsed_s, limits)
+        if share < 1.0:
+            shares[name] = share
+    return shares
 
 
 def ramp_share(elapsed_s: float, limits: _context.Limits) -> float:
--- a/citronrail/scheduling/tests/_cluster.py
+++ b/citronrail/scheduling/tests/_cluster.py
@@ -442,7 +442,11 @@
             version=self.settings.version + 1,
             data_centres={
                 **self.settings.data_centres,
-                name: settings_model.DataCentreSettings(in_service),
+                name: settings_model.DataCentreSettings(
+                    in_service,
+                    self.settings.version + 1,
+                    1_000_000.0 + trio.current_time(),
+                ),
             },
         )
 
--- a/citronrail/scheduling/tests/test_drain_and_ramp.py
+++ b/citronrail/scheduling/tests/test_drain_and_ramp.py
@@ -6,6 +6,7 @@
 from hypothesis import strategies as st
 
 from citronrail.model import identifiers
+from citronrail.model import settings as settings_model
 from citronrail.model import specs
 from citronrail import scheduling
 from citronrail.scheduling import _attempt_changes as attempts
@@ -133,3 +134,21 @@
             state, {}, {node: ('out', now)}, LIMITS, estimator, now, now
         )
         assert bool(moves.moves) is leaves
+
+
+def test_ramp_follows_the_settings():
+    """Guards against a ramp without a return, or one that never ends."""
+
+    def shares(now, **state):
+        places = {'leon': settings_model.DataCentreSettings(**state)}
+        settings = settings_model.Settings(data_centres=places)
+        return ramps.ramps(settings, LIMITS, now)
+
+    assert shares(1005.0, changed_at=1000.0) == {
+        'leon': ramps.ramp_share(5.0, LIMITS)
+    }
+    assert shares(995.0, changed_at=1000.0)['leon'] == LIMITS.ramp_first_share
+    assert shares(1000.0 + LIMITS.ramp_s, changed_at=1000.0) == {}
+    assert shares(900.0, changed_at=1000.0) == {}, 'by a wrong clock'
+    assert shares(1005.0) == {}, 'written by an older version'
+    assert shares(1005.0, in_service=False, changed_at=1000.0) == {}
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -375,6 +375,30 @@
     await _run(scenario)
 
 
+async def _used(agents, seconds):
+    """Return the names of the agents that run anything within a time.
+
+    The tasks of a full host end together, so that one look may find it empty.
+    """
+    used = set()
+    for _ in range(round(seconds / 0.1)):
+        await trio.sleep(0.1)
+        used |= {a.name for a in agents if a.worker.core.tasks().running}
+    return used
+
+
+async def _check_ramp(cluster, ramping_s):
+    here = [
+        agent
+        for agent in cluster.agents.values()
+        if agent.data_centre == 'Leicester'
+    ]
+    used = await _used(here, ramping_s)
+    assert 0 < len(used) < len(here)
+    await trio.sleep(32.0 - ramping_s)
+    assert len(await _used(here, 4.0)) == len(here)
+
+
 async def test_returned_data_centre_is_filled_step_by_step(autojump_clock):
     """Guards cold hosts against a burst of work when they return."""
 
@@ -386,17 +410,25 @@
         )
         await trio.sleep(10.0)
         cluster.set_data_centre('Leicester', True)
-        await trio.sleep(6.0)
-        here = [
-            agent
-            for agent in cluster.agents.values()
-            if agent.data_centre == 'Leicester'
-        ]
-        busy = [a for a in here if a.worker.core.tasks().running]
-        assert 0 < len(busy) < len(here)
-        await trio.sleep(30.0)
-        busy = [a for a in here if a.worker.core.tasks().running]
-        assert len(busy) == len(here)
+        await _check_ramp(cluster, 6.0)
+
+    await _run(scenario, agents=12)
+
+
+async def test_new_owner_ramps_a_return_it_did_not_see(autojump_clock):
+    """Guards cold hosts against a burst when their scheduler changes."""
+
+    async def scenario(cluster):
+        cluster.set_data_centre('Leicester', False)
+        await trio.sleep(3.0)
+        await cluster.owner.scheduler.submit(
+            _cluster.job('bulk', 5000, run_s=3.0), 'c'
+        )
+        await trio.sleep(10.0)
+        cluster.set_data_centre('Leicester', True)
+        cluster.kill_entry('entry1')
+        await cluster.add_entry('entry2', own=False)
+        await _check_ramp(cluster, 15.0)
 
     await _run(scenario, agents=12)
 
