--- a/citronrail/scheduling/_ramps.py
+++ b/citronrail/scheduling/_ramps.py
@@ -1,55 +1,66 @@
 """How much of a data centre that came back may be used."""
 
 import collections.abc
+import math
 
+from citronrail.model import identifiers
 from citronrail.model import settings as settings_model
 from citronrail.scheduling import _context
 
 
-class Ramps:
-    """Watches data centres return and widens their share step by step.
+def ramps(
+    settings: settings_model.Settings,
+    limits: _context.Limits,
+    unix_now: float,
+) -> dict[str, float]:
+    """Return the share of its agents that each returned data centre may use.
 
     Filling a returned data centre at once would move work there in one
-    burst, onto hosts whose caches are cold. Kept in memory: a new owner that
-    didn't see the return does not ramp.
+    burst, onto hosts whose caches are cold. The time of the return is part of
+    the settings, so that an owner that did not see it ramps as well.
 
+    :param settings: latest settings.
     :param limits: duration of a ramp and the share at its start.
+    :param unix_now: Unix time in seconds.
+    :returns: shares below 1.0; data centres without a ramp are not named.
     """
+    shares = {}
+    for name, state in settings.data_centres.items():
+        elapsed_s = unix_now - state.changed_at
+        # A return further ahead than a ramp lasts shows a wrong clock, by
+        # which the ramp might never end.
+        if not state.in_service or elapsed_s < -limits.ramp_s:
+            continue
+        share = ramp_share(elapsed_s, limits)
+        if share < 1.0:
+            shares[name] = share
+    return shares
 
-    def __init__(self, limits: _context.Limits) -> None:
-        self._limits = limits
-        self._out: set[str] = set()
-        self._returned_at: dict[str, float] = {}
-
-    def update(
-        self, settings: settings_model.Settings, now: float
-    ) -> collections.abc.Mapping[str, float]:
-        """Take in the settings.
-
-        :param settings: latest settings.
-        :param now: local time in seconds.
-        :returns: share of its agents that each returned data centre may use;
-            data centres without a ramp are not named.
-        """
-        out = {
-            name
-            for name, state in settings.data_centres.items()
-            if not state.in_service
-        }
-        for name in self._out - out:
-            self._returned_at[name] = now
-        for name in out:
-            self._returned_at.pop(name, None)
-        self._out = out
-        shares = {}
-        for name, since in tuple(self._returned_at.items()):
-            share = self._share(now - since)
-            if share >= 1.0:
-                del self._returned_at[name]
-            else:
-                shares[name] = share
-        return shares
-
-    def _share(self, elapsed_s: float) -> float:
-        first = self._limits.ramp_first_share
-        return first + (1.0 - first) * elapsed_s / self._limits.ramp_s
+
+def ramp_share(elapsed_s: float, limits: _context.Limits) -> float:
+    """Return the share of its workers that a data centre may use.
+
+    :param elapsed_s: seconds since its return.
+    :param limits: duration of a ramp and the share at its start.
+    :returns: rises evenly to 1.0.
+    """
+    if limits.ramp_s <= 0.0:
+        return 1.0
+    first = limits.ramp_first_share
+    passed = max(0.0, elapsed_s) / limits.ramp_s
+    return min(1.0, first + (1.0 - first) * passed)
+
+
+def usable(
+    nodes: collections.abc.Iterable[identifiers.NodeId], share: float
+) -> frozenset[identifiers.NodeId]:
+    """Return the workers of a data centre that may be used, at least one.
+
+    They are always the first ones by name: a worker once in use stays so.
+
+    :param nodes: node ids of the workers' agents.
+    :param share: from :func:`ramp_share`.
+    :returns: node ids.
+    """
+    names = sorted(nodes)
+    return frozenset(names[: math.ceil(len(names) * share)])
--- a/measure/_control.py
+++ b/measure/_control.py
@@ -4,13 +4,13 @@
 
 from citronrail.model import messages
 from citronrail.model import specs
+from citronrail.scheduling import _context as scheduler_context
 from citronrail.scheduling import _drain_order as drain_order
 from citronrail.scheduling import _estimates as estimates
 from citronrail.scheduling import _health_evidence as evidence
 from citronrail.scheduling import _interference as interference
 from citronrail.scheduling import _placement as placement
 from citronrail.scheduling import _pressure as pressure
-from citronrail.scheduling import _return_ramp as return_ramp
 from citronrail.scheduling import _worker_health as worker_health
 from measure import _cluster as cluster
 from measure import _placing as placing
@@ -18,6 +18,7 @@
 
 # Time after which the tasks of a lost host get a new attempt.
 LOST_AGENT_S = 22.0
+LIMITS = scheduler_context.Limits()
 
 
 @dataclasses.dataclass(frozen=True)
@@ -55,7 +56,7 @@
         )
         self._arrivals = list(reversed(load.arrivals))
         self._usage: dict[str, dict[specs.TaskId, messages.TaskUsage]] = {}
-        self._replaced = 0
+        self._replaced_by: dict[specs.TaskId, specs.TaskId] = {}
         for item in workload.replicas(load.deployment):
             self.state.pending[item.task] = cluster.Task(item, 0.0)
 
@@ -95,11 +96,8 @@
             if not self.contender.drains:
                 self._stop_all(now)
         if now == back_at and self.state.out:
-            count = sum(h.data_centre == self.state.out for h in hosts)
             if self.contender.drains:
-                self.state.ramps[self.state.out] = return_ramp.ReturnRamp(
-                    now, count
-                )
+                self.state.returned_at[self.state.out] = now
             self.state.out = None
 
     def _stop_all(self, now: float) -> None:
@@ -215,15 +213,17 @@
             == self.state.out
         ]
         stopping = [task for task in here if task.stops_at is not None]
+        leaving_s = now - self.load.data_centre_out[0]
         steps = drain_order.drain_steps(
-            [_drain_task(t, now) for t in here if t.stops_at is None],
-            {
-                name: self._replicas(name, now)
-                for name in self.load.deployment.services
-            },
+            [
+                self._drain_task(task, leaving_s, now)
+                for task in here
+                if task.stops_at is None
+            ],
             len(stopping),
-            now - self.load.data_centre_out[0],
-            drain_order.DrainSettings(),
+            drain_order.DrainSettings(
+                LIMITS.moves_a_round, LIMITS.drain_grace_s
+            ),
         )
         for step in steps:
             self._carry_out(step, now)
@@ -232,8 +232,9 @@
         task = self.state.running[step.task]
         match step.action:
             case drain_order.DrainAction.REPLACE:
-                self._replaced += 1
-                task_id = specs.TaskId(step.task.owner, 100 + self._replaced)
+                index = 100 + len(self._replaced_by)
+                task_id = specs.TaskId(step.task.owner, index)
+                self._replaced_by[step.task] = task_id
                 work = dataclasses.replace(task.work, task=task_id)
                 self.state.pending[task_id] = cluster.Task(work, now)
             case drain_order.DrainAction.STOP:
@@ -247,34 +248,30 @@
                 self.state.fleet.stop(task, checkpoint=True, now=now)
                 self.state.evictions += 1
 
-    def _replicas(self, name: str, now: float) -> drain_order.ServiceReplicas:
-        counts = {'here': 0, 'elsewhere': 0, 'starting': 0}
-        for task in self.state.running.values():
-            if task.work.service != name or task.stops_at is not None:
-                continue
-            host = self.state.fleet.hosts[task.node_id]
-            if host.data_centre == self.state.out:
-                counts['here'] += 1
-            elif now >= task.started_at + cluster.SERVICE_START_S:
-                counts['elsewhere'] += 1
-            else:
-                counts['starting'] += 1
-        counts['starting'] += sum(
-            task.work.service == name for task in self.state.pending.values()
+    def _drain_task(
+        self, task: cluster.Task, leaving_s: float, now: float
+    ) -> drain_order.DrainTask:
+        work = task.work
+        ran_s = now - task.started_at
+        return drain_order.DrainTask(
+            work.task,
+            self._replacement(work.task, now) if work.service else None,
+            ran_s,
+            max(0.0, work.declared_run_s - task.done_s),
+            leaving_s,
+            work.checkpointable,
+            work.priority is specs.Priority.URGENT,
         )
-        return drain_order.ServiceReplicas(
-            workload.REPLICAS,
-            counts['here'],
-            counts['elsewhere'],
-            counts['starting'],
-        )
-
 
-def _drain_task(task: cluster.Task, now: float) -> drain_order.DrainTask:
-    return drain_order.DrainTask(
-        task.work.task,
-        task.work.service,
-        now - task.started_at,
-        max(0.0, task.work.declared_run_s - task.done_s),
-        task.work.checkpointable,
-    )
+    def _replacement(
+        self, task: specs.TaskId, now: float
+    ) -> drain_order.Replacement:
+        successor = self._replaced_by.get(task)
+        if successor is None:
+            return drain_order.Replacement.NONE
+        running = self.state.running.get(successor)
+        if running is None or now < (
+            running.started_at + cluster.SERVICE_START_S
+        ):
+            return drain_order.Replacement.STARTING
+        return drain_order.Replacement.ANSWERS
--- a/measure/_placing.py
+++ b/measure/_placing.py
@@ -6,6 +6,7 @@
 from citronrail.model import resources
 from citronrail.model import settings
 from citronrail.model import specs
+from citronrail.scheduling import _context as scheduler_context
 from citronrail.scheduling import _estimates as estimates
 from citronrail.scheduling import _health_evidence as evidence
 from citronrail.scheduling import _interference as interference
@@ -16,7 +17,7 @@
 from citronrail.scheduling import _pressure as pressure
 from citronrail.scheduling import _quota_reclaim as quota_reclaim
 from citronrail.scheduling import _quotas as quotas
-from citronrail.scheduling import _return_ramp as return_ramp
+from citronrail.scheduling import _ramps as ramps
 from citronrail.scheduling import _worker_health as worker_health
 from measure import _cluster as cluster
 from measure import _workload as workload
@@ -27,6 +28,8 @@
 QUOTAS = quotas.QuotaSettings()
 PRESSURE = pressure.PressureSettings()
 
+LIMITS = scheduler_context.Limits()
+
 
 @dataclasses.dataclass
 class State:
@@ -43,9 +46,7 @@
         default_factory=dict
     )
     host_load: dict[str, float] = dataclasses.field(default_factory=dict)
-    ramps: dict[str, return_ramp.ReturnRamp] = dataclasses.field(
-        default_factory=dict
-    )
+    returned_at: dict[str, float] = dataclasses.field(default_factory=dict)
     model: interference.InterferenceModel = interference.InterferenceModel()
     health: evidence.HealthRecord = evidence.HealthRecord()
     trials: types.TrialLedger = types.TrialLedger()
@@ -168,15 +169,8 @@
             h for h in self.state.holds if h.task != request.task
         )
         host = hosts[index].with_occupant(_occupant(task))
-        ramp = self.state.ramps.get(host.data_centre)
-        if ramp is not None:
-            self.state.ramps[host.data_centre] = return_ramp.with_starts(
-                ramp, 1
-            )
         full = worker_health.one_at_a_time(self.state.health, host.node_id)
-        hosts[index] = dataclasses.replace(
-            host, accepting=not full and self._ramp_open(host, now)
-        )
+        hosts[index] = dataclasses.replace(host, accepting=not full)
         return True
 
     def _request(
@@ -207,37 +201,35 @@
         )
 
     def _candidate(self, host: cluster.Host, now: float) -> types.Candidate:
-        ramp = self.state.ramps.get(host.data_centre)
-        capacity = host.capacity
-        if ramp is not None:
-            capacity = return_ramp.ramped_capacity(
-                capacity, ramp, return_ramp.RampSettings(), now
-            )
         occupants = tuple(_occupant(task) for task in host.tasks.values())
         reserved = resources.Resources()
         for item in occupants:
             reserved += item.reservation
-        candidate = types.Candidate(
+        return types.Candidate(
             host.node_id,
             host.data_centre,
             host.rack,
-            capacity,
+            host.capacity,
             reserved,
             occupants,
             host.data_centre != self.state.out,
             host.up
-            and worker_health.may_start(self.state.health, host.node_id, now),
+            and worker_health.may_start(self.state.health, host.node_id, now)
+            and self._ramp_open(host, now),
             self.state.host_load.get(host.node_id, 0.5),
         )
-        open_ramp = self._ramp_open(candidate, now)
-        return dataclasses.replace(
-            candidate, accepting=candidate.accepting and open_ramp
-        )
 
-    def _ramp_open(self, host: types.Candidate, now: float) -> bool:
-        ramp = self.state.ramps.get(host.data_centre)
-        cfg = return_ramp.RampSettings()
-        return ramp is None or return_ramp.starts_allowed(ramp, cfg, now) > 0
+    def _ramp_open(self, host: cluster.Host, now: float) -> bool:
+        since = self.state.returned_at.get(host.data_centre)
+        if since is None:
+            return True
+        here = [
+            other.node_id
+            for other in self.state.fleet.hosts.values()
+            if other.up and other.data_centre == host.data_centre
+        ]
+        share = ramps.ramp_share(now - since, LIMITS)
+        return host.node_id in ramps.usable(here, share)
 
     def _hold_if_starved(
         self, task: cluster.Task, hosts: list[types.Candidate], now: float
