--- a/measure/processes.py
+++ b/measure/processes.py
@@ -24,7 +24,7 @@
 
 BUILD = pathlib.Path('build')
 LEARNED = 'learned'
-POLICIES = (LEARNED, 'least_loaded', 'first_fit')
+BASELINES = ('least_loaded', 'first_fit')
 CYCLES = 2
 SEED = 11
 DEPLOYMENTS = (
@@ -78,6 +78,7 @@
     """
     found = {(item.policy, item.cycle): item for item in figures}
     cycles = sorted({item.cycle for item in figures})
+    baselines = dict.fromkeys(item.policy for item in figures)
     return tuple(
         Ratio(
             figures[0].deployment,
@@ -91,7 +92,8 @@
                 for cycle in cycles
             ),
         )
-        for baseline in POLICIES[1:]
+        for baseline in baselines
+        if baseline != LEARNED
         for name, field in RATIOS.items()
     )
 
@@ -101,11 +103,15 @@
 
 
 async def measure(
-    deployment: rounds.Deployment, seed: int, cycles: int
+    deployment: rounds.Deployment,
+    policies: tuple[str, ...],
+    seed: int,
+    cycles: int,
 ) -> tuple[rounds.Round, ...]:
     """Run one deployment from its start to its end.
 
     :param deployment: the deployment.
+    :param policies: placement policies in the order of a cycle.
     :param seed: what the interference is drawn from.
     :param cycles: how often the order of policies is repeated.
     :returns: the rounds in order.
@@ -116,7 +122,7 @@
             system = fleet.Fleet(rounds.plan(deployment, seed), path, group)
             async with _client() as client, _client() as callers:
                 work = rounds.Rounds(deployment, system, client, callers)
-                return await work.run(POLICIES, cycles)
+                return await work.run(policies, cycles)
 
 
 def _client() -> httpx.AsyncClient:
@@ -150,7 +156,13 @@
     parser.add_argument('--deployment', help='only this deployment')
     parser.add_argument('--cycles', type=int, default=CYCLES)
     parser.add_argument('--seed', type=int, default=SEED)
+    parser.add_argument(
+        '--baseline',
+        action='append',
+        help='compare with this policy, as NAME or NAME with FIELD = VALUE',
+    )
     args = parser.parse_args(arguments)
+    policies = (LEARNED, *(args.baseline or BASELINES))
     began = time.monotonic()
     loads = [os.getloadavg()[0]]
     figures: list[rounds.Round] = []
@@ -162,7 +174,9 @@
     )
     for deployment in DEPLOYMENTS:
         if args.deployment in (None, deployment.name):
-            done = trio.run(measure, deployment, args.seed, args.cycles)
+            done = trio.run(
+                measure, deployment, policies, args.seed, args.cycles
+            )
             _print_rounds(done)
             figures.extend(done)
             compared.extend(ratios(done))
