Tell each move once and planned ends of commits without a warning

Cause: ATTEMPT_MOVED (CR1415) was emitted again each second while a replica waited for its replacement, and every end of a shard's commits was logged as the warning CR1221, a planned release included. The scheduler tells the document of a planned release, whose end is CR1223 at INFO; a fenced or unfinished commit is still CR1221. Conclusion: the timeline names each move once, and warnings mean faults.

--- a/citronrail/coordination/_group_commit.py
+++ b/citronrail/coordination/_group_commit.py
@@ -101,6 +101,7 @@
         self._idle.set()
         self._ended: Exception | None = None
         self._warned = False
+        self._released = False
 
     @property
     def value(self) -> T:
@@ -171,16 +172,31 @@
         except (errors.Fenced, errors.StoreOutcomeUnknown) as exc:
             self._end(exc)
         finally:
-            self._end(errors.Fenced('commits ended', step='shard.commit'))
+            self._end(
+                errors.Fenced('commits ended', step='shard.commit'),
+                planned=self._released and self._idle.is_set(),
+            )
 
     async def drain(self) -> None:
         """Wait until every change so far is committed or has failed."""
         await self._idle.wait()
 
-    def _end(self, exc: Exception) -> None:
+    def release(self) -> None:
+        """Note that the ownership is given up as planned.
+
+        What waits may still be committed until :meth:`run` ends.
+        """
+        self._released = True
+
+    def _end(self, exc: Exception, planned: bool = False) -> None:
         if self._ended is None:
             self._ended = exc
-            observability.emit(events.COMMIT_FENCED, key=self._key, reason=exc)
+            if planned:
+                observability.emit(events.COMMITS_RELEASED, key=self._key)
+            else:
+                observability.emit(
+                    events.COMMIT_FENCED, key=self._key, reason=exc
+                )
         waiting, self._waiting = self._waiting, []
         for item in waiting:
             item.fail(
--- a/citronrail/coordination/tests/test_group_commit.py
+++ b/citronrail/coordination/tests/test_group_commit.py
@@ -13,6 +13,7 @@
 from citronrail.coordination.tests import _simulated
 from citronrail import errors
 from citronrail.model import codec
+from citronrail import observability
 from citronrail import ports
 from standins import key_value
 
@@ -49,6 +50,38 @@
     return coordination.CommitScope(guard, fencing, lambda: True)
 
 
+@pytest.mark.parametrize(
+    'released, fenced, numbers',
+    [(True, False, [1223]), (False, False, [1221]), (True, True, [1221])],
+)
+async def test_planned_end_is_no_warning(
+    released, fenced, numbers, autojump_clock
+):
+    """Guards operators against a warning at every planned release."""
+    recorder = observability.Recorder('test')
+    observability.use_recorder(recorder)
+    memory = key_value.MemoryStore()
+    doc = coordination.GroupCommitDocument(
+        memory,
+        KEY,
+        Names(),
+        _take_ownership(memory, 1),
+        random.Random(1),
+    )
+    async with trio.open_nursery() as nursery:
+        await nursery.start(doc.run)
+        await doc.commit(_add('a'))
+        if released:
+            doc.release()
+        if fenced:
+            _take_ownership(memory, 2)
+            with pytest.raises(errors.Fenced):
+                await doc.commit(_add('b'))
+        nursery.cancel_scope.cancel()
+    ends = [r.number for r in recorder.records() if r.number in (1221, 1223)]
+    assert ends == numbers
+
+
 async def _commit_many(doc, owner, told, rng):
     async def commit(name):
         try:
--- a/citronrail/observability/catalogue/coordination.py
+++ b/citronrail/observability/catalogue/coordination.py
@@ -43,6 +43,9 @@
 DOCUMENT_LARGE = _events.EventKind(
     1222, 'WARNING', '{key} has {size} bytes of at most {limit}'
 )
+COMMITS_RELEASED = _events.EventKind(
+    1223, 'INFO', 'commits of {key} end as planned'
+)
 RANGE_ACQUIRED = _events.EventKind(
     1230, 'INFO', 'range {range_id} acquired with token {fencing}'
 )
--- a/citronrail/scheduling/_interfaces.py
+++ b/citronrail/scheduling/_interfaces.py
@@ -53,6 +53,10 @@
         """Wait until every change so far is committed or has failed."""
         ...
 
+    def release(self) -> None:
+        """Note that the ownership is given up as planned."""
+        ...
+
 
 class OwnedRange(typing.Protocol):
     """A range that this process owns."""
--- a/citronrail/scheduling/_shard_runner.py
+++ b/citronrail/scheduling/_shard_runner.py
@@ -180,6 +180,7 @@
         await self._stopped.wait()
         if len(self._inbox) and self.owned.deadline > trio.current_time():
             await self._step(place=False)
+        self._document.release()
 
     async def _wait(self) -> None:
         with trio.move_on_after(self._context.limits.round_s):
@@ -322,6 +323,9 @@
         for attempt in reading.stale:
             observability.emit(catalogue.STALE_REPORT, attempt=attempt)
         for move in (*batch.moves, *batch.replaced):
+            # Part of a batch is put off when the shard is full.
+            if not _is_leaving(self.state, move.attempt):
+                continue
             observability.emit(
                 catalogue.ATTEMPT_MOVED,
                 attempt=move.attempt,
@@ -370,3 +374,16 @@
     batch: _batch.Batch, unix_now: float, state: _shard_state.ShardState
 ) -> _shard_state.ShardState:
     return batch.apply(state, unix_now)
+
+
+def _is_leaving(
+    state: _shard_state.ShardState, attempt: specs.AttemptId
+) -> bool:
+    live = _attempt_changes.find_live(state, attempt)
+    if live is None:
+        return False
+    if live.state is _shard_state.LiveState.MOVING:
+        return True
+    group = state.groups[attempt.task.owner]
+    index = attempt.task.index
+    return _attempt_changes.replacement_of(group, index) is not None
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -358,6 +358,24 @@
     await _run(scenario, agents=6)
 
 
+async def test_move_is_told_once_however_long_it_takes(autojump_clock):
+    """Guards the timeline against one event for each second of a move."""
+    recorder = observability.Recorder('test')
+    observability.use_recorder(recorder)
+
+    async def scenario(cluster):
+        cluster.set_service(_service(2))
+        await trio.sleep(6.0)
+        cluster.pause_permits = True  # no replacement can start
+        for name in _cluster.DATA_CENTRES:
+            cluster.set_data_centre(name, False)
+        await trio.sleep(20.0)
+        told = [r.text for r in recorder.records() if r.number == 1415]
+        assert len(told) == len(set(told)) == 2
+
+    await _run(scenario)
+
+
 async def test_replica_comes_back_after_its_host_is_lost(autojump_clock):
     """Guards against a service that stays short after a failure."""
 
