--- a/citronrail/scheduling/_task_runner.py
+++ b/citronrail/scheduling/_task_runner.py
@@ -21,7 +21,7 @@
 from citronrail.scheduling import _task_table
 from citronrail.scheduling import _worker_link
 
-POLL_S = 1.0
+POLL_S = 0.5
 ACT_S = 0.25
 RENEW_S = 2.5  # a lease survives three lost renewals
 ACK_VALID_S = 10.0
