--- a/citronrail/scheduling/_context.py
+++ b/citronrail/scheduling/_context.py
@@ -22,8 +22,8 @@
     share a commit; ``moves_a_round`` how many checkpoints are asked for at
     once. A service's replacement counts as answering when its backend server
     is announced, or after ``replica_ready_s``. Tasks that can't be
-    checkpointed may finish within ``drain_grace_s`` when their data centre or
-    worker is taken out.
+    checkpointed may run on when their data centre or worker is taken out, if
+    they are expected to finish within ``drain_grace_s``.
     """
 
     round_s: float = 0.1
