Split the peer messages by theme

Cause: one module of 700 lines held all messages. Change: a package with a module for each theme; the public names and the wire form stay.

--- /dev/null
+++ b/citronrail/model/messages/_wire.py
@@ -0,0 +1,55 @@
+"""Encoding of messages for the wire."""
+
+import msgspec
+
+from citronrail.model import _compression
+from citronrail.model.messages import _membership
+from citronrail.model.messages import _registry
+from citronrail.model.messages import _tasks
+
+
+def pack(message: object) -> bytes:
+    """Encode a message for the wire.
+
+    :param message: an instance of a registered message.
+    :returns: msgpack of ``[kind, body]``, compressed for the messages that
+        are sent regularly.
+    """
+    data = _ENCODER.encode((type(message).__name__, message))
+    if isinstance(message, _REGULAR):
+        return _compression.compress(data)
+    return data
+
+
+def unpack(data: bytes) -> object:
+    """Decode a message from the wire.
+
+    :param data: one frame, as made by :func:`pack`.
+    :returns: an instance of a registered message.
+    :raises UnknownMessage: if the bytes describe no registered message.
+    """
+    try:
+        kind, body = _ENVELOPE.decode(_compression.expand(data))
+        return _decoder(kind).decode(body)
+    except (ValueError, KeyError) as exc:  # msgspec's errors are ValueErrors
+        raise _registry.UnknownMessage(str(exc)) from exc
+
+
+def _decoder(kind: str) -> msgspec.msgpack.Decoder[object]:
+    decoder = _DECODERS.get(kind)
+    if decoder is None:
+        decoder = msgspec.msgpack.Decoder(_registry.KINDS[kind])
+        _DECODERS[kind] = decoder
+    return decoder
+
+
+# Every agent sends these to every entry, so their size times the number of
+# entries is the traffic of a node at rest.
+_REGULAR = (
+    _membership.Heartbeat,
+    _membership.HeartbeatAck,
+    _tasks.UsageReport,
+)
+_ENCODER = msgspec.msgpack.Encoder()
+_ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
+_DECODERS: dict[str, msgspec.msgpack.Decoder[object]] = {}
