Move replicas that share a worker without need

Cause: a service started before its owner knew all agents kept all replicas on one host (12 of 12 in a drill); the loss of that host would end it. Change: one at a time, a replica that has run for 30 s beside a sibling is replaced while another worker has room. Before: the new test fails (one host answers). After: three hosts answer; the 18 tests of the paths pass.

--- a/citronrail/scheduling/_context.py
+++ b/citronrail/scheduling/_context.py
@@ -21,9 +21,10 @@
     ``starts_a_round`` bounds how long a round takes and how many starts
     share a commit; ``moves_a_round`` how many checkpoints are asked for at
     once. A service's replacement counts as answering when its backend server
-    is announced, or after ``replica_ready_s``. Tasks that can't be
-    checkpointed may run on when their data centre or worker is taken out, if
-    they are expected to finish within ``drain_grace_s``.
+    is announced, or after ``replica_ready_s``. A replica that shares a worker
+    with another one of its service moves after ``replica_settled_s``. Tasks
+    that can't be checkpointed may run on when their data centre or worker is
+    taken out, if they are expected to finish within ``drain_grace_s``.
     """
 
     round_s: float = 0.1
@@ -33,6 +34,7 @@
     start_window_s: float = 2.0
     permit_s: float = 2.5
     replica_ready_s: float = 15.0
+    replica_settled_s: float = 30.0
     drain_grace_s: float = 60.0
     ramp_s: float = 30.0
     ramp_first_share: float = 0.1
--- a/citronrail/scheduling/_moves.py
+++ b/citronrail/scheduling/_moves.py
@@ -102,6 +102,10 @@
             going[task] = (move, now - since)
     for move in _outdated(state):
         going.setdefault(move.attempt.task, (move, 0.0))
+    if not leaving:
+        settled = unix_now - limits.replica_settled_s
+        for move in _crowded(state, agents, settled):
+            going.setdefault(move.attempt.task, (move, 0.0))
     steps = _drain_order.drain_steps(
         [
             _drain_task(state, move, leaving_s, estimator, unix_now)
@@ -170,6 +174,29 @@
             yield _batch.Move(attempt, live.node, 'the service has changed')
 
 
+def _crowded(
+    state: _shard_state.ShardState, agents: Agents, settled_before: float
+) -> collections.abc.Iterator[_batch.Move]:
+    """Iterate over replicas that share a worker without need."""
+    for owner, group in state.groups.items():
+        if group.service is None:
+            continue
+        allowed = group.data_centres
+        roomy = [
+            node
+            for node, view in agents.items()
+            if view.ready
+            and not view.leaving
+            and (not allowed or view.data_centre in allowed)
+            and group.resources.fits_in(view.free)
+        ]
+        index = _replica_changes.crowded_replica(group, roomy, settled_before)
+        if index is not None:
+            live = group.live[index]
+            attempt = specs.AttemptId(specs.TaskId(owner, index), live.number)
+            yield _batch.Move(attempt, live.node, 'another replica is there')
+
+
 def _answers(
     group: _shard_state.Group,
     live: _shard_state.Live,
--- a/citronrail/scheduling/_replica_changes.py
+++ b/citronrail/scheduling/_replica_changes.py
@@ -1,5 +1,8 @@
 """Changes of a job shard that concern services, as plain functions."""
 
+import collections
+import collections.abc
+
 import msgspec
 
 from citronrail.model import identifiers
@@ -87,13 +90,7 @@
     :param group: group of a service.
     :returns: the index of a running replica, or None.
     """
-    running = _shard_state.LiveState.RUNNING
-    if group.service is None or group.service.draining or group.waiting:
-        return None
-    if any(
-        live.state is not running or live.replaces >= 0
-        for live in group.live.values()
-    ):
+    if not _is_steady(group):
         return None
     return min(
         (
@@ -105,6 +102,47 @@
     )
 
 
+def crowded_replica(
+    group: _shard_state.Group,
+    roomy: collections.abc.Collection[identifiers.NodeId],
+    settled_before: float,
+) -> int | None:
+    """Return a replica to replace because it shares its worker.
+
+    Replicas share a worker when no other was known or had room at their
+    start. One at a time moves, as for :func:`outdated_replica`.
+
+    :param group: group of a service.
+    :param roomy: workers with room for one more replica.
+    :param settled_before: Unix time; replicas that started later stay, which
+        bounds how often one moves.
+    :returns: the index of a running replica, or None.
+    """
+    counts = collections.Counter(live.node for live in group.live.values())
+    if not _is_steady(group) or all(node in counts for node in roomy):
+        return None
+    return max(
+        (
+            index
+            for index, live in group.live.items()
+            if counts[live.node] > 1 and live.since < settled_before
+        ),
+        key=lambda index: (counts[group.live[index].node], index),
+        default=None,
+    )
+
+
+def _is_steady(group: _shard_state.Group) -> bool:
+    """Tell whether no replica of a service starts, stops or moves."""
+    running = _shard_state.LiveState.RUNNING
+    if group.service is None or group.service.draining or group.waiting:
+        return False
+    return all(
+        live.state is running and live.replaces < 0
+        for live in group.live.values()
+    )
+
+
 def _members(group: _shard_state.Group) -> list[int]:
     """Return replicas in order of worth: confirmed ones first."""
     stopping = _shard_state.LiveState.STOPPING
--- a/citronrail/scheduling/tests/test_scheduling_paths.py
+++ b/citronrail/scheduling/tests/test_scheduling_paths.py
@@ -486,3 +486,23 @@
         cluster.store.set_faults(hang=False)
 
     await _run(scenario)
+
+
+async def test_replicas_spread_once_more_workers_are_known(autojump_clock):
+    """Guards a service from losing all replicas with one worker.
+
+    Seen in a drill: a service that was started before the owner knew all
+    agents had 12 of 12 replicas on one host, and they stayed there.
+    """
+
+    async def scenario(cluster):
+        cluster.set_service(_service(3))
+        await trio.sleep(10.0)
+        assert len(_answering(cluster)) == 1
+        for number in (1, 2):
+            await cluster.add_agent(f'late{number}', number)
+        await trio.sleep(150.0)
+        assert len(_answering(cluster)) == 3
+        assert len(_states(cluster)) == 3
+
+    await _run(scenario, agents=1)
