--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -392,6 +392,7 @@
             self._context.limits,
             self._context.wall_clock(),
         )
+        _ramps.report(self._context.ramps, shares, self._context.limits)
         self._context.ramps.clear()
         self._context.ramps.update(shares)
         known = {view.node_id for view in self._context.agents.agents()}
--- a/citronrail/scheduling/_ramps.py
+++ b/citronrail/scheduling/_ramps.py
@@ -5,7 +5,10 @@
 
 from citronrail.model import identifiers
 from citronrail.model import settings as settings_model
+from citronrail import observability
+from citronrail.observability.catalogue import decisions as events
 from citronrail.scheduling import _context
+from citronrail.scheduling import _decision_metrics as metrics
 
 
 def ramps(
@@ -37,6 +40,31 @@
     return shares
 
 
+def report(
+    before: collections.abc.Mapping[str, float],
+    after: collections.abc.Mapping[str, float],
+    limits: _context.Limits,
+) -> None:
+    """Tell operators of ramps that began, go on or have ended.
+
+    :param before: shares of the last look.
+    :param after: shares of now.
+    :param limits: duration of a ramp.
+    """
+    for name, share in after.items():
+        metrics.RAMP_SHARE.labels(name).set(share)
+        if name not in before:
+            observability.emit(
+                events.DATA_CENTRE_RAMP_STARTED,
+                data_centre=name,
+                ramp_s=limits.ramp_s,
+            )
+    for name in before:
+        if name not in after:
+            metrics.RAMP_SHARE.labels(name).set(1.0)
+            observability.emit(events.DATA_CENTRE_RAMP_ENDED, data_centre=name)
+
+
 def ramp_share(elapsed_s: float, limits: _context.Limits) -> float:
     """Return the share of its workers that a data centre may use.
 
