Keep exclusive keys closed for the longest run after a takeover

Cause: a new owner without records waited 30 s, although a service may run longer on one request. Change: the wait is the largest max_run_s of the settings, at least 30 s. Before: the new test would be granted after 30 s. After: 6 tests pass. Conclusion: kept; a service whose max_run_s was lowered just before a takeover isn't covered.

--- a/citronrail/daemon/_entry.py
+++ b/citronrail/daemon/_entry.py
@@ -121,7 +121,9 @@
         )
 
     def _build_routing(self, rng: random.Random) -> None:
-        self.keys = routing.OwnedKeys(self.hub, self.ownership)
+        self.keys = routing.OwnedKeys(
+            self.hub, self.ownership, longest_run_s=self._longest_run_s
+        )
         key_service = routing.KeyService(self.hub, self.keys, self.owner_of)
         self.router = routing.RequestRouter(
             self.hub,
@@ -268,6 +270,10 @@
             self.hub.set_entries([entry.address for entry in entries])
             await trio.sleep(CONNECT_INTERVAL_S)
 
+    def _longest_run_s(self) -> float:
+        services = self.follower.settings.services.values()
+        return max((spec.max_run_s for spec in services), default=0.0)
+
     def _request_rows(self) -> tuple[language.RequestRow, ...]:
         now = trio.current_time()
         return tuple(
--- a/citronrail/routing/_owned_keys.py
+++ b/citronrail/routing/_owned_keys.py
@@ -54,6 +54,8 @@
     :param hub: connections to the other entries.
     :param ranges: tells which ranges are held.
     :param limits: bounds of the records of one range.
+    :param longest_run_s: gives the longest ``max_run_s`` of any service.
+        After a takeover without records, exclusive keys wait that long.
     """
 
     def __init__(
@@ -61,10 +63,12 @@
         hub: ports.PeerHub,
         ranges: RangeLookup,
         limits: coordination.KeeperLimits | None = None,
+        longest_run_s: collections.abc.Callable[[], float] = lambda: 0.0,
     ) -> None:
         self._hub = hub
         self._ranges = ranges
         self._limits = limits or coordination.KeeperLimits()
+        self._longest_run_s = longest_run_s
         self._clock = coordination.SteadyClock()
         self._keepers: dict[
             identifiers.RangeId, coordination.IdempotencyKeeper
@@ -157,8 +161,10 @@
         self, owned: coordination.OwnedRange
     ) -> coordination.IdempotencyKeeper:
         taken_over = self._clock.now() if owned.previous else None
+        hold_s = max(self._limits.takeover_hold_s, self._longest_run_s())
+        limits = dataclasses.replace(self._limits, takeover_hold_s=hold_s)
         keeper = coordination.IdempotencyKeeper(
-            owned.range_id, self._limits, taken_over
+            owned.range_id, limits, taken_over
         )
         incoming = self._incoming.pop(owned.range_id, None)
         if incoming is None or not self._matches(incoming, owned):
--- a/citronrail/routing/tests/test_owned_keys.py
+++ b/citronrail/routing/tests/test_owned_keys.py
@@ -43,12 +43,14 @@
 
 
 class _Entry:
-    def __init__(self, network, name):
+    def __init__(self, network, name, longest_run_s=0.0):
         peer = ports.Peer(name, f'boot-{name}', 'entry', 'leon')
         self.name = name
         self.hub = memory_peers.MemoryHub(network, peer)
         self.ranges = _Ranges()
-        self.keys = routing.OwnedKeys(self.hub, self.ranges)
+        self.keys = routing.OwnedKeys(
+            self.hub, self.ranges, longest_run_s=lambda: longest_run_s
+        )
 
     async def acquire(self, *args, **kwargs):
         self.ranges.owned = _owned(*args, **kwargs)
@@ -167,3 +169,15 @@
     await first.keys.lost(RANGE)
     await first.acquire(2, 'one', continued=True)
     assert first.reserve('b', key).reply.verdict == 'done'
+
+
+async def test_exclusive_keys_wait_for_the_longest_run(
+    network, autojump_clock
+):
+    """Guards a long run of the killed keeper's grant from a second one."""
+    entry = _Entry(network, 'two', longest_run_s=120.0)
+    await entry.acquire(2, 'one')
+    await trio.sleep(100.0)
+    assert entry.reserve('a', '', 'seat').reply.verdict == 'not run'
+    await trio.sleep(30.0)
+    assert entry.reserve('b', '', 'seat').reply.verdict == 'granted'
