Cap reservations at the largest worker throughout the scheduler

Cause: processors observed at ten times the declared amount made tasks larger than any worker; the placement cut the size, the rounds before it did not. Change: the estimator of the scheduler cuts it.

--- a/citronrail/scheduling/_job_scheduler.py
+++ b/citronrail/scheduling/_job_scheduler.py
@@ -19,6 +19,7 @@
 from citronrail.ports import peers
 from citronrail.scheduling import _cancellation
 from citronrail.scheduling import _candidates
+from citronrail.scheduling import _capped_sizes
 from citronrail.scheduling import _context
 from citronrail.scheduling import _document_task
 from citronrail.scheduling import _inbox
@@ -75,6 +76,11 @@
         limits: _context.Limits | None = None,
     ) -> None:
         limits = limits or _context.Limits()
+        estimator = _capped_sizes.CappedEstimator(
+            policies.estimator,
+            lambda: (view.capacity for view in agents.agents()),
+        )
+        policies = dataclasses.replace(policies, estimator=estimator)
         self._ranges = ranges
         self._make_document = make_document
         self._context = _context.Context(
--- a/citronrail/scheduling/_placement.py
+++ b/citronrail/scheduling/_placement.py
@@ -13,6 +13,7 @@
 from citronrail import errors
 from citronrail.model import resources
 from citronrail.model import settings
+from citronrail.scheduling import _capped_sizes as capped_sizes
 from citronrail.scheduling import _placement_admission as admission
 from citronrail.scheduling import _placement_score as score
 from citronrail.scheduling import _placement_types as types
@@ -159,8 +160,10 @@
     """
     reservation = reservation_of(policy, request)
     if reservation != request.declared:
-        reservation = admission.capped(
-            reservation, request.declared, candidates
+        reservation = capped_sizes.capped(
+            reservation,
+            request.declared,
+            [item.capacity for item in candidates],
         )
     match policy:
         case LearnedPlacement():
--- a/citronrail/scheduling/_placement_admission.py
+++ b/citronrail/scheduling/_placement_admission.py
@@ -123,33 +123,6 @@
     )
 
 
-def capped(
-    reservation: resources.Resources,
-    declared: resources.Resources,
-    candidates: Iterable[types.Candidate],
-) -> resources.Resources:
-    """Cut a reservation that grew beyond every host to the largest host.
-
-    A task whose estimate exceeds every host would otherwise wait for ever;
-    on the largest host it has the best chance that exists.
-
-    :param reservation: amounts from the estimate.
-    :param declared: the declared size.
-    :param candidates: the hosts.
-    :returns: ``reservation``, or the smallest cut that one host can hold.
-    """
-    hosts = [item.capacity for item in candidates]
-    fitting = [item for item in hosts if declared.fits_in(item)]
-    if not fitting or any(reservation.fits_in(item) for item in fitting):
-        return reservation
-    largest = max(fitting, key=lambda item: (item.memory_mb, item.millicores))
-    return resources.Resources(
-        min(reservation.millicores, largest.millicores),
-        min(reservation.memory_mb, largest.memory_mb),
-        reservation.accelerators,
-    )
-
-
 def check_runnable(
     request: types.PlacementRequest,
     candidates: Sequence[types.Candidate],
