Bound learned sizes so that tasks still fit beside replicas

Cause: a size learned at ten times the declared processors was cut to a whole worker (8000 of 8000 millicores), while each worker held 300 for replicas, so the tasks never fit. Ruled out: quotas (the allowance was 10 of 10), health, leftover reservations (7700 free on each worker) and deferral. Change: a reservation grows to at most half of the processors and nine tenths of the memory of the largest worker, never below the declared size.

--- a/citronrail/scheduling/_capped_sizes.py
+++ b/citronrail/scheduling/_capped_sizes.py
@@ -6,29 +6,41 @@
 from citronrail.model import resources
 from citronrail.scheduling import _policies
 
+PROCESSOR_SHARE = 0.5
+MEMORY_SHARE = 0.9
+
 
 def capped(
     reservation: resources.Resources,
     declared: resources.Resources,
     capacities: collections.abc.Iterable[resources.Resources],
 ) -> resources.Resources:
-    """Cut a reservation that grew beyond every worker to the largest one.
+    """Bound what a reservation may grow to beyond its declared size.
 
-    A task whose estimate exceeds every worker would otherwise wait for ever;
-    on the largest worker it has the best chance that exists.
+    Workers always hold something else, such as replicas of services, so a
+    task that reserved a whole worker would wait for ever.
 
     :param reservation: amounts from the estimate.
     :param declared: the declared size.
     :param capacities: what each worker holds.
-    :returns: ``reservation``, or the smallest cut that one worker can hold.
+    :returns: at most half of the processors and nine tenths of the memory of
+        the largest worker that holds the declared size, and never less than
+        that size.
     """
     fitting = [item for item in capacities if declared.fits_in(item)]
-    if not fitting or any(reservation.fits_in(item) for item in fitting):
+    if not fitting:
         return reservation
     largest = max(fitting, key=lambda item: (item.memory_mb, item.millicores))
+    bound = resources.Resources(
+        int(PROCESSOR_SHARE * largest.millicores),
+        int(MEMORY_SHARE * largest.memory_mb),
+        reservation.accelerators,
+    )
     return resources.Resources(
-        min(reservation.millicores, largest.millicores),
-        min(reservation.memory_mb, largest.memory_mb),
+        max(
+            declared.millicores, min(reservation.millicores, bound.millicores)
+        ),
+        max(declared.memory_mb, min(reservation.memory_mb, bound.memory_mb)),
         reservation.accelerators,
     )
 
