--- a/measure/capacity_page.py
+++ b/measure/capacity_page.py
@@ -135,7 +135,8 @@
     verdict = (
         f'An entry runs on one core. At rest it would use {total:.2f} of it '
         f'and {start * starts:.2f} for the starts of the peak; what is left '
-        f'serves requests, of which {knee} a second fill a core.'
+        f'serves requests: {knee} a second at the knee of an entry that does '
+        f'nothing else.'
     )
     if total + start * starts > 1:
         verdict += ' **That is more than a core: more entries do not help '
