Remove dead code and the copies of a policy's choose

Cause: a read of the whole change found functions, two events and a protocol that nothing uses, a wrapper of new_boot_id, and one method written four times. Change: they are gone; the placement policies share the method. Before and after: 643 tests of the touched parts pass after it, formatter, linters and types are clean; no behaviour and no test changed.

--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -3,7 +3,6 @@
 import collections.abc
 import dataclasses
 import signal
-import typing
 
 import trio
 
@@ -14,14 +13,6 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
-class Component(typing.Protocol):
-    """A part of the daemon that runs until it is cancelled."""
-
-    async def run(self, *, task_status: trio.TaskStatus[None] = ...) -> None:
-        """Run until cancelled; report started once it is usable."""
-        ...
-
-
 @dataclasses.dataclass(frozen=True)
 class LifeCycle:
     """A named component with the hooks that the application calls.
--- a/citronrail/daemon/_main.py
+++ b/citronrail/daemon/_main.py
@@ -13,6 +13,7 @@
 from citronrail.daemon import _process_settings
 from citronrail.daemon import _settings_file
 from citronrail import errors
+from citronrail.model import identifiers
 from citronrail import observability
 from citronrail.observability.catalogue import daemon as events
 
@@ -49,7 +50,7 @@
 
 
 async def _run(cfg: _process_settings.ProcessSettings) -> None:
-    boot_id = parts.boot_identity()
+    boot_id = identifiers.new_boot_id()
     observability.set_up_logging(cfg.log.level, cfg.log.format, cfg.node_id)
     recorder = observability.Recorder(
         f'{cfg.node_id}/{boot_id}', cfg.limits.timeline_events
--- a/citronrail/daemon/_ports_of_settings.py
+++ b/citronrail/daemon/_ports_of_settings.py
@@ -7,7 +7,6 @@
 
 from citronrail import adapters
 from citronrail.daemon import _process_settings
-from citronrail.model import identifiers
 from citronrail import observability
 from citronrail.observability.catalogue import daemon as events
 
@@ -49,11 +48,6 @@
     return tuple(f'tcp://{address}' for address in cfg.entries)
 
 
-def boot_identity() -> identifiers.BootId:
-    """Return a new boot id for this run of the process."""
-    return identifiers.new_boot_id()
-
-
 class HttpPort:
     """An HTTP server as a component that drains.
 
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -25,9 +25,6 @@
 SEEDED = _events.EventKind(
     1009, 'INFO', 'random generator of {node} seeded with {seed}'
 )
-SETTINGS_BEHIND = _events.EventKind(
-    1010, 'WARNING', 'other entries know settings version {version}'
-)
 WORKER_NOT_READY = _events.EventKind(
     1011, 'WARNING', 'worker gave no answer: {reason}'
 )
--- a/citronrail/observability/catalogue/routing.py
+++ b/citronrail/observability/catalogue/routing.py
@@ -5,9 +5,6 @@
 ANSWER_DROPPED = _events.EventKind(
     1300, 'WARNING', 'Dropped {message} from {peer} for {request}: {reason}'
 )
-REQUEST_ENDED = _events.EventKind(
-    1301, 'DEBUG', 'Request {request} ended: {outcome}, {status}'
-)
 REQUEST_REFUSED = _events.EventKind(
     1302, 'DEBUG', 'Request {request} was refused by {peer}: {reason}'
 )
--- a/citronrail/scheduling/_agent_loss.py
+++ b/citronrail/scheduling/_agent_loss.py
@@ -36,19 +36,6 @@
     return QuietSpan(last_ack, now)
 
 
-def reported_span(
-    received_at: float, last_ack_age_s: float, in_transit_s: float
-) -> QuietSpan:
-    """Return the span that another entry reported.
-
-    :param received_at: local time at which its heartbeat came.
-    :param last_ack_age_s: age of its last acknowledgement when it was sent.
-    :param in_transit_s: the longest time the heartbeat can have taken.
-    :returns: the span, which ends when the heartbeat was sent.
-    """
-    return QuietSpan(received_at - last_ack_age_s, received_at - in_transit_s)
-
-
 def acknowledging_span(now: float) -> QuietSpan:
     """Return the span of an entry that answers, or may answer, the agent.
 
--- a/citronrail/scheduling/_placement.py
+++ b/citronrail/scheduling/_placement.py
@@ -19,11 +19,8 @@
 from citronrail.scheduling import _placement_types as types
 
 
-@dataclasses.dataclass(frozen=True)
-class FirstFitPlacement:
-    """The first host, in the given order, that has room."""
-
-    name: typing.ClassVar[str] = 'first_fit'
+class _Placement:
+    """What all policies share."""
 
     def choose(
         self,
@@ -32,43 +29,32 @@
         context: types.PlacementContext,
     ) -> types.Decision:
         """Choose a host; see :func:`choose`."""
-        return choose(self, request, candidates, context)
+        return choose(typing.cast(Policy, self), request, candidates, context)
 
 
 @dataclasses.dataclass(frozen=True)
-class LeastLoadedPlacement:
+class FirstFitPlacement(_Placement):
+    """The first host, in the given order, that has room."""
+
+    name: typing.ClassVar[str] = 'first_fit'
+
+
+@dataclasses.dataclass(frozen=True)
+class LeastLoadedPlacement(_Placement):
     """The host with the smallest largest reserved share."""
 
     name: typing.ClassVar[str] = 'least_loaded'
 
-    def choose(
-        self,
-        request: types.PlacementRequest,
-        candidates: Sequence[types.Candidate],
-        context: types.PlacementContext,
-    ) -> types.Decision:
-        """Choose a host; see :func:`choose`."""
-        return choose(self, request, candidates, context)
-
 
 @dataclasses.dataclass(frozen=True)
-class RandomPlacement:
+class RandomPlacement(_Placement):
     """Any host that has room."""
 
     name: typing.ClassVar[str] = 'random'
 
-    def choose(
-        self,
-        request: types.PlacementRequest,
-        candidates: Sequence[types.Candidate],
-        context: types.PlacementContext,
-    ) -> types.Decision:
-        """Choose a host; see :func:`choose`."""
-        return choose(self, request, candidates, context)
-
 
 @dataclasses.dataclass(frozen=True)
-class LearnedPlacement:
+class LearnedPlacement(_Placement):
     """The host where the expected slowdowns cost least.
 
     ``processors`` is ``observed`` or ``declared``: which amount batch tasks
@@ -82,15 +68,6 @@
 
     name: typing.ClassVar[str] = 'learned'
 
-    def choose(
-        self,
-        request: types.PlacementRequest,
-        candidates: Sequence[types.Candidate],
-        context: types.PlacementContext,
-    ) -> types.Decision:
-        """Choose a host; see :func:`choose`."""
-        return choose(self, request, candidates, context)
-
 
 Policy = (
     LearnedPlacement
--- a/citronrail/scheduling/_worker_health.py
+++ b/citronrail/scheduling/_worker_health.py
@@ -149,25 +149,6 @@
     )
 
 
-def suits_trial(
-    health: evidence.HealthRecord,
-    task: specs.TaskId,
-    exclusive: bool,
-    urgent: bool,
-) -> bool:
-    """Tell whether a task may serve as the trial of a worker.
-
-    :param health: the record.
-    :param task: the task.
-    :param exclusive: whether it must never run twice at once.
-    :param urgent: whether it is urgent.
-    :returns: True for ordinary tasks of jobs that succeeded somewhere.
-    """
-    job = health.jobs.get(task.owner)
-    proved = job is not None and bool(job.succeeded_on)
-    return proved and not exclusive and not urgent
-
-
 def avoided_workers(
     health: evidence.HealthRecord, task: specs.TaskId
 ) -> frozenset[identifiers.NodeId]:
