--- a/citronrail/model/messages/__init__.py
+++ b/citronrail/model/messages/__init__.py
@@ -60,6 +60,19 @@
 from citronrail.model.messages._tasks import UsageReport
 from citronrail.model.messages._wire import pack
 from citronrail.model.messages._wire import unpack
+from citronrail.model.messages._workflows import EndRow
+from citronrail.model.messages._workflows import JobAccepted
+from citronrail.model.messages._workflows import JobCancelled
+from citronrail.model.messages._workflows import JobStateQuery
+from citronrail.model.messages._workflows import JobStateReply
+from citronrail.model.messages._workflows import PaceOrder
+from citronrail.model.messages._workflows import RefusedStart
+from citronrail.model.messages._workflows import RunRow
+from citronrail.model.messages._workflows import StartOrder
+from citronrail.model.messages._workflows import TaskRun
+from citronrail.model.messages._workflows import WorkerLife
+from citronrail.model.messages._workflows import WorkerOrders
+from citronrail.model.messages._workflows import WorkerReport
 
 __all__ = [
     'AgentLoad',
@@ -72,6 +85,7 @@
     'CommandReply',
     'CompleteKey',
     'Credit',
+    'EndRow',
     'EntryAddress',
     'EntryHeartbeat',
     'ExtendOwnership',
@@ -81,11 +95,17 @@
     'Heartbeat',
     'HeartbeatAck',
     'Hello',
+    'JobAccepted',
+    'JobCancelled',
+    'JobStateQuery',
+    'JobStateReply',
     'KeyHandover',
     'KeyHandoverAck',
     'KeyRecord',
+    'PaceOrder',
     'ProtocolError',
     'RangeClaim',
+    'RefusedStart',
     'RequestFailed',
     'RequestRefused',
     'ReserveKey',
@@ -95,9 +115,11 @@
     'ResponseStart',
     'ResponseWhole',
     'RunRequest',
+    'RunRow',
     'RunningTask',
     'SettingsUpdate',
     'SilentAgent',
+    'StartOrder',
     'StartReply',
     'StartTask',
     'StopTask',
@@ -107,6 +129,7 @@
     'TaskQueryReply',
     'TaskReport',
     'TaskReportAck',
+    'TaskRun',
     'TaskUsage',
     'TeamReservation',
     'ThrottleTask',
@@ -114,6 +137,9 @@
     'TimelineReply',
     'UnknownMessage',
     'UsageReport',
+    'WorkerLife',
+    'WorkerOrders',
+    'WorkerReport',
     'kinds',
     'pack',
     'unpack',
--- /dev/null
+++ b/citronrail/model/messages/_workflows.py
@@ -0,0 +1,160 @@
+"""Messages between the scheduling entry, agents and the other entries."""
+
+import dataclasses
+
+from citronrail.model.messages import _registry
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerLife:
+    """One life of a worker, as it announced itself last.
+
+    ``born_ms`` tells lives with the same ``worker_id`` apart.
+    """
+
+    worker_id: str
+    born_ms: int
+    service: str
+    data_centre: str
+    state: str  # 'ready' or 'draining'
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    labels: tuple[str, ...] = ()
+    drain_left_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class RunRow:
+    """A run on the worker's list.
+
+    ``load`` is the tail latency in ms of a task that serves, else the cores
+    in use in thousandths.
+    """
+
+    task: str
+    run: int
+    checkpoint: str
+    percent: int
+    load: float
+
+
+@dataclasses.dataclass(frozen=True)
+class EndRow:
+    """A run that ended; ``number`` counts the ends of a worker's life."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+    checkpoint: str
+
+
+@dataclasses.dataclass(frozen=True)
+class RefusedStart:
+    """A start that the worker or the agent surely did not carry out."""
+
+    task: str
+    run: int
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class TaskRun:
+    """One run of a task."""
+
+    task: str
+    run: int
+
+
+@dataclasses.dataclass(frozen=True)
+class StartOrder:
+    """A run to start; ``life`` is (worker id, time of birth)."""
+
+    task: str
+    run: int
+    argument: str
+    checkpoint: str = ''
+    ticket: str = ''
+
+
+@dataclasses.dataclass(frozen=True)
+class PaceOrder:
+    """Limits a run to ``percent`` of its processors."""
+
+    task: str
+    run: int
+    percent: int
+
+
+@_registry.message
+class WorkerOrders:
+    """Scheduler to agent.
+
+    ``worker_id`` and ``born_ms`` name the life that the orders are for; an
+    empty id asks for a report only. ``lease_until_ms`` is on the worker's
+    clock, 0 for none.
+    """
+
+    fencing: int
+    worker_id: str = ''
+    born_ms: int = 0
+    lease_until_ms: int = 0
+    acknowledged: int = 0
+    starts: tuple[StartOrder, ...] = ()
+    stops: tuple[TaskRun, ...] = ()
+    paces: tuple[PaceOrder, ...] = ()
+
+
+@_registry.message
+class WorkerReport:
+    """Agent to scheduler, on each change and at least twice a second.
+
+    ``fencing`` is the token that the worker has confirmed before it made the
+    list; ``clock_ms`` is the worker's clock at that moment, 0 without a list.
+    """
+
+    fencing: int
+    life: WorkerLife | None
+    clock_ms: int = 0
+    running: tuple[RunRow, ...] = ()
+    ended: tuple[EndRow, ...] = ()
+    refused: tuple[RefusedStart, ...] = ()
+    stopped: tuple[TaskRun, ...] = ()
+    leaving: bool = False
+
+
+@_registry.message
+class JobStateQuery:
+    """Entry to scheduler: the state of a job, or a queue's backlog.
+
+    Exactly one of ``job_id`` and ``queue`` is given.
+    """
+
+    query_id: int
+    job_id: str = ''
+    queue: str = ''
+
+
+@_registry.message
+class JobStateReply:
+    """Answer to a query; ``state`` is '' if the job isn't known here."""
+
+    query_id: int
+    state: str = ''
+    pending: int = -1
+
+
+@_registry.message
+class JobAccepted:
+    """Entry to scheduler: a stored job, to save the wait for the watch."""
+
+    job_id: str
+    record: bytes
+
+
+@_registry.message
+class JobCancelled:
+    """Entry to scheduler: a stored cancellation."""
+
+    job_id: str
--- /dev/null
+++ b/citronrail/model/workflows.py
@@ -0,0 +1,117 @@
+"""Jobs that consist of dependent steps, each with a number of tasks."""
+
+import dataclasses
+
+from citronrail.model import identifiers
+
+
+@dataclasses.dataclass(frozen=True)
+class StepSpec:
+    """One step of a workflow: ``task_count`` equal tasks.
+
+    ``after`` holds the indexes of the steps that must be complete first.
+    ``estimate_s`` is what the caller declared and only a rough prior.
+    """
+
+    task_count: int
+    cpu_millis: int = 0  # thousandths of a core for each task
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_s: float = 0.0
+    after: tuple[int, ...] = ()
+    saves_progress: bool = False
+    gang: bool = False  # all tasks run together or not at all
+    rack_local: bool = False
+    required_label: str = ''
+    preferred_rack: str = ''  # label of the rack that holds the data
+    max_per_worker: int = 0  # 0: no limit
+    speculative: bool = False  # copies of a task may run side by side
+    long_running: bool = False  # restarted until the job is cancelled
+    image: str = ''
+    latency_target_ms: int = 0  # of a long-running task that serves users
+    fills: bool = False  # uses idle processors; not counted in capacity
+    max_unavailable: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkflowSpec:
+    """A job of steps; ``occurrences`` 0 means that it runs once, at once."""
+
+    argument: str
+    steps: tuple[StepSpec, ...]
+    occurrences: int = 0
+    first_due_at: float = 0.0  # Unix time in seconds
+    period_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Queue:
+    """A route of the operators' configuration that accepts workflows."""
+
+    name: str
+    host: str
+    prefix: str
+    service: identifiers.ServiceName  # whose workers run the tasks
+    priority: int = 0  # 0 is the most urgent
+    max_attempts: int = 1
+    stretch: float = 1.0  # objective as a multiple of the critical path
+    objective_s: float = 0.0  # added to the objective
+    timeout_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True)
+class WorkerPool:
+    """A service of the operators' configuration: a pool of workers."""
+
+    name: identifiers.ServiceName
+    rejects_overload: bool = False  # its workers check capacity themselves
+    standby: bool = False
+
+
+@dataclasses.dataclass(frozen=True)
+class OperatorConfig:
+    """What operators have configured, at one version."""
+
+    version: int = 0
+    queues: tuple[Queue, ...] = ()
+    pools: tuple[WorkerPool, ...] = ()
+    max_body_bytes: int = 262_144
+
+    def queue_for(self, host: str, path: str) -> Queue | None:
+        """Return the queue with the longest matching prefix.
+
+        :param host: name of the host that the caller asked for.
+        :param path: path of the request.
+        :returns: the queue, None if there is none.
+        """
+        found = None
+        for queue in self.queues:
+            if queue.host != host or not path.startswith(queue.prefix):
+                continue
+            if found is None or len(queue.prefix) > len(found.prefix):
+                found = queue
+        return found
+
+    def queue_named(self, name: str) -> Queue | None:
+        """Return the queue of that name, None if there is none."""
+        for queue in self.queues:
+            if queue.name == name:
+                return queue
+        return None
+
+
+@dataclasses.dataclass(frozen=True)
+class Bounds:
+    """Limits that the deployment sets, in seconds unless named otherwise."""
+
+    max_lease_s: float = 6.0  # longest lease that a worker grants
+    stop_s: float = 0.4
+    gang_wait_s: float = 3.0
+    evacuate_s: float = 5.0
+    drain_s: float = 2.0
+    keep_ended_s: float = 120.0
+    grace_s: float = 6.0
+    remote_factor: float = 1.5
+    checkpoint_s: float = 2.0
+    harm_s: float = 4.0
+    pace_s: float = 0.1
--- /dev/null
+++ b/citronrail/observability/catalogue/workflow.py
@@ -0,0 +1,93 @@
+"""Events of workflows (1700 to 1799)."""
+
+from citronrail.observability import _events
+
+COMMIT_RETRIED = _events.EventKind(
+    1700, 'WARNING', 'commit tried again: {reason}'
+)
+WATCH_LOST = _events.EventKind(
+    1701, 'WARNING', 'watch of {prefix} lost: {reason}'
+)
+WATCH_REGAINED = _events.EventKind(1702, 'INFO', 'watch of {prefix} regained')
+WATCH_COMPACTED = _events.EventKind(
+    1703, 'INFO', 'history of {prefix} is gone; listing again'
+)
+CONFIG_IN_FORCE = _events.EventKind(
+    1704, 'INFO', 'configuration {version} in force with {queues} queues'
+)
+CONFIG_UNREADABLE = _events.EventKind(
+    1705, 'ERROR', 'configuration not readable: {reason}'
+)
+EVACUATION_CHANGED = _events.EventKind(
+    1706, 'INFO', 'evacuated data centres: {data_centres}'
+)
+LEADER_ELECTED = _events.EventKind(
+    1710, 'INFO', 'this entry schedules with token {token}'
+)
+LEADER_LOADED = _events.EventKind(
+    1711,
+    'INFO',
+    'token {token} loaded {jobs} jobs, {open} open, {attempts} runs that '
+    'may exist, in {seconds} s',
+)
+LEADER_ENDED = _events.EventKind(
+    1712, 'WARNING', 'this entry stops scheduling with token {token}: {reason}'
+)
+LEADER_KNOWN = _events.EventKind(
+    1713, 'INFO', 'scheduling entry is {node} at {address}'
+)
+ELECTION_FAILED = _events.EventKind(
+    1714, 'WARNING', 'election call failed: {reason}'
+)
+JOB_ACCEPTED = _events.EventKind(
+    1720, 'INFO', 'job {job} accepted on {queue} with {tasks} tasks'
+)
+JOB_TURNED_AWAY = _events.EventKind(
+    1721, 'INFO', 'job {job} not accepted on {queue}: {reason}'
+)
+JOB_OUTCOME_UNKNOWN = _events.EventKind(
+    1722, 'WARNING', 'job {job} may have been stored: {reason}'
+)
+JOB_CANCEL = _events.EventKind(1723, 'INFO', 'cancel of job {job}: {result}')
+JOB_ENDED = _events.EventKind(
+    1724, 'INFO', 'job {job} is {status} after {seconds} s'
+)
+RUN_ASSIGNED = _events.EventKind(
+    1730, 'INFO', 'run {task}#{run} assigned to {worker}: {reason}'
+)
+RUN_ENDED = _events.EventKind(
+    1731, 'INFO', 'run {task}#{run} on {worker} ended: {how}'
+)
+RUN_REFUSED = _events.EventKind(
+    1732, 'INFO', 'start of {task}#{run} refused by {worker}: {reason}'
+)
+RUN_VOID = _events.EventKind(
+    1733, 'WARNING', 'run {task}#{run} on {worker} does not exist: {reason}'
+)
+RUN_STOPPED = _events.EventKind(
+    1734, 'INFO', 'stopping {task}#{run} on {worker}: {reason}'
+)
+WORKER_LIFE = _events.EventKind(
+    1740, 'INFO', 'worker {worker} born {born} on {node} is {state}'
+)
+WORKER_SILENT = _events.EventKind(
+    1741, 'WARNING', 'worker {worker} gave no list: {reason}'
+)
+WORKER_LAPSED = _events.EventKind(
+    1742, 'WARNING', 'leases of worker {worker} have certainly lapsed'
+)
+WORKER_SUSPECT = _events.EventKind(
+    1743, 'WARNING', 'worker {worker} is avoided for {seconds} s: {reason}'
+)
+START_UNANSWERED = _events.EventKind(
+    1744, 'WARNING', 'start of {task}#{run} not answered: {reason}'
+)
+ANNOUNCEMENT_REFUSED = _events.EventKind(
+    1745, 'WARNING', 'announcement refused: {reason}'
+)
+ORDERS_REFUSED = _events.EventKind(
+    1746, 'WARNING', 'orders of {peer} with token {token} refused: {reason}'
+)
+DOCUMENT_UNREADABLE = _events.EventKind(
+    1747, 'ERROR', 'item {key} of the store not readable: {reason}'
+)
--- /dev/null
+++ b/citronrail/platform/_roles.py
@@ -0,0 +1,187 @@
+"""The programs that run on the platform: an entry and an agent."""
+
+import random
+
+import trio
+
+from citronrail import adapters
+from citronrail.daemon import parts
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.platform import _announcement_app
+from citronrail.platform import _caller_app
+from citronrail.platform import _operator_documents
+from citronrail.platform import _settings
+from citronrail.platform import _store
+from citronrail.platform import _worker
+from citronrail import workflow
+
+DRAIN_SHARE = 0.75  # of the time between the signals of a planned stop
+BALANCER_WAIT_S = 2.4  # it asks once a second and needs two misses
+
+
+class _Process:
+    """What both programs have: the store, the peers and their name."""
+
+    def __init__(
+        self,
+        cfg: _settings.Settings,
+        boot_id: identifiers.BootId,
+        rng: random.Random,
+        role: str,
+    ) -> None:
+        self.cfg = cfg
+        self._boot_id = boot_id
+        self._role = role
+        self.address = (
+            f'tcp://{cfg.ip}:{cfg.peer_ports[0]}' if role == 'entry' else ''
+        )
+        self.store = _store.PlatformStore(cfg.store_address)
+        self.hub = adapters.ZmqPeerHub(
+            self._introduce, listen=self.address, insecure=True, rng=rng
+        )
+        self.leader = workflow.LeaderView()
+        self.app = parts.Application(
+            cfg.node_id, cfg.bounds.grace_s * DRAIN_SHARE
+        )
+
+    def _introduce(self) -> messages.Hello:
+        return messages.Hello(
+            node_id=identifiers.NodeId(self.cfg.node_id),
+            boot_id=self._boot_id,
+            role=self._role,
+            clock=0.0,
+            data_centre=identifiers.DataCentreName(self.cfg.data_centre),
+            address=self.address,
+        )
+
+    async def follow_leader(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Follow who schedules, and stay connected to it."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                workflow.follow,
+                self.store,
+                workflow.CONTROL_PREFIX,
+                self.leader,
+            )
+            nursery.start_soon(
+                workflow.connect_to_leader,
+                self.leader,
+                self.hub.set_entries,
+                self.hub.node_id,
+            )
+            task_status.started()
+
+    def port(
+        self, app: adapters.AsgiApp, address: str, name: str
+    ) -> parts.HttpPort:
+        """Make a port that drains with the process."""
+        return parts.HttpPort(
+            app, address, name, self.cfg.bounds.grace_s * DRAIN_SHARE
+        )
+
+
+async def run_entry(
+    cfg: _settings.Settings, boot_id: identifiers.BootId, rng: random.Random
+) -> None:
+    """Run an entry until a planned stop is complete.
+
+    :param cfg: settings of the process.
+    :param boot_id: identity of this run.
+    :param rng: source of chance.
+    """
+    process = _Process(cfg, boot_id, rng, 'entry')
+    app = process.app
+    operators = workflow.OperatorView(
+        _operator_documents.CONFIG_KEY,
+        _operator_documents.decode_config,
+        _operator_documents.evacuated_data_centre,
+    )
+    election = workflow.Election(
+        process.store,
+        process.hub,
+        process.leader,
+        operators,
+        cfg.bounds,
+        process.address,
+        cfg.processor_share,
+    )
+    service = workflow.CallerService(
+        process.store, process.hub, election, process.leader
+    )
+    callers = process.port(
+        _caller_app.caller_app(service, lambda: operators.config),
+        cfg.callers_address,
+        'callers',
+    )
+    ready = process.port(
+        _caller_app.ready_app(
+            lambda: app.ready and operators.config is not None
+        ),
+        cfg.ready_address,
+        'ready',
+    )
+
+    async def follow_operators(
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        await workflow.follow(
+            process.store,
+            _operator_documents.PREFIX,
+            operators,
+            task_status=task_status,
+        )
+
+    async def await_balancer() -> None:
+        await trio.sleep(BALANCER_WAIT_S)
+
+    app.add('peers', process.hub.run)
+    app.add('operators', follow_operators)
+    app.add('leader', process.follow_leader)
+    app.add('ready port', ready.run)
+    app.add('callers port', callers.run, callers.drain)
+    app.add('balancer', parts.idle, await_balancer)
+    app.add('election', election.run, election.drain)
+    await _run(process)
+
+
+async def run_agent(
+    cfg: _settings.Settings, boot_id: identifiers.BootId, rng: random.Random
+) -> None:
+    """Run an agent until a planned stop is complete.
+
+    :param cfg: settings of the process.
+    :param boot_id: identity of this run.
+    :param rng: source of chance.
+    """
+    process = _Process(cfg, boot_id, rng, 'agent')
+    worker = _worker.PlatformWorker(cfg.worker_address)
+    agent = workflow.WorkerAgent(worker, process.hub)
+    port = process.port(
+        _announcement_app.announcement_app(agent),
+        cfg.announcements_address,
+        'announcements',
+    )
+    app = process.app
+    app.add('peers', process.hub.run)
+    app.add('agent', agent.run)
+    app.add('announcements port', port.run)
+    app.add('leader', process.follow_leader)
+    try:
+        await _run(process)
+    finally:
+        with trio.CancelScope(shield=True):
+            await worker.aclose()
+
+
+async def _run(process: _Process) -> None:
+    try:
+        await process.app.run()
+    finally:
+        with trio.CancelScope(shield=True):
+            await process.store.aclose()
--- /dev/null
+++ b/citronrail/platform/_wire_jobs.py
@@ -0,0 +1,100 @@
+"""Jobs as callers write them, in the project's types."""
+
+import re
+
+import msgspec
+
+from citronrail.model import workflows
+
+MAX_SPEC_BYTES = 4000
+MAX_TASKS = 20_000
+_ID = re.compile('[0-9a-fA-F]{16}')
+
+
+class _Step(msgspec.Struct, frozen=True):
+    count: int = 1
+    cpu: int = 0
+    memMb: int = 0  # noqa: N815 - name on the wire
+    gpu: int = 0
+    estimateMs: float = 0.0  # noqa: N815 - name on the wire
+    after: tuple[int, ...] = ()
+    savesProgress: bool = False  # noqa: N815 - name on the wire
+    gang: bool = False
+    rackLocal: bool = False  # noqa: N815 - name on the wire
+    constraints: str = ''  # one label that the worker must have
+    affinity: str = ''  # rack where the data lies
+    antiAffinity: int = 0  # noqa: N815 - tasks of the step on one worker
+    speculative: bool = False
+    longRunning: bool = False  # noqa: N815 - name on the wire
+    image: str = ''
+    targetMs: int = 0  # noqa: N815 - name on the wire
+    fills: bool = False
+    mayMiss: int = 0  # noqa: N815 - tasks that may be unavailable at once
+
+
+class _Job(msgspec.Struct, frozen=True):
+    spec: str
+    steps: tuple[_Step, ...]
+    times: int = 0
+    startAtMs: float = 0.0  # noqa: N815 - Unix time
+    periodMs: float = 0.0  # noqa: N815 - name on the wire
+
+
+_DECODER = msgspec.json.Decoder(_Job, strict=False)
+
+
+def valid_id(job_id: str) -> bool:
+    """Whether a caller may name a job like that."""
+    return _ID.fullmatch(job_id) is not None
+
+
+def decode_job(body: bytes) -> workflows.WorkflowSpec:
+    """Decode and check a job.
+
+    :param body: body of the request.
+    :returns: the job.
+    :raises ValueError: if it isn't readable or breaks a limit.
+    """
+    job = _DECODER.decode(body)
+    if len(job.spec.encode()) > MAX_SPEC_BYTES:
+        raise ValueError(f'spec has more than {MAX_SPEC_BYTES} bytes')
+    if not job.steps:
+        raise ValueError('a job needs a step')
+    tasks = sum(step.count for step in job.steps) * max(1, job.times)
+    if not 0 < tasks <= MAX_TASKS:
+        raise ValueError(f'a job has 1 to {MAX_TASKS} tasks')
+    for number, step in enumerate(job.steps):
+        if step.count < 1:
+            raise ValueError(f'step {number} has no tasks')
+        if any(not 0 <= n < number for n in step.after):
+            raise ValueError(f'step {number} must come after earlier steps')
+    return workflows.WorkflowSpec(
+        argument=job.spec,
+        steps=tuple(_step(step) for step in job.steps),
+        occurrences=job.times,
+        first_due_at=job.startAtMs / 1000,
+        period_s=job.periodMs / 1000,
+    )
+
+
+def _step(step: _Step) -> workflows.StepSpec:
+    return workflows.StepSpec(
+        task_count=step.count,
+        cpu_millis=step.cpu,
+        memory_mb=step.memMb,
+        accelerators=step.gpu,
+        estimate_s=step.estimateMs / 1000,
+        after=step.after,
+        saves_progress=step.savesProgress,
+        gang=step.gang,
+        rack_local=step.rackLocal,
+        required_label=step.constraints,
+        preferred_rack=step.affinity,
+        max_per_worker=step.antiAffinity,
+        speculative=step.speculative,
+        long_running=step.longRunning,
+        image=step.image,
+        latency_target_ms=step.targetMs,
+        fills=step.fills,
+        max_unavailable=step.mayMiss,
+    )
--- a/citronrail/ports/__init__.py
+++ b/citronrail/ports/__init__.py
@@ -15,6 +15,11 @@
 from citronrail.ports.peers import Listener
 from citronrail.ports.peers import Peer
 from citronrail.ports.peers import PeerHub
+from citronrail.ports.task_worker import LeaseOrder
+from citronrail.ports.task_worker import StartResult
+from citronrail.ports.task_worker import StartVerdict
+from citronrail.ports.task_worker import TaskWorker
+from citronrail.ports.task_worker import WorkerList
 from citronrail.ports.worker import EndedTask
 from citronrail.ports.worker import Worker
 from citronrail.ports.worker import WorkerInfo
@@ -30,14 +35,19 @@
     'Handler',
     'KeyValue',
     'KeyValueStore',
+    'LeaseOrder',
     'Listener',
     'Listing',
     'Peer',
     'PeerHub',
     'Put',
+    'StartResult',
+    'StartVerdict',
+    'TaskWorker',
     'TxnResult',
     'WatchEvent',
     'Worker',
     'WorkerInfo',
+    'WorkerList',
     'WorkerTasks',
 ]
--- /dev/null
+++ b/citronrail/workflow/_commit_chain.py
@@ -0,0 +1,99 @@
+"""Commits of the scheduling entry, one after the other."""
+
+import collections.abc
+
+import trio
+
+from citronrail import errors
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
+from citronrail import ports
+from citronrail.workflow import _documents as documents
+
+# A transaction takes 32 entries: two conditions, the chain's own write and
+# the documents.
+MAX_DOCUMENTS = 28
+RETRY_S = 0.05
+MAX_RETRY_S = 0.5
+
+Write = ports.Put | ports.Delete
+
+
+class CommitChain:
+    """Writes documents under the condition that the leadership lasts.
+
+    Each commit replaces one key under the condition of its last revision, so
+    that a commit whose answer was lost can't take effect after a later one.
+
+    :param store: the store.
+    :param guard: condition that fails once the leadership has ended.
+    :param prefix: start of the commit ids, unique for each leadership.
+    """
+
+    def __init__(
+        self,
+        store: ports.KeyValueStore,
+        guard: ports.Compare,
+        prefix: str,
+    ) -> None:
+        self._store = store
+        self._guard = guard
+        self._prefix = prefix
+        self._count = 0
+        self._revision = 0
+
+    async def open(self) -> None:
+        """Read where the chain stands.
+
+        :raises citronrail.errors.StoreError: if the store can't be read.
+        """
+        item = await self._store.get(documents.COMMIT_KEY)
+        self._revision = item.revision if item else 0
+
+    async def commit(self, writes: collections.abc.Sequence[Write]) -> None:
+        """Write all documents, in several transactions if there are many.
+
+        :param writes: at most one write for each key.
+        :raises citronrail.errors.Fenced: if the leadership has ended.
+        """
+        for start in range(0, len(writes), MAX_DOCUMENTS):
+            await self._commit_some(writes[start : start + MAX_DOCUMENTS])
+
+    async def _commit_some(
+        self, writes: collections.abc.Sequence[Write]
+    ) -> None:
+        self._count += 1
+        commit_id = f'{self._prefix}/{self._count}'.encode()
+        compares = [
+            self._guard,
+            ports.Compare(documents.COMMIT_KEY, self._revision),
+        ]
+        link = ports.Put(documents.COMMIT_KEY, commit_id)
+        pause_s = RETRY_S
+        while True:
+            try:
+                result = await self._store.txn(compares, [link, *writes])
+                if result.succeeded:
+                    self._revision = result.revision
+                    return
+                if await self._landed(commit_id):
+                    return
+                raise errors.Fenced(
+                    'another scheduler took over', step='workflow.commit'
+                )
+            except errors.Fenced:
+                raise
+            except errors.LeaseLost as exc:
+                raise errors.Fenced(exc.message, step=exc.step) from exc
+            except errors.StoreError as exc:
+                observability.emit(events.COMMIT_RETRIED, reason=exc)
+            await trio.sleep(pause_s)
+            pause_s = min(2 * pause_s, MAX_RETRY_S)
+
+    async def _landed(self, commit_id: bytes) -> bool:
+        """Find out whether an earlier try of this commit took effect."""
+        item = await self._store.get(documents.COMMIT_KEY)
+        if item is None or item.value != commit_id:
+            return False
+        self._revision = item.revision
+        return True
--- /dev/null
+++ b/citronrail/workflow/_documents.py
@@ -0,0 +1,98 @@
+"""What the store keeps of workflows, and under which keys."""
+
+import enum
+import typing
+
+import msgspec
+
+from citronrail.model import codec
+from citronrail.model import workflows
+
+ROOT = 'citronrail/'
+CONTROL_PREFIX = ROOT + 'control/'
+LEADER_KEY = CONTROL_PREFIX + 'scheduler'
+INBOX_PREFIX = ROOT + 'inbox/'
+JOB_PREFIX = INBOX_PREFIX + 'job/'
+CANCEL_PREFIX = INBOX_PREFIX + 'cancel/'
+PROGRESS_PREFIX = ROOT + 'progress/'
+COMMIT_KEY = ROOT + 'commit'
+
+
+class JobStatus(enum.StrEnum):
+    """State of a job as callers see it."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    COMPLETED = 'completed'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    @property
+    def final(self) -> bool:
+        """Whether the job has ended."""
+        return self in (
+            JobStatus.COMPLETED,
+            JobStatus.FAILED,
+            JobStatus.CANCELLED,
+        )
+
+
+class JobRecord(msgspec.Struct, frozen=True):
+    """An accepted job; written once, by the entry that accepted it."""
+
+    job_id: str
+    queue: str
+    service: str
+    accepted_at: float  # Unix time in seconds
+    spec: workflows.WorkflowSpec
+
+
+class AttemptRecord(msgspec.Struct, frozen=True, array_like=True):
+    """A run that may exist on a worker."""
+
+    number: int
+    node: str  # agent beside the worker
+    worker_id: str
+    born_ms: int
+
+
+class TaskRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of one task."""
+
+    done: bool = False
+    last_run: int = 0
+    failures: int = 0
+    checkpoint: str = ''
+    attempts: tuple[AttemptRecord, ...] = ()
+
+
+class ProgressRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of a job; a stage without progress is an empty tuple."""
+
+    status: str
+    ended_at: float = 0.0  # Unix time in seconds, 0 while it is open
+    stages: tuple[tuple[TaskRecord, ...], ...] = ()
+
+
+class LeaderRecord(msgspec.Struct, frozen=True):
+    """The scheduling entry, as the others find it."""
+
+    node_id: str
+    boot_id: str
+    address: str  # tcp://IP:PORT of its peer port
+
+
+T = typing.TypeVar('T')
+
+
+def encode(record: object) -> bytes:
+    """Encode a record for the store."""
+    return codec.encode(record)
+
+
+def decode(data: bytes, kind: type[T]) -> T:
+    """Decode a record of the store.
+
+    :raises msgspec.DecodeError: if another writer put something else there.
+    """
+    return codec.decode(data, kind)
--- /dev/null
+++ b/citronrail/workflow/_election.py
@@ -0,0 +1,260 @@
+"""Which entry schedules: one at a time, by a lease in the store."""
+
+import collections.abc
+import time
+
+import trio
+
+from citronrail import coordination
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
+from citronrail import ports
+from citronrail.workflow import _book
+from citronrail.workflow import _documents as documents
+from citronrail.workflow import _operators
+from citronrail.workflow import _term
+
+# Three renewals may fail in a row; a successor begins within 3 s.
+LEASE_TTL_S = 2.5
+RETRY_S = 0.2
+# An entry with the processors of a full core claims after this long, a
+# smaller one later, so that the largest becomes the scheduler.
+CLAIM_DELAY_S = 0.05
+
+
+class LeaderView:
+    """Knows the scheduling entry; a listener of the control prefix."""
+
+    def __init__(self) -> None:
+        self.leader: documents.LeaderRecord | None = None
+        self.revision = 0
+        self.changed = trio.Event()
+
+    def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
+        """Take the present leader, if there is one."""
+        for item in items:
+            if item.key == documents.LEADER_KEY:
+                self._take(item.value, item.revision)
+                return
+        self._take(None, self.revision)
+
+    def on_events(self, changes: tuple[ports.WatchEvent, ...]) -> None:
+        """Take a change of the leader."""
+        for change in changes:
+            if change.key == documents.LEADER_KEY:
+                self._take(change.value, change.revision)
+
+    def _take(self, value: bytes | None, revision: int) -> None:
+        if value is None:
+            leader = None
+        else:
+            leader = _book.decode_item(
+                documents.LEADER_KEY, value, documents.LeaderRecord
+            )
+        if leader != self.leader and leader is not None:
+            observability.emit(
+                events.LEADER_KNOWN,
+                node=leader.node_id,
+                address=leader.address,
+            )
+        self.leader = leader
+        self.revision = revision
+        self.changed.set()
+        self.changed = trio.Event()
+
+
+class Election:
+    """Claims the leadership whenever it is free, and works while it lasts.
+
+    :param store: the store.
+    :param hub: connections to agents and entries.
+    :param view: the leader as last seen in the store.
+    :param operators: the operators' wishes in force.
+    :param bounds: limits of the deployment.
+    :param address: address of this entry's peer port.
+    :param processor_share: processors of this entry.
+    """
+
+    def __init__(
+        self,
+        store: ports.KeyValueStore,
+        hub: ports.PeerHub,
+        view: LeaderView,
+        operators: _operators.OperatorView,
+        bounds: workflows.Bounds,
+        address: str,
+        processor_share: float,
+    ) -> None:
+        self._store = store
+        self._hub = hub
+        self._view = view
+        self._operators = operators
+        self._bounds = bounds
+        self._record = documents.LeaderRecord(
+            hub.node_id, hub.boot_id, address
+        )
+        self._claim_delay_s = CLAIM_DELAY_S / max(0.1, processor_share)
+        self._lease = coordination.StoreLease(store, LEASE_TTL_S)
+        self._stopping = False
+        self._scope = trio.CancelScope()
+        self.term: _term.Term | None = None
+        hub.subscribe(messages.WorkerReport, self._on_report)
+        hub.listen(self._on_connect, self._on_disconnect)
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """Stand for election until stopped."""
+        task_status.started()
+        while not self._stopping:
+            await self._await_vacancy()
+            with trio.CancelScope() as self._scope:
+                guard = await self._claim()
+                if guard is not None:
+                    await self._serve(guard)
+            self.term = None
+        await trio.sleep_forever()
+
+    async def drain(self) -> None:
+        """Leave the leadership to another entry at once."""
+        self._stopping = True
+        self._scope.cancel()
+        await self._lease.revoke()
+
+    async def _await_vacancy(self) -> None:
+        while True:
+            changed = self._view.changed
+            if self._view.leader is None and self._operators.config:
+                await trio.sleep(self._claim_delay_s)
+                if self._view.leader is None:
+                    return
+                continue
+            if (
+                self._view.leader is not None
+                and self._view.leader.boot_id == self._record.boot_id
+            ):
+                # Our own earlier claim whose answer was lost, or whose term
+                # has ended; it goes with its lease.
+                await self._lease.revoke()
+            with trio.move_on_after(1.0):
+                await changed.wait()
+
+    async def _claim(self) -> ports.Compare | None:
+        """Try once to become the leader.
+
+        :returns: the condition that holds as long as we are.
+        """
+        try:
+            await self._lease.grant()
+            result = await self._store.txn(
+                [ports.Compare(documents.LEADER_KEY, 0)],
+                [
+                    ports.Put(
+                        documents.LEADER_KEY,
+                        documents.encode(self._record),
+                        self._lease.lease_id,
+                    )
+                ],
+            )
+        except errors.CitronrailError as exc:
+            observability.emit(events.ELECTION_FAILED, reason=exc)
+            await self._lease.revoke()
+            await trio.sleep(RETRY_S)
+            return None
+        if not result.succeeded:
+            await self._lease.revoke()
+            await trio.sleep(RETRY_S)
+            return None
+        return ports.Compare(documents.LEADER_KEY, result.revision)
+
+    async def _serve(self, guard: ports.Compare) -> None:
+        leadership = _term.Leadership(guard, lambda: self._lease.held_until)
+        token = leadership.fencing
+        observability.emit(events.LEADER_ELECTED, token=token)
+        self.term = _term.Term(
+            self._store,
+            self._hub,
+            leadership,
+            self._operators,
+            self._bounds,
+            time.time,
+        )
+        reason = 'planned stop'
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._renew)
+                nursery.start_soon(self._watch_successor, guard.revision)
+                await self.term.run()
+        except* errors.CitronrailError as group:
+            reason = str(group.exceptions[0])
+        finally:
+            observability.emit(events.LEADER_ENDED, token=token, reason=reason)
+        if not self._stopping:
+            await self._lease.revoke()
+
+    async def _renew(self) -> None:
+        """Renew the lease; its end is judged by the term itself."""
+        try:
+            await self._lease.keep_alive()
+        except errors.LeaseLost as exc:
+            observability.emit(events.ELECTION_FAILED, reason=exc)
+
+    async def _watch_successor(self, revision: int) -> None:
+        """End the term once the store shows another leader, or none."""
+        while True:
+            changed = self._view.changed
+            if self._view.revision > revision:
+                raise errors.Fenced(
+                    'the store shows another leader', step='workflow.term'
+                )
+            await changed.wait()
+
+    # Messages
+
+    async def _on_report(
+        self, peer: ports.Peer, report: messages.WorkerReport, _: bytes
+    ) -> None:
+        if self.term is not None:
+            self.term.on_report(peer, report)
+
+    def _on_connect(self, peer: ports.Peer) -> None:
+        if self.term is not None and peer.role == 'agent':
+            self.term.on_agent(peer)
+
+    def _on_disconnect(self, peer: ports.Peer) -> None:
+        if self.term is not None and peer.role == 'agent':
+            self.term.on_agent_gone(peer)
+
+
+Connect = collections.abc.Callable[[collections.abc.Iterable[str]], None]
+
+
+async def connect_to_leader(
+    view: LeaderView,
+    connect: Connect,
+    own: identifiers.NodeId | None = None,
+    *,
+    task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Keep a connection to the scheduling entry.
+
+    While the store shows none, the connection to the last one is kept.
+
+    :param view: the leader as last seen in the store.
+    :param connect: connects to exactly these addresses.
+    :param own: this process, if it may be the leader itself.
+    """
+    task_status.started()
+    while True:
+        changed = view.changed
+        leader = view.leader
+        if leader is not None:
+            is_other = leader.node_id != own
+            connect([leader.address] if is_other else [])
+        await changed.wait()
--- /dev/null
+++ b/citronrail/workflow/_front.py
@@ -0,0 +1,317 @@
+"""What an entry does for callers of workflows."""
+
+import collections.abc
+import dataclasses
+import enum
+import itertools
+import time
+import typing
+
+import trio
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
+from citronrail import ports
+from citronrail.workflow import _documents as documents
+from citronrail.workflow import _election
+from citronrail.workflow import _term
+
+T = typing.TypeVar('T')
+REPLY_S = 0.4  # longest wait for the scheduling entry's answer
+RETRY_S = 0.1
+# Part of the caller's time that a store call may be tried again in.
+STORE_SHARE = 0.8
+
+
+class Verdict(enum.Enum):
+    """What became of a caller's request."""
+
+    DONE = 'done'
+    NOT_RUN = 'not run'  # and never will
+    UNKNOWN = 'unknown'  # repeat it with the same id
+    ABSENT = 'absent'  # no such job
+
+
+@dataclasses.dataclass(frozen=True)
+class Reply:
+    """Answer to a caller.
+
+    ``retry_after_s`` says when to come back after ``NOT_RUN``.
+    """
+
+    verdict: Verdict
+    state: str = ''
+    pending: int = 0
+    retry_after_s: int = 1
+
+
+class CallerService:
+    """Accepts, cancels and shows jobs at any entry.
+
+    A job is accepted by storing it, so that no entry depends on another.
+
+    :param store: the store.
+    :param hub: connections to the other entries.
+    :param election: the leader, and our own term if we are it.
+    :param view: the leader as last seen in the store.
+    """
+
+    def __init__(
+        self,
+        store: ports.KeyValueStore,
+        hub: ports.PeerHub,
+        election: _election.Election,
+        view: _election.LeaderView,
+    ) -> None:
+        self._store = store
+        self._hub = hub
+        self._election = election
+        self._view = view
+        self._ids = itertools.count(1)
+        self._waiting: dict[
+            int, trio.MemorySendChannel[messages.JobStateReply]
+        ] = {}
+        hub.subscribe(messages.JobStateQuery, self._on_query)
+        hub.subscribe(messages.JobStateReply, self._on_reply)
+        hub.subscribe(messages.JobAccepted, self._on_accepted)
+        hub.subscribe(messages.JobCancelled, self._on_cancelled)
+
+    async def submit(
+        self,
+        queue: workflows.Queue,
+        job_id: str,
+        spec: workflows.WorkflowSpec,
+        deadline: float,
+    ) -> Reply:
+        """Store a job; repeating it is harmless.
+
+        :param queue: the queue that it was handed to.
+        :param job_id: id chosen by the caller.
+        :param spec: the job.
+        :param deadline: local time until which the caller waits.
+        """
+        record = documents.encode(
+            documents.JobRecord(
+                job_id, queue.name, queue.service, time.time(), spec
+            )
+        )
+        key = documents.JOB_PREFIX + job_id
+        outcome = await self._create(key, record, deadline)
+        match outcome:
+            case Verdict.DONE:
+                observability.emit(
+                    events.JOB_ACCEPTED,
+                    job=job_id,
+                    queue=queue.name,
+                    tasks=sum(step.task_count for step in spec.steps),
+                )
+                await self._tell(messages.JobAccepted(job_id, record))
+            case Verdict.NOT_RUN:
+                observability.emit(
+                    events.JOB_TURNED_AWAY,
+                    job=job_id,
+                    queue=queue.name,
+                    reason='the store is not available',
+                )
+            case _:
+                observability.emit(
+                    events.JOB_OUTCOME_UNKNOWN,
+                    job=job_id,
+                    reason='no answer of the store',
+                )
+        return Reply(outcome)
+
+    async def cancel(self, job_id: str, deadline: float) -> Reply:
+        """Cancel a job; durable when this returns ``DONE``.
+
+        :param job_id: id of the job.
+        :param deadline: local time until which the caller waits.
+        """
+        known = await self._exists(job_id, deadline)
+        if known is Verdict.DONE:
+            key = documents.CANCEL_PREFIX + job_id
+            known = await self._create(key, b'1', deadline)
+            if known is Verdict.DONE:
+                await self._tell(messages.JobCancelled(job_id))
+        observability.emit(events.JOB_CANCEL, job=job_id, result=known.value)
+        return Reply(known)
+
+    async def state(self, job_id: str, deadline: float) -> Reply:
+        """Return the state of a job.
+
+        :param job_id: id of the job.
+        :param deadline: local time until which the caller waits.
+        """
+        state = (await self._ask(job_id=job_id)).state
+        if state:
+            return Reply(Verdict.DONE, state)
+        known = await self._exists(job_id, deadline)
+        if known is not Verdict.DONE:
+            return Reply(known)
+        return await self._stored_state(job_id, deadline)
+
+    async def pending(self, queue: workflows.Queue) -> Reply:
+        """Return how many jobs of a queue wait for their first start."""
+        count = (await self._ask(queue=queue.name)).pending
+        if count < 0:
+            return Reply(Verdict.NOT_RUN)
+        return Reply(Verdict.DONE, pending=count)
+
+    # The store
+
+    async def _create(
+        self, key: str, value: bytes, deadline: float
+    ) -> Verdict:
+        """Create a key unless it exists; repeat until the time is up."""
+        unknown = False
+        while True:
+            try:
+                with trio.fail_at(deadline):
+                    await self._store.txn(
+                        [ports.Compare(key, 0)], [ports.Put(key, value)]
+                    )
+                return Verdict.DONE
+            except (errors.StoreOutcomeUnknown, trio.TooSlowError):
+                unknown = True
+            except errors.StoreError:
+                pass
+            if trio.current_time() + RETRY_S >= deadline:
+                return Verdict.UNKNOWN if unknown else Verdict.NOT_RUN
+            await trio.sleep(RETRY_S)
+
+    async def _exists(self, job_id: str, deadline: float) -> Verdict:
+        key = documents.JOB_PREFIX + job_id
+        return await self._read(
+            key, deadline, lambda _: Verdict.DONE, Verdict.ABSENT
+        )
+
+    async def _stored_state(self, job_id: str, deadline: float) -> Reply:
+        key = documents.PROGRESS_PREFIX + job_id
+
+        def shown(item: ports.KeyValue) -> Reply:
+            record = documents.decode(item.value, documents.ProgressRecord)
+            return Reply(Verdict.DONE, record.status)
+
+        queued = Reply(Verdict.DONE, documents.JobStatus.QUEUED.value)
+        reply = await self._read(key, deadline, shown, queued)
+        return reply if isinstance(reply, Reply) else Reply(reply)
+
+    async def _read(
+        self,
+        key: str,
+        deadline: float,
+        use: collections.abc.Callable[[ports.KeyValue], T],
+        absent: T,
+    ) -> T | Verdict:
+        while True:
+            try:
+                with trio.fail_at(deadline):
+                    item = await self._store.get(key)
+                return absent if item is None else use(item)
+            except (errors.StoreError, trio.TooSlowError):
+                if trio.current_time() + RETRY_S >= deadline:
+                    return Verdict.UNKNOWN
+                await trio.sleep(RETRY_S)
+
+    # The scheduling entry
+
+    def _leader_peer(self) -> identifiers.NodeId | None:
+        leader = self._view.leader
+        return None if leader is None else identifiers.NodeId(leader.node_id)
+
+    async def _ask(
+        self, job_id: str = '', queue: str = ''
+    ) -> messages.JobStateReply:
+        """Ask the scheduling entry; an empty reply if it doesn't know."""
+        nothing = messages.JobStateReply(0)
+        term = self._election.term
+        if term is not None:
+            return _answer(term, messages.JobStateQuery(0, job_id, queue))
+        leader = self._leader_peer()
+        if leader is None:
+            return nothing
+        query = messages.JobStateQuery(next(self._ids), job_id, queue)
+        send, receive = trio.open_memory_channel[messages.JobStateReply](1)
+        self._waiting[query.query_id] = send
+        try:
+            await self._hub.send(leader, query)
+            with trio.move_on_after(REPLY_S):
+                return await receive.receive()
+        except errors.PeerUnreachable:
+            return nothing
+        finally:
+            del self._waiting[query.query_id]
+        return nothing
+
+    async def _tell(self, message: object) -> None:
+        """Spare the scheduling entry the wait for its watch."""
+        term = self._election.term
+        if term is not None:
+            _take(term, message)
+            return
+        leader = self._leader_peer()
+        if leader is None:
+            return
+        try:
+            await self._hub.send(leader, message)
+        except errors.PeerUnreachable:
+            return  # its watch of the store shows it
+
+    async def _on_query(
+        self, peer: ports.Peer, query: messages.JobStateQuery, _: bytes
+    ) -> None:
+        term = self._election.term
+        if term is None:
+            reply = messages.JobStateReply(query.query_id)
+        else:
+            reply = _answer(term, query)
+        try:
+            await self._hub.send(peer.node_id, reply)
+        except errors.PeerUnreachable:
+            return  # the asking entry reads the store instead
+
+    async def _on_reply(
+        self, peer: ports.Peer, reply: messages.JobStateReply, _: bytes
+    ) -> None:
+        del peer
+        waiting = self._waiting.get(reply.query_id)
+        if waiting is not None:
+            waiting.send_nowait(reply)
+
+    async def _on_accepted(
+        self, peer: ports.Peer, message: messages.JobAccepted, _: bytes
+    ) -> None:
+        del peer
+        if self._election.term is not None:
+            _take(self._election.term, message)
+
+    async def _on_cancelled(
+        self, peer: ports.Peer, message: messages.JobCancelled, _: bytes
+    ) -> None:
+        del peer
+        if self._election.term is not None:
+            _take(self._election.term, message)
+
+
+def _answer(
+    term: _term.Term, query: messages.JobStateQuery
+) -> messages.JobStateReply:
+    if query.job_id:
+        return messages.JobStateReply(
+            query.query_id, term.state_of(query.job_id)
+        )
+    return messages.JobStateReply(
+        query.query_id, pending=term.pending_in(query.queue)
+    )
+
+
+def _take(term: _term.Term, message: object) -> None:
+    match message:
+        case messages.JobAccepted(job_id, record):
+            term.take_job(job_id, record)
+        case messages.JobCancelled(job_id):
+            term.take_cancel(job_id)
--- /dev/null
+++ b/citronrail/workflow/_health.py
@@ -0,0 +1,86 @@
+"""Which workers to avoid and which runs to move, by what they achieve.
+
+Answers workers that fail all they start, stand still or are slow while their
+announcements look good: only ends and progress count as evidence.
+"""
+
+import dataclasses
+import statistics
+
+FAILED_JOBS_TO_AVOID = 3  # distinct jobs that failed there in a row
+AVOID_S = 6.0
+STUCK_S = 2.0  # without progress, though the lists are fresh
+STUCK_FILLING_S = 4.0  # filling tasks may rightly wait for processors
+LEAST_ELAPSED_S = 1.0  # a shorter run says little of the speed
+SPEED_WEIGHT = 0.3
+SLOW_SHARE = 0.4  # of the fleet's median speed
+
+
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """Progress of one run, as last listed; times are local."""
+
+    percent: int
+    moved_at: float
+    listed_at: float  # first time on a list
+    started_percent: int
+    estimate_s: float
+    pace: int
+    fills: bool
+    long_running: bool
+
+
+def stuck(run: Progress, now: float) -> bool:
+    """Whether a run makes no progress though it should.
+
+    :param run: the run.
+    :param now: time of the latest list.
+    """
+    if run.pace < 100 or not run.listed_at:
+        return False
+    if run.long_running and run.percent >= 100:
+        return False
+    limit_s = STUCK_FILLING_S if run.fills else STUCK_S
+    one_percent_s = run.estimate_s / 100
+    return now - run.moved_at > limit_s + 4 * one_percent_s
+
+
+def speed_of(run: Progress, now: float) -> float | None:
+    """Return how fast a run works, 1 being as its estimate says.
+
+    :param run: the run.
+    :param now: time of the latest list.
+    :returns: the speed, None if it is too early to tell.
+    """
+    elapsed_s = now - run.listed_at
+    if not run.listed_at or elapsed_s < LEAST_ELAPSED_S or run.pace < 100:
+        return None
+    if run.long_running or run.estimate_s <= 0:
+        return None
+    done = (run.percent - run.started_percent) / 100
+    return done * run.estimate_s / elapsed_s
+
+
+def smoothed(old: float, seen: float) -> float:
+    """Return a moving average of a worker's speed."""
+    return old + SPEED_WEIGHT * (min(seen, 2.0) - old)
+
+
+def relative_speeds(speeds: dict[str, float]) -> dict[str, float]:
+    """Compare workers, since estimates of whole kinds of jobs are off.
+
+    :param speeds: smoothed speed by worker.
+    :returns: speed by worker as a share of the median.
+    """
+    if not speeds:
+        return {}
+    middle = statistics.median(speeds.values()) or 1.0
+    return {name: value / middle for name, value in speeds.items()}
+
+
+def should_avoid(failed_jobs: list[str]) -> bool:
+    """Whether the latest failures speak against the worker.
+
+    :param failed_jobs: job of each failed run since the last success there.
+    """
+    return len(set(failed_jobs)) >= FAILED_JOBS_TO_AVOID
--- /dev/null
+++ b/citronrail/workflow/_job.py
@@ -0,0 +1,267 @@
+"""Jobs, stages, tasks and attempts as the scheduling entry knows them."""
+
+import collections.abc
+
+from citronrail.model import workflows
+from citronrail.workflow import _documents as documents
+
+
+class Attempt:
+    """One run of a task on a worker; it may exist until it is known ended.
+
+    Times are local; 0 means not yet.
+    """
+
+    __slots__ = (
+        'born_ms',
+        'listed_at',
+        'load',
+        'missing_since',
+        'moved_at',
+        'node',
+        'number',
+        'order_sent_at',
+        'ordered',
+        'pace',
+        'pace_due',
+        'percent',
+        'started_percent',
+        'stop_reason',
+        'stop_sent_at',
+        'task',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        task: 'Task',
+        number: int,
+        node: str,
+        worker_id: str,
+        born_ms: int,
+    ) -> None:
+        self.task = task
+        self.number = number
+        self.node = node
+        self.worker_id = worker_id
+        self.born_ms = born_ms
+        self.ordered = False  # whether the order may have been sent
+        self.order_sent_at = 0.0
+        self.listed_at = 0.0  # first time on the worker's list
+        self.missing_since = 0.0
+        self.moved_at = 0.0  # last time that its percent changed
+        self.percent = -1
+        self.started_percent = 0
+        self.load = 0.0
+        self.pace = 100
+        self.pace_due = False  # whether the worker isn't told of it yet
+        self.stop_reason = ''  # why it is being stopped, '' if it isn't
+        self.stop_sent_at = 0.0
+
+    @property
+    def key(self) -> tuple[str, int]:
+        """Name of the task and number of the run."""
+        return (self.task.name, self.number)
+
+
+class Task:
+    """One task of a stage."""
+
+    __slots__ = (
+        'attempts',
+        'checkpoint',
+        'done',
+        'failures',
+        'index',
+        'last_run',
+        'name',
+        'retry_at',
+        'stage',
+    )
+
+    def __init__(self, stage: 'Stage', index: int) -> None:
+        self.stage = stage
+        self.index = index
+        self.name = (
+            f'{stage.job.job_id}.{stage.occurrence}.{stage.step}.{index}'
+        )
+        self.done = False
+        self.last_run = 0
+        self.failures = 0
+        self.checkpoint = ''
+        self.attempts: list[Attempt] = []
+        self.retry_at = 0.0
+
+    @property
+    def waiting(self) -> bool:
+        """Whether it needs a run and has none."""
+        return not self.done and not self.attempts
+
+    def record(self) -> documents.TaskRecord:
+        """Return what the store keeps of it."""
+        return documents.TaskRecord(
+            self.done,
+            self.last_run,
+            self.failures,
+            self.checkpoint,
+            tuple(
+                documents.AttemptRecord(
+                    item.number, item.node, item.worker_id, item.born_ms
+                )
+                for item in self.attempts
+            ),
+        )
+
+
+class Stage:
+    """One step of one occurrence of a job."""
+
+    __slots__ = (
+        'done_count',
+        'due_at',
+        'job',
+        'occurrence',
+        'spec',
+        'step',
+        'tasks',
+    )
+
+    def __init__(
+        self,
+        job: 'Job',
+        occurrence: int,
+        step: int,
+        spec: workflows.StepSpec,
+        due_at: float,
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.step = step
+        self.spec = spec
+        self.due_at = due_at  # Unix time in seconds, 0 for at once
+        self.tasks = [Task(self, n) for n in range(spec.task_count)]
+        self.done_count = 0
+
+    @property
+    def done(self) -> bool:
+        """Whether all of its tasks are done."""
+        return self.done_count >= len(self.tasks)
+
+    @property
+    def started(self) -> bool:
+        """Whether any of its tasks has ever had a run."""
+        return any(task.last_run for task in self.tasks)
+
+    def mark_done(self, task: Task) -> None:
+        """Note that a task is done."""
+        if not task.done:
+            task.done = True
+            self.done_count += 1
+
+
+class Job:
+    """An accepted job that is kept until callers no longer ask for it.
+
+    :param record: what was accepted.
+    :param arrived_at: local time of its first sign here, in seconds.
+    """
+
+    def __init__(self, record: documents.JobRecord, arrived_at: float) -> None:
+        self.record = record
+        self.job_id = record.job_id
+        self.arrived_at = arrived_at
+        self.stages = _stages(self, record.spec)
+        self.cancelled = False
+        self.failed = False
+        self.ended_at = 0.0  # Unix time in seconds
+        self.shown = documents.JobStatus.QUEUED  # as last committed
+        self.started = False
+
+    @property
+    def status(self) -> documents.JobStatus:
+        """State that follows from its tasks, committed or not."""
+        status = documents.JobStatus
+        if self.cancelled:
+            return status.CANCELLED
+        if self.failed:
+            return status.FAILED
+        if all(stage.done for stage in self.stages):
+            return status.COMPLETED
+        return status.RUNNING if self.started else status.QUEUED
+
+    @property
+    def open(self) -> bool:
+        """Whether it may need more runs."""
+        return not self.status.final
+
+    def attempts(self) -> collections.abc.Iterator[Attempt]:
+        """Iterate over all runs that may exist."""
+        for stage in self.stages:
+            for task in stage.tasks:
+                yield from task.attempts
+
+    def ready_stages(self, unix_now: float) -> collections.abc.Iterator[Stage]:
+        """Iterate over stages whose turn has come and that aren't done.
+
+        :param unix_now: Unix time in seconds.
+        """
+        width = len(self.record.spec.steps)
+        for stage in self.stages:
+            if stage.done or stage.due_at > unix_now:
+                continue
+            first = stage.occurrence * width
+            if all(self.stages[first + n].done for n in stage.spec.after):
+                yield stage
+
+    def progress(self) -> documents.ProgressRecord:
+        """Return what the store keeps of it."""
+        return documents.ProgressRecord(
+            self.status.value,
+            self.ended_at,
+            tuple(_stage_record(stage) for stage in self.stages),
+        )
+
+    def restore(self, progress: documents.ProgressRecord) -> None:
+        """Take over what the store keeps of it."""
+        status = documents.JobStatus(progress.status)
+        self.shown = status
+        self.failed = status is documents.JobStatus.FAILED
+        self.cancelled = status is documents.JobStatus.CANCELLED
+        self.ended_at = progress.ended_at
+        for stage, records in zip(self.stages, progress.stages):
+            for task, record in zip(stage.tasks, records):
+                _restore_task(stage, task, record)
+        self.started = any(stage.started for stage in self.stages)
+
+
+def _restore_task(
+    stage: Stage, task: Task, record: documents.TaskRecord
+) -> None:
+    task.last_run = record.last_run
+    task.failures = record.failures
+    task.checkpoint = record.checkpoint
+    if record.done:
+        stage.mark_done(task)
+    for item in record.attempts:
+        attempt = Attempt(
+            task, item.number, item.node, item.worker_id, item.born_ms
+        )
+        attempt.ordered = True
+        task.attempts.append(attempt)
+
+
+def _stage_record(stage: Stage) -> tuple[documents.TaskRecord, ...]:
+    if not stage.started:
+        return ()
+    return tuple(task.record() for task in stage.tasks)
+
+
+def _stages(job: Job, spec: workflows.WorkflowSpec) -> list[Stage]:
+    found = []
+    for occurrence in range(max(1, spec.occurrences)):
+        due_at = 0.0
+        if spec.occurrences:
+            due_at = spec.first_due_at + occurrence * spec.period_s
+        for number, step in enumerate(spec.steps):
+            found.append(Stage(job, occurrence, number, step, due_at))
+    return found
--- /dev/null
+++ b/citronrail/workflow/_orders.py
@@ -0,0 +1,116 @@
+"""What a worker is to be told now."""
+
+import dataclasses
+
+from citronrail.model import messages
+from citronrail.workflow import _book
+from citronrail.workflow import _fleet
+from citronrail.workflow import _job
+
+RENEW_S = 1.0
+# Without a list for this long the lease isn't extended, so that the runs of
+# a worker that answers nobody end by themselves.
+RENEW_FRESH_S = 2.0
+# A lease outlasts a change of the scheduling entry, and ends soon enough
+# that the runs of a lost worker are repeated.
+LEASE_S = 6.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Due:
+    """Orders for one worker and the runs that they start."""
+
+    orders: messages.WorkerOrders
+    starting: tuple[_job.Attempt, ...] = ()
+
+
+def due_orders(
+    view: _fleet.WorkerView,
+    starting: list[_job.Attempt],
+    fencing: int,
+    lease_s: float,
+    now: float,
+) -> Due | None:
+    """Return what a worker is to be told now, None if nothing is due.
+
+    :param view: the worker; what is told is noted there.
+    :param starting: committed runs to start on it.
+    :param fencing: token of this scheduler.
+    :param lease_s: how long leases last, in seconds.
+    :param now: local time in seconds.
+    """
+    stops = _stops(view, now)
+    paces = _paces(view)
+    acknowledges = view.acknowledged > view.sent_acknowledged
+    renews = _renewal_due(view, bool(starting), now)
+    if not (stops or paces or acknowledges or renews or starting):
+        return None
+    lease_until = view.lease_order(now, lease_s) if renews else 0
+    view.sent_acknowledged = view.acknowledged
+    return Due(
+        messages.WorkerOrders(
+            fencing=fencing,
+            worker_id=view.worker_id,
+            born_ms=view.life.born_ms,
+            lease_until_ms=lease_until,
+            acknowledged=view.acknowledged,
+            starts=tuple(_start_order(attempt) for attempt in starting),
+            stops=stops,
+            paces=paces,
+        ),
+        tuple(starting),
+    )
+
+
+def _renewal_due(view: _fleet.WorkerView, starts: bool, now: float) -> bool:
+    if not view.fenced or now - view.listed_at > RENEW_FRESH_S:
+        return False
+    if not view.attempts and not starts:
+        return False
+    return starts or now - view.renewed_at >= RENEW_S
+
+
+def _start_order(attempt: _job.Attempt) -> messages.StartOrder:
+    task = attempt.task
+    return messages.StartOrder(
+        task.name,
+        attempt.number,
+        task.stage.job.record.spec.argument,
+        task.checkpoint,
+    )
+
+
+def _stops(
+    view: _fleet.WorkerView, now: float
+) -> tuple[messages.TaskRun, ...]:
+    stops = []
+    for attempt in view.attempts.values():
+        if not attempt.ordered:
+            continue
+        missing = (
+            attempt.missing_since
+            and now - attempt.missing_since > _book.MISSING_S
+        )
+        if not (attempt.stop_reason or missing):
+            continue
+        if now - attempt.stop_sent_at < _book.STOP_AGAIN_S:
+            continue
+        attempt.stop_sent_at = now
+        stops.append(messages.TaskRun(attempt.task.name, attempt.number))
+    for key, sent_at in view.stray_stops.items():
+        if now - sent_at >= _book.STOP_AGAIN_S:
+            view.stray_stops[key] = now
+            stops.append(messages.TaskRun(*key))
+    return tuple(stops)
+
+
+def _paces(view: _fleet.WorkerView) -> tuple[messages.PaceOrder, ...]:
+    paces = []
+    for attempt in view.attempts.values():
+        if not attempt.pace_due:
+            continue
+        attempt.pace_due = False
+        paces.append(
+            messages.PaceOrder(attempt.task.name, attempt.number, attempt.pace)
+        )
+    return tuple(paces)
--- /dev/null
+++ b/citronrail/workflow/_round.py
@@ -0,0 +1,211 @@
+"""One round of decisions: which tasks start where."""
+
+import collections.abc
+import dataclasses
+
+from citronrail.model import workflows
+from citronrail.workflow import _book
+from citronrail.workflow import _fleet
+from citronrail.workflow import _health
+from citronrail.workflow import _job
+from citronrail.workflow import _placement
+from citronrail.workflow import _queue_order
+
+MAX_STARTS = 120  # of one round; the next follows at once
+
+
+@dataclasses.dataclass(frozen=True)
+class Policy:
+    """What a round may use.
+
+    :param pools: services by name.
+    :param queue_named: finds a queue of the configuration in force.
+    :param evacuated: data centres in which nothing may start.
+    """
+
+    queue_named: _book.QueueLookup
+    evacuated: frozenset[str]
+
+
+def rooms_of(
+    workers: collections.abc.Iterable[_fleet.WorkerView],
+    evacuated: frozenset[str],
+    now: float,
+) -> dict[str, list[_placement.Room]]:
+    """Return the usable workers with what is left on them, by service.
+
+    :param workers: all workers.
+    :param evacuated: data centres in which nothing may start.
+    :param now: local time in seconds.
+    """
+    usable = [
+        view
+        for view in workers
+        if view.usable(now) and view.life.data_centre not in evacuated
+    ]
+    speeds = _health.relative_speeds(
+        {view.node: view.speed for view in usable}
+    )
+    rooms: dict[str, list[_placement.Room]] = {}
+    for view in usable:
+        room = _room(view, now)
+        room.speed = speeds.get(view.node, 1.0)
+        rooms.setdefault(view.life.service, []).append(room)
+    return rooms
+
+
+def _room(view: _fleet.WorkerView, now: float) -> _placement.Room:
+    life = view.life
+    room = _placement.Room(
+        node=view.node,
+        worker_id=life.worker_id,
+        data_centre=life.data_centre,
+        labels=frozenset(life.labels),
+        rack=next((x for x in life.labels if x.startswith('r')), ''),
+        total_cpu=life.cpu_millis,
+        free_cpu=life.cpu_millis,
+        free_memory=life.memory_mb,
+        free_accelerators=life.accelerators,
+        idle_cpu=life.cpu_millis,
+        avoided=view.avoid_until > now or bool(view.stray_stops),
+    )
+    for attempt in view.attempts.values():
+        stage = attempt.task.stage
+        room.take(stage.spec, step_name(stage))
+    return room
+
+
+def step_name(stage: _job.Stage) -> str:
+    """Return the identity of a stage."""
+    return f'{stage.job.job_id}.{stage.occurrence}.{stage.step}'
+
+
+def place(
+    book: _book.Book, policy: Policy, now: float, unix_now: float
+) -> list[_job.Attempt]:
+    """Assign waiting tasks to workers; the runs have to be committed.
+
+    :param book: jobs and workers; it gets the new runs.
+    :param policy: configuration in force.
+    :param now: local time in seconds.
+    :param unix_now: Unix time in seconds.
+    :returns: the new runs.
+    """
+    rooms = rooms_of(book.workers.values(), policy.evacuated, now)
+    if not rooms:
+        return []
+    placed: list[_job.Attempt] = []
+    for job, stages in _in_order(book, policy, now, unix_now):
+        queue = policy.queue_named(job.record.queue)
+        service = queue.service if queue else job.record.service
+        candidates = rooms.get(service, [])
+        for stage in stages:
+            if candidates:
+                placed += _place_stage(book, stage, candidates, now)
+        if len(placed) >= MAX_STARTS:
+            break
+    return placed
+
+
+def _in_order(
+    book: _book.Book, policy: Policy, now: float, unix_now: float
+) -> list[tuple[_job.Job, list[_job.Stage]]]:
+    waiting = []
+    for job in book.jobs.values():
+        if not job.open:
+            continue
+        stages = [
+            stage
+            for stage in job.ready_stages(unix_now)
+            if any(
+                task.waiting and task.retry_at <= now for task in stage.tasks
+            )
+        ]
+        if stages:
+            waiting.append((_urgency(job, stages, policy, now), job, stages))
+    waiting.sort(key=lambda item: (item[0], item[1].job_id))
+    return [(job, stages) for _, job, stages in waiting]
+
+
+def _urgency(
+    job: _job.Job, stages: list[_job.Stage], policy: Policy, now: float
+) -> tuple[int, int, float]:
+    queue = policy.queue_named(job.record.queue)
+    chain_s = _queue_order.critical_path_s(job.record.spec)
+    done_s = sum(stage.spec.estimate_s for stage in job.stages if stage.done)
+    return _queue_order.urgency(
+        _queue_order.Waiting(
+            priority=queue.priority if queue else 9,
+            arrived_at=job.arrived_at,
+            objective_s=(
+                queue.stretch * chain_s + queue.objective_s if queue else 0.0
+            ),
+            remaining_s=max(0.0, chain_s - done_s),
+            long_running=any(s.spec.long_running for s in stages),
+        ),
+        now,
+    )
+
+
+def _place_stage(
+    book: _book.Book,
+    stage: _job.Stage,
+    rooms: list[_placement.Room],
+    now: float,
+) -> list[_job.Attempt]:
+    if stage.spec.gang:
+        return _place_gang(book, stage, rooms)
+    placed = []
+    name = step_name(stage)
+    for task in stage.tasks:
+        if not task.waiting or task.retry_at > now:
+            continue
+        room = _placement.choose(stage.spec, name, rooms)
+        if room is None:
+            break
+        room.take(stage.spec, name)
+        placed.append(_assign(book, task, room, task.last_run + 1))
+    return placed
+
+
+def _place_gang(
+    book: _book.Book, stage: _job.Stage, rooms: list[_placement.Room]
+) -> list[_job.Attempt]:
+    if any(task.attempts for task in stage.tasks):
+        return []  # members of the last run have not all ended
+    name = step_name(stage)
+    chosen = _placement.choose_for_gang(
+        stage.spec, name, rooms, len(stage.tasks)
+    )
+    run = max(task.last_run for task in stage.tasks) + 1
+    checkpoint = max(task.checkpoint for task in stage.tasks)
+    placed = []
+    for task, room in zip(stage.tasks, chosen):
+        room.take(stage.spec, name)
+        task.checkpoint = checkpoint
+        placed.append(_assign(book, task, room, run))
+    return placed
+
+
+def _assign(
+    book: _book.Book, task: _job.Task, room: _placement.Room, run: int
+) -> _job.Attempt:
+    view = book.workers[room.node]
+    attempt = _job.Attempt(
+        task, run, view.node, view.worker_id, view.life.born_ms
+    )
+    task.last_run = run
+    task.attempts.append(attempt)
+    view.attempts[attempt.key] = attempt
+    job = task.stage.job
+    job.started = True
+    book.dirty.add(job)
+    return attempt
+
+
+def requirements(step: workflows.StepSpec) -> str:
+    """Return what a step needs, for log lines."""
+    return (
+        f'cpu {step.cpu_millis} memory {step.memory_mb}'
+        f'{" fills" if step.fills else ""}'
+    )
--- /dev/null
+++ b/citronrail/workflow/_worker_agent.py
@@ -0,0 +1,343 @@
+"""Carries out the scheduler's orders on the worker of this host."""
+
+import dataclasses
+import math
+
+import trio
+
+from citronrail import errors
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
+from citronrail import ports
+
+LIST_WAIT_MS = 500  # how long a list waits for an end while tasks run
+IDLE_WAIT_MS = 1500
+REPORTED_PAUSE_S = 0.12  # before listing ends again that were reported
+RETRY_S = 0.2
+# A start is refused by the worker if it arrives later than this, so that an
+# order that was held up isn't carried out.
+START_VALID_S = 1.5
+LEASE_STEP_MS = 700  # a lease that grows by more is passed on at once
+STOP_TRIES = 3
+MAX_STARTS_AT_ONCE = 12
+
+
+@dataclasses.dataclass
+class _Pending:
+    """What the next report says besides the lists."""
+
+    refused: list[messages.RefusedStart]
+    stopped: list[messages.TaskRun]
+
+
+class WorkerAgent:
+    """Lists the worker's runs, reports them, and carries out orders.
+
+    Orders with a fencing token lower than the highest seen are dropped.
+
+    :param worker: the worker.
+    :param hub: connection to the scheduling entry.
+    """
+
+    def __init__(self, worker: ports.TaskWorker, hub: ports.PeerHub) -> None:
+        self._worker = worker
+        self._hub = hub
+        self._life: messages.WorkerLife | None = None
+        self._clock_ms = 0
+        self._clock_read_at = 0.0
+        self._fencing = 0
+        self._confirmed = 0  # token that the worker has confirmed
+        self._scheduler: identifiers.NodeId | None = None
+        self._acknowledged = 0
+        self._lease_until_ms = 0
+        self._lease_sent_ms = 0
+        self._busy = False
+        self._leaving = False
+        self._reported_end = 0
+        self._pending = _Pending([], [])
+        self._poll = trio.CancelScope()
+        self._wake = trio.Event()
+        self._limit = trio.CapacityLimiter(MAX_STARTS_AT_ONCE)
+        self._nursery: trio.Nursery | None = None
+        self._silent = False
+        self._stopping: set[tuple[str, int]] = set()
+        hub.subscribe(messages.WorkerOrders, self._on_orders)
+
+    # Announcements
+
+    @property
+    def life(self) -> messages.WorkerLife | None:
+        """The worker's present life, None before its announcement."""
+        return self._life
+
+    def announce(self, life: messages.WorkerLife) -> bool:
+        """Take what the worker announces of itself.
+
+        :param life: its present life.
+        :returns: False if it is of an earlier life.
+        """
+        if self._life is not None:
+            if life.born_ms < self._life.born_ms:
+                return False
+            if not self._same(life.worker_id, life.born_ms):
+                self._begin_life()
+        if life != self._life:
+            self._log(life)
+            self._life = life
+            self._wake.set()
+            if self._nursery is not None:
+                self._nursery.start_soon(self._report_life)
+        return True
+
+    def leave(self, worker_id: str) -> None:
+        """Note that the worker is about to end."""
+        life = self._life
+        if life is not None and life.worker_id == worker_id:
+            self.announce(dataclasses.replace(life, state='draining'))
+
+    def _log(self, life: messages.WorkerLife) -> None:
+        old = self._life
+        if old is None or (old.born_ms, old.state) != (
+            life.born_ms,
+            life.state,
+        ):
+            observability.emit(
+                events.WORKER_LIFE,
+                worker=life.worker_id,
+                born=life.born_ms,
+                node=self._hub.node_id,
+                state=life.state,
+            )
+
+    def _same(self, worker_id: str, born_ms: int) -> bool:
+        life = self._life
+        return (
+            life is not None
+            and life.worker_id == worker_id
+            and life.born_ms == born_ms
+        )
+
+    def _begin_life(self) -> None:
+        self._clock_ms = 0
+        self._confirmed = 0
+        self._acknowledged = 0
+        self._lease_until_ms = 0
+        self._lease_sent_ms = 0
+        self._reported_end = 0
+        self._pending = _Pending([], [])
+        self._poll.cancel()
+
+    # The list
+
+    async def run(
+        self,
+        *,
+        task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
+    ) -> None:
+        """List and report until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            task_status.started()
+            while True:
+                await self._list_once()
+
+    async def _list_once(self) -> None:
+        life = self._life
+        if life is None or not self._fencing:
+            with trio.move_on_after(1.0):
+                await self._wake.wait()
+            self._wake = trio.Event()
+            return
+        fencing = self._fencing
+        stopped = tuple(self._pending.stopped)
+        order = ports.LeaseOrder(
+            fencing,
+            self._acknowledged,
+            self._lease_until_ms,
+            LIST_WAIT_MS if self._busy else IDLE_WAIT_MS,
+        )
+        if self._confirmed != fencing or self._pending.refused or stopped:
+            order = dataclasses.replace(order, wait_ms=0)
+        self._lease_sent_ms = self._lease_until_ms
+        found = None
+        with trio.CancelScope() as self._poll:
+            try:
+                found = await self._worker.list_runs(life, order)
+            except errors.CitronrailError as exc:
+                self._note_silence(life, exc)
+                await self._report(None, ())
+                await trio.sleep(RETRY_S)
+                return
+        if found is None or not self._same(life.worker_id, life.born_ms):
+            return
+        self._silent = False
+        if found.born_ms and found.born_ms != life.born_ms:
+            # A new life under the same id; its announcement follows.
+            if found.born_ms > life.born_ms:
+                self.announce(dataclasses.replace(life, born_ms=found.born_ms))
+            return
+        self._confirmed = fencing
+        self._clock_ms = found.clock_ms
+        self._clock_read_at = trio.current_time()
+        self._busy = bool(found.running)
+        await self._report(found, stopped)
+        newest = max((end.number for end in found.ended), default=0)
+        if found.ended and newest <= self._reported_end:
+            await trio.sleep(REPORTED_PAUSE_S)
+        self._reported_end = max(self._reported_end, newest)
+
+    def _note_silence(
+        self, life: messages.WorkerLife, exc: errors.CitronrailError
+    ) -> None:
+        if not self._silent:
+            observability.emit(
+                events.WORKER_SILENT, worker=life.worker_id, reason=exc
+            )
+        self._silent = True
+
+    async def _report_life(self) -> None:
+        await self._report(None, ())
+
+    async def _report(
+        self,
+        found: ports.WorkerList | None,
+        stopped: tuple[messages.TaskRun, ...],
+    ) -> None:
+        """Send a report to the scheduling entry.
+
+        :param found: the worker's list, if there is one.
+        :param stopped: stops that were confirmed before the list was made.
+        """
+        scheduler = self._scheduler
+        if scheduler is None:
+            return
+        refused = tuple(self._pending.refused)
+        report = messages.WorkerReport(
+            fencing=self._confirmed if found else 0,
+            life=self._life,
+            clock_ms=found.clock_ms if found else 0,
+            running=found.running if found else (),
+            ended=found.ended if found else (),
+            refused=refused,
+            stopped=stopped,
+            leaving=self._leaving,
+        )
+        try:
+            await self._hub.send(scheduler, report)
+        except errors.PeerUnreachable:
+            return  # the next scheduling entry asks for a report
+        self._pending.refused = [
+            item for item in self._pending.refused if item not in refused
+        ]
+        self._pending.stopped = [
+            item for item in self._pending.stopped if item not in stopped
+        ]
+
+    # Orders
+
+    async def _on_orders(
+        self, peer: ports.Peer, orders: messages.WorkerOrders, _: bytes
+    ) -> None:
+        if orders.fencing < self._fencing:
+            observability.emit(
+                events.ORDERS_REFUSED,
+                peer=peer.node_id,
+                token=orders.fencing,
+                reason=f'token {self._fencing} was seen',
+            )
+            return
+        assert self._nursery is not None
+        if orders.fencing > self._fencing or peer.node_id != self._scheduler:
+            self._fencing = orders.fencing
+            self._scheduler = peer.node_id
+            self._wake.set()
+            self._poll.cancel()
+            self._nursery.start_soon(self._report_life)
+        if not self._same(orders.worker_id, orders.born_ms):
+            self._refuse_starts(orders, 'another life')
+            return
+        self._acknowledged = max(self._acknowledged, orders.acknowledged)
+        self._lease_until_ms = max(self._lease_until_ms, orders.lease_until_ms)
+        for stop in orders.stops:
+            self._nursery.start_soon(self._stop, stop)
+        for pace in orders.paces:
+            self._nursery.start_soon(self._set_pace, pace)
+        if self._leaving or (self._life and self._life.state != 'ready'):
+            self._refuse_starts(orders, 'leaving')
+            return
+        for start in orders.starts:
+            self._busy = True
+            self._nursery.start_soon(self._start, start, orders.fencing)
+        if self._lease_until_ms > self._lease_sent_ms + LEASE_STEP_MS:
+            self._poll.cancel()
+
+    def _refuse_starts(
+        self, orders: messages.WorkerOrders, reason: str
+    ) -> None:
+        if not orders.starts:
+            return
+        self._pending.refused += [
+            messages.RefusedStart(item.task, item.run, reason)
+            for item in orders.starts
+        ]
+        self._poll.cancel()
+
+    async def _start(self, order: messages.StartOrder, fencing: int) -> None:
+        life = self._life
+        if life is None:
+            return
+        elapsed_s = trio.current_time() - self._clock_read_at
+        valid_until = self._clock_ms + math.ceil(
+            (elapsed_s + START_VALID_S) * 1000
+        )
+        valid_until = min(valid_until, self._lease_until_ms)
+        async with self._limit:
+            result = await self._worker.start(
+                life, order, valid_until, fencing
+            )
+        match result.verdict:
+            case ports.StartVerdict.REFUSED:
+                self._pending.refused.append(
+                    messages.RefusedStart(order.task, order.run, result.reason)
+                )
+                self._poll.cancel()
+            case ports.StartVerdict.UNKNOWN:
+                observability.emit(
+                    events.START_UNANSWERED,
+                    task=order.task,
+                    run=order.run,
+                    reason=result.reason,
+                )
+
+    async def _stop(self, run: messages.TaskRun) -> None:
+        """Stop a run; the scheduler repeats the order if this fails."""
+        life = self._life
+        key = (run.task, run.run)
+        if life is None or key in self._stopping:
+            return
+        self._stopping.add(key)
+        try:
+            await self._worker.stop(life, run, self._fencing)
+        except errors.CitronrailError as exc:
+            observability.emit(
+                events.WORKER_SILENT, worker=life.worker_id, reason=exc
+            )
+            return
+        finally:
+            self._stopping.discard(key)
+        if self._same(life.worker_id, life.born_ms):
+            self._pending.stopped.append(run)
+            self._poll.cancel()
+
+    async def _set_pace(self, order: messages.PaceOrder) -> None:
+        life = self._life
+        if life is None:
+            return
+        try:
+            await self._worker.pace(life, order, self._fencing)
+        except errors.CitronrailError as exc:
+            observability.emit(
+                events.WORKER_SILENT, worker=life.worker_id, reason=exc
+            )
