Learn which filling tasks harm which serving tasks

Tasks stayed at pace 0 for 10 to 30 s. Starts also waited for processors that serving tasks had reserved but didn't use. Change: a factor is learned for each pair of images; only tasks that press are paced down, placement predicts the ratio, serving tasks of one image are kept together, and a task that is paced down for 2 s moves with its progress.

--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -1,6 +1,7 @@
 """Workers as the scheduling entry knows them, with what they owe it."""
 
 from citronrail.model import messages
+from citronrail.workflow import _interference
 from citronrail.workflow import _job
 
 # A worker's clock may run this much slower than ours; the platform states
@@ -41,6 +42,7 @@
         self.stray_stops: dict[tuple[str, int], float] = {}
         self.avoid_until = 0.0
         self.failed_jobs: list[str] = []  # jobs of the latest failed runs
+        self.serving: tuple[_interference.Serving, ...] = ()
         self.speed = 1.0  # smoothed, 1 is as estimated
 
     @property
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -26,6 +26,7 @@
         'pace_due',
         'percent',
         'started_percent',
+        'starved_since',
         'stop_reason',
         'stop_sent_at',
         'task',
@@ -55,6 +56,7 @@
         self.load = 0.0
         self.pace = 100
         self.pace_due = False  # whether the worker isn't told of it yet
+        self.starved_since = 0.0
         self.stop_reason = ''  # why it is being stopped, '' if it isn't
         self.stop_sent_at = 0.0
 
@@ -121,6 +123,7 @@
         'due_at',
         'job',
         'occurrence',
+        'ready_since',
         'spec',
         'step',
         'tasks',
@@ -141,6 +144,7 @@
         self.due_at = due_at  # Unix time in seconds, 0 for at once
         self.tasks = [Task(self, n) for n in range(spec.task_count)]
         self.done_count = 0
+        self.ready_since = 0.0  # local time of its first turn
 
     @property
     def done(self) -> bool:
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -9,17 +9,25 @@
 import typing
 
 from citronrail.model import workflows
+from citronrail.workflow import _interference
 
 REMOTE_PENALTY = 0.5
 SLOW_PENALTY = 1.5
-AVOIDED_PENALTY = 3.0
-SERVING_PENALTY = 0.6  # for a filling task beside one that serves
-FILLED_PENALTY = 0.5  # for a serving task beside those that fill
-TOGETHER_BONUS = 0.3
+SLOW_SPEED = 0.6  # of the fleet's median; above it speed isn't looked at
+HARM_PENALTY = 3.0  # for each share above the safe ratio
+SAFE_RATIO = 0.7  # of a latency target
+HARMFUL_RATIO = 0.95
+MIXED_PENALTY = 0.15  # serving tasks of another image on the worker
+TOGETHER_BONUS = 0.3  # serving tasks of the same image on the worker
 SAME_RACK_BONUS = 1.0
+# A serving task uses about this share of its reserved processors; filling
+# tasks get the rest.
+SERVING_USE = 0.7
 # A filling task starts where at least this share of its processors is idle;
 # with less it would only slow down those that fill there already.
 LEAST_IDLE_SHARE = 0.75
+# A filling task waits this long for a worker where it does no harm.
+PATIENCE_S = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,9 +47,11 @@
     free_cpu: int
     free_memory: int
     free_accelerators: int
-    idle_cpu: int
-    serving: int = 0
-    filling: int = 0
+    idle_cpu: float
+    serving: tuple[_interference.Serving, ...] = ()
+    filling: list[_interference.Filling] = dataclasses.field(
+        default_factory=list
+    )
     speed: float = 1.0
     avoided: bool = False
     per_step: dict[str, int] = dataclasses.field(default_factory=dict)
@@ -50,13 +60,13 @@
         """Reserve the room of one task."""
         self.free_memory -= step.memory_mb
         self.free_accelerators -= step.accelerators
-        self.idle_cpu -= step.cpu_millis
+        use = SERVING_USE if step.latency_target_ms else 1.0
+        self.idle_cpu -= step.cpu_millis * use
         if step.fills:
-            self.filling += 1
+            share = step.cpu_millis / max(1, self.total_cpu)
+            self.filling.append(_interference.Filling(step.image, share))
         else:
             self.free_cpu -= step.cpu_millis
-        if step.latency_target_ms:
-            self.serving += 1
         self.per_step[step_name] = self.per_step.get(step_name, 0) + 1
 
 
@@ -97,11 +107,16 @@
     return room.idle_cpu >= step.cpu_millis * LEAST_IDLE_SHARE
 
 
-def score(step: workflows.StepSpec, room: Room) -> float:
+def score(
+    step: workflows.StepSpec,
+    room: Room,
+    factors: _interference.PairFactors,
+) -> float:
     """Rate a worker for a task; more is better.
 
     :param step: the task's step.
     :param room: a worker where it fits.
+    :param factors: learned interference of pairs of images.
     """
     total = max(1, room.total_cpu)
     value = (room.idle_cpu - step.cpu_millis) / total
@@ -111,40 +126,78 @@
         else:
             value -= REMOTE_PENALTY
     if step.fills:
-        value -= SERVING_PENALTY if room.serving else 0.0
+        excess = _ratio_with(step, room, factors) - SAFE_RATIO
+        value -= HARM_PENALTY * max(0.0, excess)
     elif step.latency_target_ms:
-        value += TOGETHER_BONUS if room.serving else 0.0
-        value -= FILLED_PENALTY * room.filling / (room.filling + 4)
-    if room.speed < 0.6:
+        value += _company(step, room, factors)
+    if room.speed < SLOW_SPEED:
         value -= SLOW_PENALTY * (1.0 - room.speed)
-    if room.avoided:
-        value -= AVOIDED_PENALTY
     return value
 
 
+def _ratio_with(
+    step: workflows.StepSpec,
+    room: Room,
+    factors: _interference.PairFactors,
+) -> float:
+    share = step.cpu_millis / max(1, room.total_cpu)
+    return _interference.predicted_ratio(
+        room.serving, step.image, share, factors
+    )
+
+
+def _harmful(
+    step: workflows.StepSpec,
+    room: Room,
+    factors: _interference.PairFactors,
+) -> bool:
+    return step.fills and _ratio_with(step, room, factors) > HARMFUL_RATIO
+
+
+def _company(
+    step: workflows.StepSpec,
+    room: Room,
+    factors: _interference.PairFactors,
+) -> float:
+    """Rate the tasks that a serving task would find on a worker.
+
+    Serving tasks of one image are kept together, so that each filling image
+    finds workers where it does no harm.
+    """
+    value = -factors.added(step.image, tuple(room.filling))
+    if room.serving:
+        same = any(task.image == step.image for task in room.serving)
+        value += TOGETHER_BONUS if same else -MIXED_PENALTY
+    return max(-2.0, value)
+
+
 def choose(
     step: workflows.StepSpec,
     step_name: str,
     rooms: typing.Iterable[Room],
+    factors: _interference.PairFactors,
     *,
-    shunned: typing.Collection[str] = (),
+    patient: bool = False,
 ) -> Room | None:
     """Choose the worker for a task.
 
     :param step: the task's step.
     :param step_name: identity of the step for the limit per worker.
     :param rooms: the usable workers of the queue's service.
-    :param shunned: agents whose worker has failed this task or runs it.
+    :param factors: learned interference of pairs of images.
+    :param patient: rather wait than do harm.
     :returns: the worker, None if the task has to wait.
     """
     best = None
     best_score = float('-inf')
     for room in rooms:
-        if room.avoided or room.node in shunned:
+        if room.avoided or not fits(step, step_name, room):
+            continue
+        if not worth_starting(step, room):
             continue
-        if not fits(step, step_name, room) or not worth_starting(step, room):
+        if patient and _harmful(step, room, factors):
             continue
-        value = score(step, room)
+        value = score(step, room, factors)
         if value > best_score:
             best, best_score = room, value
     return best
@@ -155,6 +208,7 @@
     step_name: str,
     rooms: typing.Sequence[Room],
     count: int,
+    factors: _interference.PairFactors,
 ) -> list[Room]:
     """Choose workers for all tasks of a gang.
 
@@ -163,6 +217,7 @@
     :param rooms: the usable workers; reserved room is taken from them only
         if all tasks fit.
     :param count: number of tasks.
+    :param factors: learned interference of pairs of images.
     :returns: one worker for each task, empty if not all fit.
     """
     groups: list[list[Room]] = [list(rooms)]
@@ -173,13 +228,17 @@
         groups = [*by_rack.values(), list(rooms)]
     for group in groups:
         copies = [
-            dataclasses.replace(room, per_step=dict(room.per_step))
+            dataclasses.replace(
+                room,
+                per_step=dict(room.per_step),
+                filling=list(room.filling),
+            )
             for room in group
         ]
         originals = {room.node: room for room in group}
         chosen = []
         for _ in range(count):
-            found = choose(step, step_name, copies)
+            found = choose(step, step_name, copies, factors)
             if found is None:
                 break
             found.take(step, step_name)
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -7,6 +7,7 @@
 from citronrail.workflow import _book
 from citronrail.workflow import _fleet
 from citronrail.workflow import _health
+from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _placement
 from citronrail.workflow import _queue_order
@@ -18,13 +19,14 @@
 class Policy:
     """What a round may use.
 
-    :param pools: services by name.
     :param queue_named: finds a queue of the configuration in force.
     :param evacuated: data centres in which nothing may start.
+    :param factors: learned interference of pairs of images.
     """
 
     queue_named: _book.QueueLookup
     evacuated: frozenset[str]
+    factors: _interference.PairFactors
 
 
 def rooms_of(
@@ -68,6 +70,7 @@
         free_accelerators=life.accelerators,
         idle_cpu=life.cpu_millis,
         avoided=view.avoid_until > now or bool(view.stray_stops),
+        serving=view.serving,
     )
     for attempt in view.attempts.values():
         stage = attempt.task.stage
@@ -101,7 +104,9 @@
         candidates = rooms.get(service, [])
         for stage in stages:
             if candidates:
-                placed += _place_stage(book, stage, candidates, now)
+                placed += _place_stage(
+                    book, stage, candidates, policy.factors, now
+                )
         if len(placed) >= MAX_STARTS:
             break
     return placed
@@ -151,16 +156,22 @@
     book: _book.Book,
     stage: _job.Stage,
     rooms: list[_placement.Room],
+    factors: _interference.PairFactors,
     now: float,
 ) -> list[_job.Attempt]:
     if stage.spec.gang:
-        return _place_gang(book, stage, rooms)
+        return _place_gang(book, stage, rooms, factors)
     placed = []
     name = step_name(stage)
+    if not stage.ready_since:
+        stage.ready_since = now
+    patient = now - stage.ready_since < _placement.PATIENCE_S
     for task in stage.tasks:
         if not task.waiting or task.retry_at > now:
             continue
-        room = _placement.choose(stage.spec, name, rooms)
+        room = _placement.choose(
+            stage.spec, name, rooms, factors, patient=patient
+        )
         if room is None:
             break
         room.take(stage.spec, name)
@@ -169,13 +180,16 @@
 
 
 def _place_gang(
-    book: _book.Book, stage: _job.Stage, rooms: list[_placement.Room]
+    book: _book.Book,
+    stage: _job.Stage,
+    rooms: list[_placement.Room],
+    factors: _interference.PairFactors,
 ) -> list[_job.Attempt]:
     if any(task.attempts for task in stage.tasks):
         return []  # members of the last run have not all ended
     name = step_name(stage)
     chosen = _placement.choose_for_gang(
-        stage.spec, name, rooms, len(stage.tasks)
+        stage.spec, name, rooms, len(stage.tasks), factors
     )
     run = max(task.last_run for task in stage.tasks) + 1
     checkpoint = max(task.checkpoint for task in stage.tasks)
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -18,6 +18,7 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _fleet
 from citronrail.workflow import _job
+from citronrail.workflow import _interference
 from citronrail.workflow import _operators
 from citronrail.workflow import _orders
 from citronrail.workflow import _prefix_follower
@@ -87,7 +88,8 @@
         self._chain = _commit_chain.CommitChain(
             store, leadership.guard, f'{hub.boot_id}/{leadership.fencing}'
         )
-        self._upkeep = _upkeep.Upkeep(self.book)
+        self._factors = _interference.PairFactors()
+        self._upkeep = _upkeep.Upkeep(self.book, self._factors)
         self._wake = trio.Event()
         self._loaded = trio.Event()
         self._outbox: list[tuple[identifiers.NodeId, object]] = []
@@ -263,7 +265,9 @@
         await trio.sleep(COMMIT_INTERVAL_S)
 
     def _place(self, now: float) -> None:
-        policy = _round.Policy(self._queue_named, self._operators.evacuated)
+        policy = _round.Policy(
+            self._queue_named, self._operators.evacuated, self._factors
+        )
         placed = _round.place(self.book, policy, now, self._unix_clock())
         placed += self._upkeep.copies(now)
         self._starting += placed
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -1,23 +1,30 @@
 """Care for what runs: health of workers, pace of filling tasks, drains."""
 
+from citronrail.model import workflows
 from citronrail.workflow import _book
 from citronrail.workflow import _fleet
 from citronrail.workflow import _health
+from citronrail.workflow import _interference
 from citronrail.workflow import _job
-from citronrail.workflow import _pacing
 
 HEALTH_INTERVAL_S = 0.5
-PACE_INTERVAL_S = 0.45
+PACE_INTERVAL_S = 0.4
+STARVED_PACE = 30  # percent; below it a run hardly advances
+STARVED_S = 2.0
 
 
 class Upkeep:
     """Looks at all workers from time to time.
 
     :param book: jobs and workers.
+    :param factors: learned interference of pairs of images.
     """
 
-    def __init__(self, book: _book.Book) -> None:
+    def __init__(
+        self, book: _book.Book, factors: _interference.PairFactors
+    ) -> None:
         self._book = book
+        self._factors = factors
         self._health_at = 0.0
         self._paced_list: dict[str, float] = {}
 
@@ -47,24 +54,51 @@
         if view.listed_at <= last or now - last < PACE_INTERVAL_S:
             return
         self._paced_list[view.node] = now
-        serving = []
-        filling = []
-        for attempt in view.attempts.values():
-            spec = attempt.task.stage.spec
-            if spec.latency_target_ms and attempt.listed_at:
-                serving.append(
-                    _pacing.Serving(spec.latency_target_ms, attempt.load)
-                )
-            elif spec.fills and attempt.listed_at:
-                filling.append(attempt)
+        serving, filling = _sharing(view)
+        view.serving = tuple(
+            _interference.Serving(spec.image, ratio)
+            for spec, ratio, _ in serving
+        )
         if not filling:
             return
-        ratio = _pacing.worst_ratio(tuple(serving))
-        for attempt in filling:
-            pace = _pacing.next_pace(ratio, attempt.pace)
+        tasks = tuple(item for item, _ in filling)
+        for spec, ratio, stage in serving:
+            base = self._unfilled(stage, ratio)
+            if base > 0:
+                self._factors.learn(spec.image, ratio / base - 1.0, tasks)
+        new = _interference.paces(view.serving, tasks, self._factors)
+        for (_, attempt), pace in zip(filling, new):
             if pace != attempt.pace:
                 attempt.pace = pace
                 attempt.pace_due = True
+                attempt.moved_at = now  # what follows is another speed
+            self._move_if_starved(attempt, now)
+
+    def _unfilled(self, stage: _job.Stage, ratio: float) -> float:
+        """Return the tail of a stage's tasks without filling tasks.
+
+        The tasks of a stage carry the same load, so the least tail among
+        them is the nearest to it.
+        """
+        found = ratio
+        for task in stage.tasks:
+            for attempt in task.attempts:
+                if attempt.percent >= 100 and attempt.load > 0:
+                    target = stage.spec.latency_target_ms
+                    found = min(found, attempt.load / target)
+        return found
+
+    def _move_if_starved(self, attempt: _job.Attempt, now: float) -> None:
+        """Stop a run that is paced down for long; its progress is saved."""
+        if attempt.pace >= STARVED_PACE:
+            attempt.starved_since = 0.0
+        elif not attempt.starved_since:
+            attempt.starved_since = now
+        elif (
+            now - attempt.starved_since > STARVED_S
+            and attempt.task.stage.spec.saves_progress
+        ):
+            self._book.stop(attempt, 'paced down for too long')
 
     def _leave(self, view: _fleet.WorkerView, now: float) -> None:
         """Stop what won't end before the worker does, to save progress."""
@@ -97,6 +131,35 @@
             self._book.avoid(view, 'its runs make no progress', now)
 
 
+_Serving = tuple[workflows.StepSpec, float, _job.Stage]
+
+
+def _sharing(
+    view: _fleet.WorkerView,
+) -> tuple[list[_Serving], list[tuple[_interference.Filling, _job.Attempt]]]:
+    """Return the serving and the filling tasks of a worker."""
+    serving: list[_Serving] = []
+    filling = []
+    total = max(1, view.life.cpu_millis)
+    for attempt in view.attempts.values():
+        stage = attempt.task.stage
+        spec = stage.spec
+        if not attempt.listed_at:
+            continue
+        if spec.latency_target_ms and attempt.percent >= 100:
+            ratio = attempt.load / spec.latency_target_ms
+            serving.append((spec, ratio, stage))
+        elif spec.fills:
+            share = spec.cpu_millis / total
+            filling.append(
+                (
+                    _interference.Filling(spec.image, share, attempt.pace),
+                    attempt,
+                )
+            )
+    return serving, filling
+
+
 def _progress_of(attempt: _job.Attempt) -> _health.Progress:
     spec = attempt.task.stage.spec
     return _health.Progress(
