Learn interference as utilisation, not as a factor of the tail

Cause: measured pairs multiply a tail by 1.2 at low load and by 5 to 10 at high load, so a learned multiple fits neither. Taken as a queue, tail = rest / (1 - utilisation), the same pair adds the same utilisation at any load (64e85 x 28941: about 1.2 times the share of processors, four measurements from 0.46 to 5.09 times the target). Change: factors are learned and added in utilisation; pace is set to what the model allows; serving tasks of one image share workers.

--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -2,33 +2,57 @@
 
 Answers noisy tasks that arrive in waves: which pair of images meets decides
 by how much a tail grows, and it shows only in late and rough measurements.
-For each pair a factor is learned: a filling task that works with a share
-``x`` of the worker's processors multiplies the tail by ``1 + factor * x``.
+
+A serving task is taken as a queue: its tail is the tail at rest divided by
+one less its utilisation. Its own load and each filling task beside it add to
+the utilisation, a filling task by a factor of the pair of images times the
+share of the worker's processors that it uses. The factors are learned. In
+these terms the effects add up, so that what was measured at low load tells
+what would happen at high load.
 """
 
 import dataclasses
 
-PRIOR_FACTOR = 1.0
-MAX_FACTOR = 300.0
-# Tails vary by this share without any cause; smaller errors count less.
-NOISE = 0.3
-SMALL_STEP = 0.2
-LARGE_STEP = 0.6
+PRIOR_FACTOR = 0.5
+MAX_FACTOR = 6.0
+LEARNING_STEP = 0.35
+# Measurements beside small filling tasks are mostly noise; this keeps them
+# from moving a factor far. In squared shares of a worker's processors.
+LEARNING_FLOOR = 0.004
+# Part of the learned effect that is taken off when the load without filling
+# tasks is estimated; the whole would let errors feed themselves.
+TRUSTED_PART = 0.7
+MAX_UTILISATION = 0.99
+REST_RATIO = 0.2  # tail at rest as a share of the target, before it is seen
+LEAST_LOAD = 0.22  # utilisation at the least tail that is ever measured
 DANGER_RATIO = 0.85  # of the latency target; above it pace is cut
-AIM_RATIO = 0.65  # what a cut or a rise of the pace aims at
-CALM_RATIO = 0.6  # below it pace is given back
-RISE = 25  # percentage points that are given back at once
-# A filling task that adds less than this share to a tail is left alone.
-HARMLESS = 0.15
+AIM_RATIO = 0.72  # what a cut aims at
+RISE = 40  # percentage points that are given back at once
+# A filling task that adds less utilisation than this is left alone.
+HARMLESS = 0.03
 FULL_PACE = 100
 
 
 @dataclasses.dataclass(frozen=True)
 class Serving:
-    """A task that serves; ``ratio`` is its tail as a share of its target."""
+    """A task that serves, by its image and its utilisation.
+
+    ``rest_ratio`` is its tail at rest as a share of its target.
+    """
 
     image: str
-    ratio: float
+    utilisation: float
+    rest_ratio: float = REST_RATIO
+
+    @property
+    def danger(self) -> float:
+        """Utilisation above which its target is in danger."""
+        return 1.0 - self.rest_ratio / DANGER_RATIO
+
+    @property
+    def aim(self) -> float:
+        """Utilisation that is aimed at."""
+        return 1.0 - self.rest_ratio / AIM_RATIO
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,11 +69,39 @@
         return self.share * self.pace / FULL_PACE
 
 
+def utilisation(ratio: float, rest_ratio: float) -> float:
+    """Return the utilisation that a tail shows.
+
+    :param ratio: the tail as a share of its target.
+    :param rest_ratio: the tail at rest as a share of its target.
+    """
+    if ratio <= rest_ratio:
+        return 0.0
+    return min(MAX_UTILISATION, 1.0 - rest_ratio / ratio)
+
+
 class PairFactors:
-    """Learned factors of pairs of images."""
+    """Learned factors of pairs of images, and tails of images at rest."""
 
     def __init__(self) -> None:
         self._factors: dict[tuple[str, str], float] = {}
+        self._rest: dict[str, float] = {}
+
+    def rest_ratio(self, image: str) -> float:
+        """Return the tail at rest of an image as a share of its target."""
+        return self._rest.get(image, REST_RATIO)
+
+    def observe(self, image: str, ratio: float) -> Serving:
+        """Take the tail of a serving task.
+
+        :param image: its image.
+        :param ratio: its tail as a share of its target.
+        """
+        rest = self.rest_ratio(image)
+        if ratio > 0:
+            rest = min(rest, ratio * (1.0 - LEAST_LOAD))
+            self._rest[image] = rest
+        return Serving(image, utilisation(ratio, rest), rest)
 
     def factor(self, serving: str, filling: str) -> float:
         """Return the factor of a pair, a cautious prior if it is new.
@@ -59,50 +111,39 @@
         """
         return self._factors.get((serving, filling), PRIOR_FACTOR)
 
-    def known(self, serving: str, filling: str) -> bool:
-        """Whether the pair has met."""
-        return (serving, filling) in self._factors
-
     def added(self, serving: str, filling: tuple[Filling, ...]) -> float:
-        """Return by which share filling tasks raise a tail."""
+        """Return the utilisation that filling tasks add."""
         return sum(
             self.factor(serving, task.image) * task.weight for task in filling
         )
 
+    def own_load(self, task: Serving, filling: tuple[Filling, ...]) -> float:
+        """Estimate the utilisation of a task without filling tasks."""
+        added = self.added(task.image, filling)
+        return max(0.0, task.utilisation - TRUSTED_PART * added)
+
     def learn(
         self, serving: str, growth: float, filling: tuple[Filling, ...]
     ) -> None:
         """Take a measurement.
 
         :param serving: image of the serving task.
-        :param growth: by which share its tail was above the tail without
-            filling tasks.
+        :param growth: its utilisation above that without filling tasks.
         :param filling: the filling tasks beside it.
         """
         weights: dict[str, float] = {}
         for task in filling:
-            if task.weight > 0:
-                weights[task.image] = (
-                    weights.get(task.image, 0.0) + task.weight
-                )
+            weights[task.image] = weights.get(task.image, 0.0) + task.weight
         power = sum(weight * weight for weight in weights.values())
-        if power <= 0:
-            return
         error = growth - self.added(serving, filling)
-        step = LARGE_STEP if abs(error) > NOISE else SMALL_STEP
+        gain = LEARNING_STEP * error / (power + LEARNING_FLOOR)
         for image, weight in weights.items():
-            old = self.factor(serving, image)
-            new = old + step * error * weight / power
+            if weight <= 0:
+                continue
+            new = self.factor(serving, image) + gain * weight
             self._factors[serving, image] = min(MAX_FACTOR, max(0.0, new))
 
 
-def unfilled_ratio(
-    task: Serving, filling: tuple[Filling, ...], factors: PairFactors
-) -> float:
-    """Estimate a serving task's ratio without the filling tasks."""
-    return task.ratio / (1.0 + factors.added(task.image, filling))
-
-
 def paces(
     serving: tuple[Serving, ...],
     filling: tuple[Filling, ...],
@@ -110,80 +151,70 @@
 ) -> tuple[int, ...]:
     """Return the pace of each filling task for the next interval.
 
-    Only tasks that press on a serving task in danger are cut, as far as the
-    learned factors say; pace is given back in steps while all are calm.
+    Pace is given back in steps as long as no serving task gets into danger
+    by what was learned; only tasks that press on one in danger are cut.
 
     :param serving: the worker's serving tasks, as last measured.
     :param filling: the worker's filling tasks.
     :param factors: what was learned of pairs.
     :returns: percents from 0 to 100, in the order of ``filling``.
     """
-    limits = [_raised(task.pace, serving) for task in filling]
+    wanted = tuple(
+        dataclasses.replace(item, pace=min(FULL_PACE, item.pace + RISE))
+        for item in filling
+    )
+    limits = [item.pace for item in wanted]
     for task in serving:
-        if task.ratio <= DANGER_RATIO and not _would_endanger(
-            task, filling, limits, factors
-        ):
+        own = task.utilisation - factors.added(task.image, filling)
+        expected = own + factors.added(task.image, wanted)
+        if max(expected, task.utilisation) <= task.danger:
             continue
-        cut = _cut_for(task, filling, factors)
+        cut = _cut_for(task, own, filling, factors)
         limits = [min(limit, new) for limit, new in zip(limits, cut)]
     return tuple(limits)
 
 
-def _raised(pace: int, serving: tuple[Serving, ...]) -> int:
-    if all(task.ratio < CALM_RATIO for task in serving):
-        return min(FULL_PACE, pace + RISE)
-    return pace
-
-
-def _would_endanger(
+def _cut_for(
     task: Serving,
+    own: float,
     filling: tuple[Filling, ...],
-    limits: list[int],
     factors: PairFactors,
-) -> bool:
-    """Whether a serving task would be in danger at the new paces."""
-    raised = tuple(
-        dataclasses.replace(item, pace=limit)
-        for item, limit in zip(filling, limits)
-    )
-    base = unfilled_ratio(task, filling, factors)
-    return base * (1.0 + factors.added(task.image, raised)) > DANGER_RATIO
-
-
-def _cut_for(
-    task: Serving, filling: tuple[Filling, ...], factors: PairFactors
 ) -> list[int]:
-    base = unfilled_ratio(task, filling, factors)
-    room = max(0.0, AIM_RATIO / max(base, 0.01) - 1.0)
-    pressing = [
+    """Return the paces at which a serving task reaches its aim."""
+    adding = [
         factors.factor(task.image, item.image) * item.share for item in filling
     ]
-    total = sum(press for press in pressing if press > HARMLESS)
-    share = min(1.0, room / total) if total > 0 else 1.0
+    pressing = sum(value for value in adding if value > HARMLESS)
+    harmless = sum(value for value in adding if value <= HARMLESS)
+    room = max(0.0, task.aim - own - harmless)
+    share = min(1.0, room / pressing) if pressing > 0 else 1.0
     return [
-        int(FULL_PACE * share) if press > HARMLESS else FULL_PACE
-        for press in pressing
+        int(FULL_PACE * share) if value > HARMLESS else FULL_PACE
+        for value in adding
     ]
 
 
-def predicted_ratio(
+def excess(
     serving: tuple[Serving, ...],
     image: str,
     share: float,
     factors: PairFactors,
 ) -> float:
-    """Return the worst ratio if a filling task joined a worker.
+    """Return how far a filling task would put a worker's tasks in danger.
 
     :param serving: the worker's serving tasks, as last measured.
     :param image: image of the filling task.
     :param share: share of the worker's processors that it would use.
     :param factors: what was learned of pairs.
-    :returns: the largest tail as a share of its target, 0 without any.
+    :returns: the worst utilisation less what is aimed at; negative if there
+        is room left.
     """
     return max(
         (
-            task.ratio * (1.0 + factors.factor(task.image, image) * share)
+            task.utilisation
+            + factors.factor(task.image, image) * share
+            - task.aim
             for task in serving
         ),
-        default=0.0,
+        default=-1.0,
     )
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -14,11 +14,12 @@
 REMOTE_PENALTY = 0.5
 SLOW_PENALTY = 1.5
 SLOW_SPEED = 0.6  # of the fleet's median; above it speed isn't looked at
-HARM_PENALTY = 3.0  # for each share above the safe ratio
-SAFE_RATIO = 0.7  # of a latency target
-HARMFUL_RATIO = 0.95
-MIXED_PENALTY = 0.15  # serving tasks of another image on the worker
-TOGETHER_BONUS = 0.3  # serving tasks of the same image on the worker
+HARM_PENALTY = 3.0  # for each share of utilisation above the aim
+ROOM_BONUS = 0.5  # for each share of utilisation below the aim
+HARMFUL_EXCESS = 0.03  # utilisation above the aim that is waited out
+MIXED_PENALTY = 0.3  # serving tasks of another image on the worker
+TOGETHER_BONUS = 0.6  # serving tasks of the same image on the worker
+ASSUMED_LOAD = 0.45  # utilisation of a serving task before it is measured
 SAME_RACK_BONUS = 1.0
 # A serving task uses about this share of its reserved processors; filling
 # tasks get the rest.
@@ -52,21 +53,36 @@
     filling: list[_interference.Filling] = dataclasses.field(
         default_factory=list
     )
+    joining: list[_interference.Filling] = dataclasses.field(
+        default_factory=list
+    )  # filling tasks that no measurement shows yet
     speed: float = 1.0
     avoided: bool = False
     per_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
-    def take(self, step: workflows.StepSpec, step_name: str) -> None:
-        """Reserve the room of one task."""
+    def take(
+        self, step: workflows.StepSpec, step_name: str, joining: bool = True
+    ) -> None:
+        """Reserve the room of one task.
+
+        :param step: the task's step.
+        :param step_name: identity of the step.
+        :param joining: whether no measurement shows the task yet.
+        """
         self.free_memory -= step.memory_mb
         self.free_accelerators -= step.accelerators
         use = SERVING_USE if step.latency_target_ms else 1.0
         self.idle_cpu -= step.cpu_millis * use
         if step.fills:
             share = step.cpu_millis / max(1, self.total_cpu)
-            self.filling.append(_interference.Filling(step.image, share))
+            task = _interference.Filling(step.image, share)
+            self.filling.append(task)
+            if joining:
+                self.joining.append(task)
         else:
             self.free_cpu -= step.cpu_millis
+        if step.latency_target_ms and joining:
+            self.serving += (_interference.Serving(step.image, ASSUMED_LOAD),)
         self.per_step[step_name] = self.per_step.get(step_name, 0) + 1
 
 
@@ -126,8 +142,9 @@
         else:
             value -= REMOTE_PENALTY
     if step.fills:
-        excess = _ratio_with(step, room, factors) - SAFE_RATIO
-        value -= HARM_PENALTY * max(0.0, excess)
+        over = _excess_with(step, room, factors)
+        value -= HARM_PENALTY * max(0.0, over)
+        value += ROOM_BONUS * max(0.0, -over)
     elif step.latency_target_ms:
         value += _company(step, room, factors)
     if room.speed < SLOW_SPEED:
@@ -135,14 +152,25 @@
     return value
 
 
-def _ratio_with(
+def _excess_with(
     step: workflows.StepSpec,
     room: Room,
     factors: _interference.PairFactors,
 ) -> float:
-    share = step.cpu_millis / max(1, room.total_cpu)
-    return _interference.predicted_ratio(
-        room.serving, step.image, share, factors
+    """Return how far a filling task would endanger the serving tasks.
+
+    What has been placed since the last measurement counts as well.
+    """
+    total = max(1, room.total_cpu)
+    return max(
+        (
+            _interference.excess(
+                (task,), step.image, step.cpu_millis / total, factors
+            )
+            + factors.added(task.image, tuple(room.joining))
+            for task in room.serving
+        ),
+        default=-1.0,
     )
 
 
@@ -151,7 +179,9 @@
     room: Room,
     factors: _interference.PairFactors,
 ) -> bool:
-    return step.fills and _ratio_with(step, room, factors) > HARMFUL_RATIO
+    if not step.fills or not room.serving:
+        return False
+    return _excess_with(step, room, factors) > HARMFUL_EXCESS
 
 
 def _company(
@@ -232,6 +262,7 @@
                 room,
                 per_step=dict(room.per_step),
                 filling=list(room.filling),
+                joining=list(room.joining),
             )
             for room in group
         ]
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -74,7 +74,10 @@
     )
     for attempt in view.attempts.values():
         stage = attempt.task.stage
-        room.take(stage.spec, step_name(stage))
+        joining = not attempt.listed_at or (
+            bool(stage.spec.latency_target_ms) and attempt.percent < 100
+        )
+        room.take(stage.spec, step_name(stage), joining)
     return room
 
 
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -1,6 +1,5 @@
 """Care for what runs: health of workers, pace of filling tasks, drains."""
 
-from citronrail.model import workflows
 from citronrail.workflow import _book
 from citronrail.workflow import _fleet
 from citronrail.workflow import _health
@@ -54,18 +53,15 @@
         if view.listed_at <= last or now - last < PACE_INTERVAL_S:
             return
         self._paced_list[view.node] = now
-        serving, filling = _sharing(view)
-        view.serving = tuple(
-            _interference.Serving(spec.image, ratio)
-            for spec, ratio, _ in serving
-        )
+        filling = _filling(view)
+        tasks = tuple(item for item, _ in filling)
+        serving = self._serving(view)
+        view.serving = tuple(task for task, _ in serving)
         if not filling:
             return
-        tasks = tuple(item for item, _ in filling)
-        for spec, ratio, stage in serving:
-            base = self._unfilled(stage, ratio)
-            if base > 0:
-                self._factors.learn(spec.image, ratio / base - 1.0, tasks)
+        for task, stage in serving:
+            growth = task.utilisation - self._own_load(stage)
+            self._factors.learn(task.image, growth, tasks)
         new = _interference.paces(view.serving, tasks, self._factors)
         for (_, attempt), pace in zip(filling, new):
             if pace != attempt.pace:
@@ -74,18 +70,35 @@
                 attempt.moved_at = now  # what follows is another speed
             self._move_if_starved(attempt, now)
 
-    def _unfilled(self, stage: _job.Stage, ratio: float) -> float:
-        """Return the tail of a stage's tasks without filling tasks.
+    def _serving(
+        self, view: _fleet.WorkerView
+    ) -> list[tuple[_interference.Serving, _job.Stage]]:
+        """Return the serving tasks of a worker, as last measured."""
+        found = []
+        for attempt in view.attempts.values():
+            spec = attempt.task.stage.spec
+            if spec.latency_target_ms and attempt.percent >= 100:
+                ratio = attempt.load / spec.latency_target_ms
+                task = self._factors.observe(spec.image, ratio)
+                found.append((task, attempt.task.stage))
+        return found
 
-        The tasks of a stage carry the same load, so the least tail among
-        them is the nearest to it.
+    def _own_load(self, stage: _job.Stage) -> float:
+        """Estimate the utilisation of a stage without filling tasks.
+
+        The tasks of a stage carry the same load, so the least estimate is
+        the nearest to it.
         """
-        found = ratio
+        found = 1.0
         for task in stage.tasks:
             for attempt in task.attempts:
-                if attempt.percent >= 100 and attempt.load > 0:
-                    target = stage.spec.latency_target_ms
-                    found = min(found, attempt.load / target)
+                view = self._book.workers.get(attempt.node)
+                if view is None or attempt.percent < 100:
+                    continue
+                ratio = attempt.load / stage.spec.latency_target_ms
+                seen = self._factors.observe(stage.spec.image, ratio)
+                beside = tuple(item for item, _ in _filling(view))
+                found = min(found, self._factors.own_load(seen, beside))
         return found
 
     def _move_if_starved(self, attempt: _job.Attempt, now: float) -> None:
@@ -131,33 +144,19 @@
             self._book.avoid(view, 'its runs make no progress', now)
 
 
-_Serving = tuple[workflows.StepSpec, float, _job.Stage]
-
-
-def _sharing(
+def _filling(
     view: _fleet.WorkerView,
-) -> tuple[list[_Serving], list[tuple[_interference.Filling, _job.Attempt]]]:
-    """Return the serving and the filling tasks of a worker."""
-    serving: list[_Serving] = []
-    filling = []
+) -> list[tuple[_interference.Filling, _job.Attempt]]:
+    """Return the filling tasks that work on a worker."""
     total = max(1, view.life.cpu_millis)
+    found = []
     for attempt in view.attempts.values():
-        stage = attempt.task.stage
-        spec = stage.spec
-        if not attempt.listed_at:
-            continue
-        if spec.latency_target_ms and attempt.percent >= 100:
-            ratio = attempt.load / spec.latency_target_ms
-            serving.append((spec, ratio, stage))
-        elif spec.fills:
+        spec = attempt.task.stage.spec
+        if spec.fills and attempt.listed_at:
             share = spec.cpu_millis / total
-            filling.append(
-                (
-                    _interference.Filling(spec.image, share, attempt.pace),
-                    attempt,
-                )
-            )
-    return serving, filling
+            item = _interference.Filling(spec.image, share, attempt.pace)
+            found.append((item, attempt))
+    return found
 
 
 def _progress_of(attempt: _job.Attempt) -> _health.Progress:
