Move runs off slow workers, copy late speculative runs, bound the log

Change: speeds are compared across the fleet and runs moved when they end sooner elsewhere; steps that allow copies get one when the run is late or its worker silent; a failed task goes to another worker; jobs that fail on several workers don't speak against one; leases last 8 s where allowed. Log lines carry their fields, are bounded for each kind and never waited for.

--- a/citronrail/observability/__init__.py
+++ b/citronrail/observability/__init__.py
@@ -17,6 +17,10 @@
 from citronrail.observability._exposition import Metric
 from citronrail.observability._exposition import metrics
 from citronrail.observability._exposition import sample_names
+from citronrail.observability._line_writer import LineBudget
+from citronrail.observability._line_writer import LineWriter
+from citronrail.observability._log import LineCounters
+from citronrail.observability._log import set_up_daemon_logging
 from citronrail.observability._log import set_up_logging
 from citronrail.observability._merged import Collected
 from citronrail.observability._merged import merge
@@ -43,6 +47,9 @@
     'Contradiction',
     'EventKind',
     'EventRecord',
+    'LineBudget',
+    'LineCounters',
+    'LineWriter',
     'MergedEvent',
     'MergedTimeline',
     'Metric',
@@ -63,6 +70,7 @@
     'merged_to_json',
     'metrics',
     'sample_names',
+    'set_up_daemon_logging',
     'set_up_logging',
     'snapshot',
     'to_json',
--- a/citronrail/observability/_events.py
+++ b/citronrail/observability/_events.py
@@ -109,7 +109,8 @@
     """
     values = {name: str(value) for name, value in fields.items()}
     record = current_recorder().add(kind, cause, values)
-    logger.log(kind.level, '{} {}', kind.code, record.text)
+    bound = logger.bind(event=kind.code, cause=cause, fields=values)
+    bound.log(kind.level, '{} {}', kind.code, record.text)
     return record.event_id
 
 
--- a/citronrail/observability/_log.py
+++ b/citronrail/observability/_log.py
@@ -1,5 +1,6 @@
 """Sets up what a process writes to standard error."""
 
+import dataclasses
 import datetime
 import json
 import sys
@@ -7,6 +8,10 @@
 
 from loguru import logger
 
+from citronrail.observability import _line_writer
+
+WARNING_LEVEL = 30  # number of the level in loguru and logging
+
 _TEXT_FORMAT = (
     '{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level: <8} {extra[process]} {message}'
 )
@@ -49,7 +54,59 @@
         )
 
 
+@dataclasses.dataclass(frozen=True)
+class LineCounters:
+    """Where the lines of a process that were left out are counted."""
+
+    budget: _line_writer.LineBudget
+    writer: _line_writer.LineWriter
+
+
+def set_up_daemon_logging(level: str, process: str) -> LineCounters:
+    """Write JSON lines to standard output, bounded and without waiting.
+
+    :param level: least level written, such as ``INFO``.
+    :param process: name of the process, part of each line.
+    :returns: counts of lines that were left out.
+    """
+    budget = _line_writer.LineBudget()
+    writer = _line_writer.LineWriter(sys.stdout.fileno())
+
+    def sink(line: typing.Any) -> None:
+        event = line.record['extra'].get('event', '')
+        if line.record['level'].no < WARNING_LEVEL:
+            if not budget.allows(event):
+                return
+            _note_left_out(writer, process, budget.take_left_out())
+        text = json.dumps(_fields_of(line), ensure_ascii=False)
+        writer.write(text.encode() + b'\n')
+
+    logger.remove()
+    logger.configure(extra={'process': process})
+    logger.add(sink, level=level, format='{message}', catch=True)
+    return LineCounters(budget, writer)
+
+
+def _note_left_out(
+    writer: _line_writer.LineWriter, process: str, left_out: dict[str, int]
+) -> None:
+    for event, count in left_out.items():
+        line = {
+            'level': 'WARNING',
+            'process': process,
+            'event': 'CR1690',
+            'message': f'{count} lines of {event} were left out',
+            'fields': {'kind': event, 'count': count},
+        }
+        writer.write(json.dumps(line).encode() + b'\n')
+
+
 def _write_json(stream: typing.TextIO, line: typing.Any) -> None:
+    stream.write(json.dumps(_fields_of(line), ensure_ascii=False) + '\n')
+    stream.flush()
+
+
+def _fields_of(line: typing.Any) -> dict[str, typing.Any]:
     record = line.record
     fields = {
         'time': record['time']
@@ -60,7 +117,9 @@
         'process': record['extra'].get('process', ''),
         'message': record['message'],
     }
+    for name in ('event', 'cause', 'fields'):
+        if record['extra'].get(name):
+            fields[name] = record['extra'][name]
     if record['exception'] is not None:
         fields['exception'] = repr(record['exception'].value)
-    stream.write(json.dumps(fields, ensure_ascii=False) + '\n')
-    stream.flush()
+    return fields
--- a/citronrail/platform/_program.py
+++ b/citronrail/platform/_program.py
@@ -57,7 +57,7 @@
 
 async def _run(role: str, cfg: _settings.Settings) -> None:
     boot_id = identifiers.new_boot_id()
-    observability.set_up_logging('INFO', 'json', cfg.node_id, sys.stdout)
+    observability.set_up_daemon_logging('INFO', cfg.node_id)
     observability.use_recorder(
         observability.Recorder(f'{cfg.node_id}/{boot_id}', 2000)
     )
--- a/citronrail/workflow/_book.py
+++ b/citronrail/workflow/_book.py
@@ -321,8 +321,10 @@
         job = stage.job
         task.failures += 1
         task.retry_at = now + RETRY_PAUSE_S
-        if task.failures == 1:
-            # Later failures speak against the task, not the worker.
+        task.failed_on = view.node
+        job.failed_on.add(view.node)
+        if job.failed_on == {view.node}:
+            # A job that fails elsewhere too speaks against itself.
             view.failed_jobs = [*view.failed_jobs[-8:], job.job_id]
         if _health.should_avoid(view.failed_jobs):
             self.avoid(view, 'it fails what it starts', now)
--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -44,6 +44,7 @@
         self.failed_jobs: list[str] = []  # jobs of the latest failed runs
         self.serving: tuple[_interference.Serving, ...] = ()
         self.speed = 1.0  # smoothed, 1 is as estimated
+        self.speed_at = 0.0  # time of its last measurement
 
     @property
     def worker_id(self) -> str:
--- a/citronrail/workflow/_health.py
+++ b/citronrail/workflow/_health.py
@@ -7,13 +7,15 @@
 import dataclasses
 import statistics
 
-FAILED_JOBS_TO_AVOID = 3  # distinct jobs that failed there in a row
+FAILED_JOBS_TO_AVOID = 2  # distinct jobs that failed only there, in a row
 AVOID_S = 6.0
-STUCK_S = 2.0  # without progress, though the lists are fresh
-STUCK_FILLING_S = 4.0  # filling tasks may rightly wait for processors
+STUCK_S = 1.4  # without progress, though the lists are fresh
+STUCK_FILLING_S = 3.5  # filling tasks may rightly wait for processors
 LEAST_ELAPSED_S = 1.0  # a shorter run says little of the speed
 SPEED_WEIGHT = 0.3
 SLOW_SHARE = 0.4  # of the fleet's median speed
+SPEED_VALID_S = 4.0  # a worker without measurements gets another trial
+MOVE_COST_S = 0.9  # stopping a run and starting it elsewhere
 
 
 @dataclasses.dataclass(frozen=True)
@@ -66,6 +68,19 @@
     return old + SPEED_WEIGHT * (min(seen, 2.0) - old)
 
 
+def better_moved(run: Progress, speed: float, saves_progress: bool) -> bool:
+    """Whether a run on a slow worker would end sooner elsewhere.
+
+    :param run: the run.
+    :param speed: how fast it works, 1 being as its estimate says.
+    :param saves_progress: whether it goes on from where it was stopped.
+    """
+    left = 1.0 - run.percent / 100
+    here_s = left * run.estimate_s / max(speed, 0.01)
+    again_s = left * run.estimate_s if saves_progress else run.estimate_s
+    return here_s > 1.3 * again_s + MOVE_COST_S
+
+
 def relative_speeds(speeds: dict[str, float]) -> dict[str, float]:
     """Compare workers, since estimates of whole kinds of jobs are off.
 
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -73,6 +73,7 @@
         'attempts',
         'checkpoint',
         'done',
+        'failed_on',
         'failures',
         'index',
         'last_run',
@@ -90,6 +91,7 @@
         self.done = False
         self.last_run = 0
         self.failures = 0
+        self.failed_on = ''  # agent of the last failed run
         self.checkpoint = ''
         self.attempts: list[Attempt] = []
         self.retry_at = 0.0
@@ -180,6 +182,7 @@
         self.ended_at = 0.0  # Unix time in seconds
         self.shown = documents.JobStatus.QUEUED  # as last committed
         self.started = False
+        self.failed_on: set[str] = set()  # agents of failed runs
 
     @property
     def status(self) -> documents.JobStatus:
--- a/citronrail/workflow/_orders.py
+++ b/citronrail/workflow/_orders.py
@@ -11,9 +11,9 @@
 # Without a list for this long the lease isn't extended, so that the runs of
 # a worker that answers nobody end by themselves.
 RENEW_FRESH_S = 2.0
-# A lease outlasts a change of the scheduling entry, and ends soon enough
-# that the runs of a lost worker are repeated.
-LEASE_S = 6.0
+# A lease outlasts a change of the scheduling entry or a short cut of the
+# agent, and ends soon enough that the runs of a lost worker are repeated.
+LEASE_S = 8.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -21,6 +21,7 @@
 TOGETHER_BONUS = 0.6  # serving tasks of the same image on the worker
 ASSUMED_LOAD = 0.45  # utilisation of a serving task before it is measured
 SAME_RACK_BONUS = 1.0
+SHUNNED_PENALTY = 3.0  # where the task has failed
 # A serving task uses about this share of its reserved processors; filling
 # tasks get the rest.
 SERVING_USE = 0.7
@@ -208,6 +209,7 @@
     factors: _interference.PairFactors,
     *,
     patient: bool = False,
+    shunned: typing.Collection[str] = (),
 ) -> Room | None:
     """Choose the worker for a task.
 
@@ -216,6 +218,7 @@
     :param rooms: the usable workers of the queue's service.
     :param factors: learned interference of pairs of images.
     :param patient: rather wait than do harm.
+    :param shunned: agents whose worker is taken only if no other is left.
     :returns: the worker, None if the task has to wait.
     """
     best = None
@@ -228,6 +231,8 @@
         if patient and _harmful(step, room, factors):
             continue
         value = score(step, room, factors)
+        if room.node in shunned:
+            value -= SHUNNED_PENALTY
         if value > best_score:
             best, best_score = room, value
     return best
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -13,6 +13,10 @@
 from citronrail.workflow import _queue_order
 
 MAX_STARTS = 120  # of one round; the next follows at once
+COPY_SILENT_S = 1.5  # without a list of the worker that runs the task
+COPY_AFTER = 1.6  # times the estimate, and a little more for short tasks
+COPY_EXTRA_S = 0.5
+COPY_PERCENT = 60  # a run that has come this far is waited for
 
 
 @dataclasses.dataclass(frozen=True)
@@ -110,6 +114,9 @@
                 placed += _place_stage(
                     book, stage, candidates, policy.factors, now
                 )
+                placed += _place_copies(
+                    book, stage, candidates, policy.factors, now
+                )
         if len(placed) >= MAX_STARTS:
             break
     return placed
@@ -126,7 +133,9 @@
             stage
             for stage in job.ready_stages(unix_now)
             if any(
-                task.waiting and task.retry_at <= now for task in stage.tasks
+                (task.waiting and task.retry_at <= now)
+                or _needs_copy(book, task, now)
+                for task in stage.tasks
             )
         ]
         if stages:
@@ -173,7 +182,12 @@
         if not task.waiting or task.retry_at > now:
             continue
         room = _placement.choose(
-            stage.spec, name, rooms, factors, patient=patient
+            stage.spec,
+            name,
+            rooms,
+            factors,
+            patient=patient,
+            shunned=(task.failed_on,),
         )
         if room is None:
             break
@@ -182,6 +196,47 @@
     return placed
 
 
+def _needs_copy(book: _book.Book, task: _job.Task, now: float) -> bool:
+    """Whether a second run of a task may save its job from being late."""
+    if not task.stage.spec.speculative or task.done:
+        return False
+    if len(task.attempts) != 1:
+        return False
+    attempt = task.attempts[0]
+    view = book.workers.get(attempt.node)
+    if view is None or not attempt.order_sent_at:
+        return False
+    estimate_s = task.stage.spec.estimate_s
+    elapsed_s = now - attempt.order_sent_at
+    silent = now - view.listed_at > COPY_SILENT_S
+    late = elapsed_s > COPY_AFTER * estimate_s + COPY_EXTRA_S
+    return silent or (late and attempt.percent < COPY_PERCENT)
+
+
+def _place_copies(
+    book: _book.Book,
+    stage: _job.Stage,
+    rooms: list[_placement.Room],
+    factors: _interference.PairFactors,
+    now: float,
+) -> list[_job.Attempt]:
+    """Start copies of runs that are late, where the step allows it."""
+    placed: list[_job.Attempt] = []
+    if not stage.spec.speculative:
+        return placed
+    name = step_name(stage)
+    for task in stage.tasks:
+        if not _needs_copy(book, task, now):
+            continue
+        others = [r for r in rooms if r.node != task.attempts[0].node]
+        room = _placement.choose(stage.spec, name, others, factors)
+        if room is None:
+            break
+        room.take(stage.spec, name)
+        placed.append(_assign(book, task, room, task.last_run + 1))
+    return placed
+
+
 def _place_gang(
     book: _book.Book,
     stage: _job.Stage,
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -271,7 +271,6 @@
             self._queue_named, self._operators.evacuated, self._factors
         )
         placed = _round.place(self.book, policy, now, self._unix_clock())
-        placed += self._upkeep.copies(now)
         self._starting += placed
         for attempt in placed:
             observability.emit(
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -38,15 +38,11 @@
                 self._leave(view, now)
         if now >= self._health_at:
             self._health_at = now + HEALTH_INTERVAL_S
+            self._check_speeds(now)
             for view in self._book.workers.values():
                 if view.usable(now):
                     self._check_progress(view, now)
 
-    def copies(self, now: float) -> list[_job.Attempt]:
-        """Return speculative copies to start; none yet."""
-        del now
-        return []
-
     def _pace(self, view: _fleet.WorkerView, now: float) -> None:
         """Set the pace of filling tasks once for each new list."""
         last = self._paced_list.get(view.node, 0.0)
@@ -128,15 +124,42 @@
             if not ends_in_time:
                 self._book.stop(attempt, 'the worker is leaving')
 
-    def _check_progress(self, view: _fleet.WorkerView, now: float) -> None:
-        stuck = []
-        for attempt in view.attempts.values():
+    def _check_speeds(self, now: float) -> None:
+        """Measure workers, and move runs away from the slow ones."""
+        views = [v for v in self._book.workers.values() if v.usable(now)]
+        for view in views:
+            for attempt in view.attempts.values():
+                speed = _health.speed_of(_progress_of(attempt), view.listed_at)
+                if speed is not None:
+                    view.speed = _health.smoothed(view.speed, speed)
+                    view.speed_at = now
+            if now - view.speed_at > _health.SPEED_VALID_S:
+                view.speed = 1.0
+        speeds = _health.relative_speeds(
+            {view.node: view.speed for view in views}
+        )
+        for view in views:
+            if speeds[view.node] < _health.SLOW_SHARE:
+                self._move_slow(view)
+
+    def _move_slow(self, view: _fleet.WorkerView) -> None:
+        for attempt in list(view.attempts.values()):
+            spec = attempt.task.stage.spec
+            if attempt.stop_reason or spec.gang:
+                continue
             progress = _progress_of(attempt)
             speed = _health.speed_of(progress, view.listed_at)
-            if speed is not None:
-                view.speed = _health.smoothed(view.speed, speed)
-            if _health.stuck(progress, view.listed_at):
-                stuck.append(attempt)
+            if speed is None or speed > _health.SLOW_SHARE:
+                continue
+            if _health.better_moved(progress, speed, spec.saves_progress):
+                self._book.stop(attempt, 'the worker is slow')
+
+    def _check_progress(self, view: _fleet.WorkerView, now: float) -> None:
+        stuck = [
+            attempt
+            for attempt in view.attempts.values()
+            if _health.stuck(_progress_of(attempt), view.listed_at)
+        ]
         for attempt in stuck:
             if not attempt.stop_reason:
                 self._book.stop(attempt, 'it makes no progress')
