--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -69,7 +69,7 @@
 
 @dataclasses.dataclass(frozen=True)
 class StartOrder:
-    """A run to start; ``life`` is (worker id, time of birth)."""
+    """A run to start."""
 
     task: str
     run: int
--- a/citronrail/workflow/_book.py
+++ b/citronrail/workflow/_book.py
@@ -402,7 +402,8 @@
     attempt.missing_since = 0.0
     if not attempt.listed_at:
         attempt.listed_at = now
-        attempt.started_percent = row.percent
+        attempt.steady_since = now
+        attempt.steady_percent = row.percent
     if row.percent != attempt.percent:
         attempt.percent = row.percent
         attempt.moved_at = now
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -16,6 +16,7 @@
 CANCEL_PREFIX = INBOX_PREFIX + 'cancel/'
 PROGRESS_PREFIX = ROOT + 'progress/'
 COMMIT_KEY = ROOT + 'commit'
+FACTORS_KEY = ROOT + 'interference'
 
 
 class JobStatus(enum.StrEnum):
--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -18,8 +18,8 @@
 from citronrail.workflow import _operators
 from citronrail.workflow import _term
 
-# Three renewals may fail in a row; a successor begins within 3 s.
-LEASE_TTL_S = 2.5
+# Three renewals may fail in a row; a successor begins within 2.5 s.
+LEASE_TTL_S = 2.0
 RETRY_S = 0.2
 # An entry with the processors of a full core claims after this long, a
 # smaller one later, so that the largest becomes the scheduler.
--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -43,6 +43,7 @@
         self.avoid_until = 0.0
         self.failed_jobs: list[str] = []  # jobs of the latest failed runs
         self.serving: tuple[_interference.Serving, ...] = ()
+        self.over_since = 0.0  # a target is missed since then, or 0
         self.speed = 1.0  # smoothed, 1 is as estimated
         self.speed_at = 0.0  # time of its last measurement
 
--- a/citronrail/workflow/_health.py
+++ b/citronrail/workflow/_health.py
@@ -25,7 +25,8 @@
     percent: int
     moved_at: float
     listed_at: float  # first time on a list
-    started_percent: int
+    steady_since: float  # begin of the present pace
+    steady_percent: int  # progress at that moment
     estimate_s: float
     pace: int
     fills: bool
@@ -54,12 +55,12 @@
     :param now: time of the latest list.
     :returns: the speed, None if it is too early to tell.
     """
-    elapsed_s = now - run.listed_at
+    elapsed_s = now - run.steady_since
     if not run.listed_at or elapsed_s < LEAST_ELAPSED_S or run.pace < 100:
         return None
     if run.long_running or run.estimate_s <= 0:
         return None
-    done = (run.percent - run.started_percent) / 100
+    done = (run.percent - run.steady_percent) / 100
     return done * run.estimate_s / elapsed_s
 
 
--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -25,11 +25,14 @@
 MAX_UTILISATION = 0.99
 REST_RATIO = 0.2  # tail at rest as a share of the target, before it is seen
 LEAST_LOAD = 0.22  # utilisation at the least tail that is ever measured
-DANGER_RATIO = 0.85  # of the latency target; above it pace is cut
-AIM_RATIO = 0.72  # what a cut aims at
+DANGER_RATIO = 0.87  # of the latency target; above it pace is cut
+# The measured tail is rough; from here on the real one may be over.
+AT_TARGET_RATIO = 0.93
+AIM_RATIO = 0.76  # what a cut aims at
 RISE = 40  # percentage points that are given back at once
 # A filling task that adds less utilisation than this is left alone.
 HARMLESS = 0.03
+NEGLIGIBLE = 0.01  # utilisation that can't be what misses a target
 FULL_PACE = 100
 
 
@@ -44,6 +47,11 @@
     utilisation: float
     rest_ratio: float = REST_RATIO
 
+    @property
+    def at_target(self) -> bool:
+        """Whether its tail is over its target, or nearly so."""
+        return self.utilisation > 1.0 - self.rest_ratio / AT_TARGET_RATIO
+
     @property
     def danger(self) -> float:
         """Utilisation above which its target is in danger."""
@@ -80,6 +88,17 @@
     return min(MAX_UTILISATION, 1.0 - rest_ratio / ratio)
 
 
+@dataclasses.dataclass(frozen=True)
+class LearnedFactors:
+    """What was learned, as the store keeps it.
+
+    ``factors`` holds the serving image, the filling image and the factor.
+    """
+
+    factors: tuple[tuple[str, str, float], ...] = ()
+    rest_ratios: tuple[tuple[str, float], ...] = ()
+
+
 class PairFactors:
     """Learned factors of pairs of images, and tails of images at rest."""
 
@@ -117,6 +136,33 @@
             self.factor(serving, task.image) * task.weight for task in filling
         )
 
+    def heaviness(self, filling: str) -> float:
+        """Return the mean factor of an image over those it has met.
+
+        :param filling: image of filling tasks.
+        """
+        known = [
+            value
+            for (_, item), value in self._factors.items()
+            if item == filling
+        ]
+        return sum(known) / len(known) if known else PRIOR_FACTOR
+
+    def export(self) -> LearnedFactors:
+        """Return what was learned, to be kept for a successor."""
+        return LearnedFactors(
+            tuple((*pair, value) for pair, value in self._factors.items()),
+            tuple(self._rest.items()),
+        )
+
+    def adopt(self, learned: LearnedFactors) -> None:
+        """Take over what a predecessor has learned."""
+        self._factors = {
+            (serving, filling): value
+            for serving, filling, value in learned.factors
+        }
+        self._rest = dict(learned.rest_ratios)
+
     def own_load(self, task: Serving, filling: tuple[Filling, ...]) -> float:
         """Estimate the utilisation of a task without filling tasks."""
         added = self.added(task.image, filling)
@@ -144,6 +190,34 @@
             self._factors[serving, image] = min(MAX_FACTOR, max(0.0, new))
 
 
+def emergency_paces(
+    serving: tuple[Serving, ...],
+    filling: tuple[Filling, ...],
+    factors: PairFactors,
+    *,
+    everything: bool,
+) -> tuple[int, ...]:
+    """Return the paces after a target has been missed in spite of a cut.
+
+    :param serving: the worker's serving tasks, as last measured.
+    :param filling: the worker's filling tasks.
+    :param factors: what was learned of pairs; some of it is wrong.
+    :param everything: stop tasks too that were never seen to press.
+    :returns: percents from 0 to 100, in the order of ``filling``.
+    """
+    missed = [task.image for task in serving if task.at_target]
+    return tuple(
+        0
+        if everything
+        or any(
+            factors.factor(image, item.image) * item.share > NEGLIGIBLE
+            for image in missed
+        )
+        else item.pace
+        for item in filling
+    )
+
+
 def paces(
     serving: tuple[Serving, ...],
     filling: tuple[Filling, ...],
@@ -194,27 +268,25 @@
     ]
 
 
-def excess(
+def affordable_pace(
     serving: tuple[Serving, ...],
-    image: str,
-    share: float,
+    joining: tuple[Filling, ...],
+    candidate: Filling,
     factors: PairFactors,
-) -> float:
-    """Return how far a filling task would put a worker's tasks in danger.
+) -> int:
+    """Return the pace at which a filling task could join a worker.
 
     :param serving: the worker's serving tasks, as last measured.
-    :param image: image of the filling task.
-    :param share: share of the worker's processors that it would use.
+    :param joining: filling tasks there that no measurement shows yet.
+    :param candidate: the filling task.
     :param factors: what was learned of pairs.
-    :returns: the worst utilisation less what is aimed at; negative if there
-        is room left.
+    :returns: percent from 0 to 100.
     """
-    return max(
-        (
-            task.utilisation
-            + factors.factor(task.image, image) * share
-            - task.aim
-            for task in serving
-        ),
-        default=-1.0,
-    )
+    pace = FULL_PACE
+    for task in serving:
+        adds = factors.factor(task.image, candidate.image) * candidate.share
+        if adds <= HARMLESS:
+            continue
+        room = task.aim - task.utilisation - factors.added(task.image, joining)
+        pace = min(pace, int(FULL_PACE * max(0.0, room) / adds))
+    return pace
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -25,7 +25,8 @@
         'pace',
         'pace_due',
         'percent',
-        'started_percent',
+        'steady_percent',
+        'steady_since',
         'starved_since',
         'stop_reason',
         'stop_sent_at',
@@ -52,7 +53,8 @@
         self.missing_since = 0.0
         self.moved_at = 0.0  # last time that its percent changed
         self.percent = -1
-        self.started_percent = 0
+        self.steady_since = 0.0  # begin of the present pace
+        self.steady_percent = 0  # progress at that moment
         self.load = 0.0
         self.pace = 100
         self.pace_due = False  # whether the worker isn't told of it yet
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -14,11 +14,12 @@
 REMOTE_PENALTY = 0.5
 SLOW_PENALTY = 1.5
 SLOW_SPEED = 0.6  # of the fleet's median; above it speed isn't looked at
-HARM_PENALTY = 3.0  # for each share of utilisation above the aim
-ROOM_BONUS = 0.5  # for each share of utilisation below the aim
-HARMFUL_EXCESS = 0.03  # utilisation above the aim that is waited out
-MIXED_PENALTY = 0.3  # serving tasks of another image on the worker
+PACE_WEIGHT = 0.6  # between a pace of 0 and full pace
+PATIENT_PACE = 60  # percent; a filling task waits for a worker that allows it
+# Between a light and a heavy filling image on a worker where nothing serves.
+FREE_WORKER_WEIGHT = 0.4
 TOGETHER_BONUS = 0.6  # serving tasks of the same image on the worker
+COMPANY_BONUS = -0.3  # serving tasks of another image on the worker
 ASSUMED_LOAD = 0.45  # utilisation of a serving task before it is measured
 SAME_RACK_BONUS = 1.0
 SHUNNED_PENALTY = 3.0  # where the task has failed
@@ -29,7 +30,7 @@
 # with less it would only slow down those that fill there already.
 LEAST_IDLE_SHARE = 0.75
 # A filling task waits this long for a worker where it does no harm.
-PATIENCE_S = 5.0
+PATIENCE_S = 14.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -59,6 +60,7 @@
     )  # filling tasks that no measurement shows yet
     speed: float = 1.0
     avoided: bool = False
+    at_target: bool = False  # a serving task misses its target
     per_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def take(
@@ -143,46 +145,44 @@
         else:
             value -= REMOTE_PENALTY
     if step.fills:
-        over = _excess_with(step, room, factors)
-        value -= HARM_PENALTY * max(0.0, over)
-        value += ROOM_BONUS * max(0.0, -over)
+        value += _harmlessness(step, room, factors)
     elif step.latency_target_ms:
+        # The fullest worker first, so that others stay free of serving
+        # tasks and heavy filling tasks find room there.
         value += _company(step, room, factors)
     if room.speed < SLOW_SPEED:
         value -= SLOW_PENALTY * (1.0 - room.speed)
     return value
 
 
-def _excess_with(
+def starting_pace(
     step: workflows.StepSpec,
     room: Room,
     factors: _interference.PairFactors,
-) -> float:
-    """Return how far a filling task would endanger the serving tasks.
-
-    What has been placed since the last measurement counts as well.
-    """
-    total = max(1, room.total_cpu)
-    return max(
-        (
-            _interference.excess(
-                (task,), step.image, step.cpu_millis / total, factors
-            )
-            + factors.added(task.image, tuple(room.joining))
-            for task in room.serving
-        ),
-        default=-1.0,
+) -> int:
+    """Return the pace at which a task may start on a worker, in percent."""
+    if not step.fills:
+        return _interference.FULL_PACE
+    share = step.cpu_millis / max(1, room.total_cpu)
+    return _interference.affordable_pace(
+        room.serving,
+        tuple(room.joining),
+        _interference.Filling(step.image, share),
+        factors,
     )
 
 
-def _harmful(
+def _harmlessness(
     step: workflows.StepSpec,
     room: Room,
     factors: _interference.PairFactors,
-) -> bool:
-    if not step.fills or not room.serving:
-        return False
-    return _excess_with(step, room, factors) > HARMFUL_EXCESS
+) -> float:
+    """Rate a worker by what a filling task would do to its serving tasks."""
+    if not room.serving:
+        heavy = min(1.5, factors.heaviness(step.image))
+        return PACE_WEIGHT + FREE_WORKER_WEIGHT * (heavy - 0.5)
+    pace = starting_pace(step, room, factors)
+    return PACE_WEIGHT * pace / _interference.FULL_PACE
 
 
 def _company(
@@ -198,7 +198,7 @@
     value = -factors.added(step.image, tuple(room.filling))
     if room.serving:
         same = any(task.image == step.image for task in room.serving)
-        value += TOGETHER_BONUS if same else -MIXED_PENALTY
+        value += TOGETHER_BONUS if same else COMPANY_BONUS
     return max(-2.0, value)
 
 
@@ -228,7 +228,10 @@
             continue
         if not worth_starting(step, room):
             continue
-        if patient and _harmful(step, room, factors):
+        if step.fills and room.at_target:
+            continue
+        least = PATIENT_PACE if patient else 0
+        if starting_pace(step, room, factors) < least:
             continue
         value = score(step, room, factors)
         if room.node in shunned:
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -28,6 +28,7 @@
 TICK_S = 0.25
 COMMIT_INTERVAL_S = 0.03
 LOAD_RETRY_S = 0.2
+KEEP_LEARNED_S = 2.0  # between copies of what was learned
 ASK_AGAIN_S = 2.0  # an agent that reports sends a list twice a second
 # After its store lease has ended, a scheduler extends leases of workers for
 # at most this long; its successor waits as long for workers that it can't
@@ -98,6 +99,7 @@
         self._lease_s = min(bounds.max_lease_s, _orders.LEASE_S)
         self._forget_at = 0.0
         self._ask_at = 0.0
+        self._learned_at = 0.0
         self.loaded = False
 
     def _queue_named(self, name: str) -> workflows.Queue | None:
@@ -217,6 +219,7 @@
             try:
                 await self._chain.open()
                 listing = await self._store.list(documents.PROGRESS_PREFIX)
+                learned = await self._store.get(documents.FACTORS_KEY)
                 break
             except errors.StoreError as exc:
                 observability.emit(events.ELECTION_FAILED, reason=exc)
@@ -226,6 +229,12 @@
                     step='workflow.load',
                 )
             await trio.sleep(LOAD_RETRY_S)
+        if learned is not None:
+            factors = _book.decode_item(
+                learned.key, learned.value, _interference.LearnedFactors
+            )
+            if factors is not None:
+                self._factors.adopt(factors)
         for item in listing.items:
             progress = _book.decode_item(
                 item.key, item.value, documents.ProgressRecord
@@ -316,6 +325,7 @@
             for job in self.book.dirty
         ]
         writes += self._forgettable()
+        writes += self._learned(bool(writes))
         acknowledges = any(
             view.applied > view.acknowledged
             for view in self.book.workers.values()
@@ -326,6 +336,19 @@
                 view.acknowledged = view.applied
         return writes
 
+    def _learned(self, others: bool) -> list[ports.Put]:
+        """Return what a successor should know, beside other writes."""
+        now = trio.current_time()
+        if now < self._learned_at or not others:
+            return []
+        self._learned_at = now + KEEP_LEARNED_S
+        return [
+            ports.Put(
+                documents.FACTORS_KEY,
+                documents.encode(self._factors.export()),
+            )
+        ]
+
     def _forgettable(self) -> list[ports.Delete]:
         """Return deletions of jobs that ended long ago."""
         now = trio.current_time()
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -10,6 +10,10 @@
 PACE_INTERVAL_S = 0.4
 STARVED_PACE = 30  # percent; below it a run hardly advances
 STARVED_S = 2.0
+# A target that is missed for this long shows that what was learned is wrong.
+OVER_S = 0.7
+STOP_ALL_S = 1.5  # then nothing may fill beside the task
+MOVE_PACE = 80  # percent that another worker must allow
 
 
 class Upkeep:
@@ -54,18 +58,37 @@
         serving = self._serving(view)
         view.serving = tuple(task for task, _ in serving)
         if not filling:
+            view.over_since = 0.0
             return
         for task, stage in serving:
             growth = task.utilisation - self._own_load(stage)
             self._factors.learn(task.image, growth, tasks)
         new = _interference.paces(view.serving, tasks, self._factors)
+        over_s = self._over_for(view, now)
+        if over_s > OVER_S:
+            new = _interference.emergency_paces(
+                view.serving,
+                tasks,
+                self._factors,
+                everything=over_s > STOP_ALL_S,
+            )
         for (_, attempt), pace in zip(filling, new):
             if pace != attempt.pace:
                 attempt.pace = pace
                 attempt.pace_due = True
                 attempt.moved_at = now  # what follows is another speed
+                attempt.steady_since = now
+                attempt.steady_percent = attempt.percent
             self._move_if_starved(attempt, now)
 
+    def _over_for(self, view: _fleet.WorkerView, now: float) -> float:
+        """Return for how long a target of the worker has been missed."""
+        if not any(task.at_target for task in view.serving):
+            view.over_since = 0.0
+            return 0.0
+        view.over_since = view.over_since or now
+        return now - view.over_since
+
     def _serving(
         self, view: _fleet.WorkerView
     ) -> list[tuple[_interference.Serving, _job.Stage]]:
@@ -103,12 +126,30 @@
             attempt.starved_since = 0.0
         elif not attempt.starved_since:
             attempt.starved_since = now
-        elif (
-            now - attempt.starved_since > STARVED_S
-            and attempt.task.stage.spec.saves_progress
+        elif now - attempt.starved_since > STARVED_S and self._finds_place(
+            attempt, now
         ):
             self._book.stop(attempt, 'paced down for too long')
 
+    def _finds_place(self, attempt: _job.Attempt, now: float) -> bool:
+        """Whether another worker would let a run work at once."""
+        spec = attempt.task.stage.spec
+        if not spec.saves_progress or attempt.stop_reason:
+            return False
+        for view in self._book.workers.values():
+            if view.node == attempt.node or not view.usable(now):
+                continue
+            share = spec.cpu_millis / max(1, view.life.cpu_millis)
+            pace = _interference.affordable_pace(
+                view.serving,
+                (),
+                _interference.Filling(spec.image, share),
+                self._factors,
+            )
+            if pace >= MOVE_PACE:
+                return True
+        return False
+
     def _leave(self, view: _fleet.WorkerView, now: float) -> None:
         """Stop what won't end before the worker does, to save progress."""
         left_s = max(0.0, view.drain_ends_at - now)
@@ -145,7 +186,7 @@
     def _move_slow(self, view: _fleet.WorkerView) -> None:
         for attempt in list(view.attempts.values()):
             spec = attempt.task.stage.spec
-            if attempt.stop_reason or spec.gang:
+            if attempt.stop_reason or spec.gang or spec.fills:
                 continue
             progress = _progress_of(attempt)
             speed = _health.speed_of(progress, view.listed_at)
@@ -188,7 +229,8 @@
         percent=attempt.percent,
         moved_at=attempt.moved_at,
         listed_at=attempt.listed_at,
-        started_percent=attempt.started_percent,
+        steady_since=attempt.steady_since,
+        steady_percent=attempt.steady_percent,
         estimate_s=spec.estimate_s,
         pace=attempt.pace,
         fills=spec.fills,
