--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -44,6 +44,7 @@
         self.failed_jobs: list[str] = []  # jobs of the latest failed runs
         self.serving: tuple[_interference.Serving, ...] = ()
         self.over_since = 0.0  # a target is missed since then, or 0
+        self.in_emergency = False  # a target is missed in spite of cuts
         self.speed = 1.0  # smoothed, 1 is as estimated
         self.speed_at = 0.0  # time of its last measurement
 
--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -25,10 +25,10 @@
 MAX_UTILISATION = 0.99
 REST_RATIO = 0.2  # tail at rest as a share of the target, before it is seen
 LEAST_LOAD = 0.22  # utilisation at the least tail that is ever measured
-DANGER_RATIO = 0.87  # of the latency target; above it pace is cut
+DANGER_RATIO = 0.9  # of the latency target; above it pace is cut
 # The measured tail is rough; from here on the real one may be over.
 AT_TARGET_RATIO = 0.93
-AIM_RATIO = 0.76  # what a cut aims at
+AIM_RATIO = 0.8  # what a cut aims at
 RISE = 40  # percentage points that are given back at once
 # A filling task that adds less utilisation than this is left alone.
 HARMLESS = 0.03
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -30,7 +30,7 @@
 # with less it would only slow down those that fill there already.
 LEAST_IDLE_SHARE = 0.75
 # A filling task waits this long for a worker where it does no harm.
-PATIENCE_S = 14.0
+PATIENCE_S = 12.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +60,7 @@
     )  # filling tasks that no measurement shows yet
     speed: float = 1.0
     avoided: bool = False
-    at_target: bool = False  # a serving task misses its target
+    in_emergency: bool = False  # a serving task keeps missing its target
     per_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
     def take(
@@ -228,7 +228,7 @@
             continue
         if not worth_starting(step, room):
             continue
-        if step.fills and room.at_target:
+        if step.fills and room.in_emergency:
             continue
         least = PATIENT_PACE if patient else 0
         if starting_pace(step, room, factors) < least:
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -75,7 +75,7 @@
         idle_cpu=life.cpu_millis,
         avoided=view.avoid_until > now or bool(view.stray_stops),
         serving=view.serving,
-        at_target=any(task.at_target for task in view.serving),
+        in_emergency=view.in_emergency,
     )
     for attempt in view.attempts.values():
         stage = attempt.task.stage
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -59,13 +59,15 @@
         view.serving = tuple(task for task, _ in serving)
         if not filling:
             view.over_since = 0.0
+            view.in_emergency = False
             return
         for task, stage in serving:
             growth = task.utilisation - self._own_load(stage)
             self._factors.learn(task.image, growth, tasks)
         new = _interference.paces(view.serving, tasks, self._factors)
         over_s = self._over_for(view, now)
-        if over_s > OVER_S:
+        view.in_emergency = over_s > OVER_S
+        if view.in_emergency:
             new = _interference.emergency_paces(
                 view.serving,
                 tasks,
