Explain a job from log lines alone

citronrail explain ID reads the processes' JSON lines and tells what was decided about a job and why it was not accepted, late, failed or cancelled.

--- a/citronrail/cli/_arguments.py
+++ b/citronrail/cli/_arguments.py
@@ -28,6 +28,7 @@
   citronrail status
   citronrail timeline --trace trace.json  # open it in a trace viewer
   citronrail check-config entry.json
+  citronrail explain 5c0e7a21d94b36f8 entry-1.log entry-2.log
   eval "$(citronrail completion bash)"
 
 {ENTRY_VARIABLE} names the entries, separated by commas, if --entry is not \
@@ -210,6 +211,16 @@
         'check-config', help='check the settings file of a process'
     )
     check.add_argument('files', nargs='+', metavar='FILE')
+    explain = subcommands.add_parser(
+        'explain', help='tell from log files what became of a job or task'
+    )
+    explain.add_argument('id', metavar='ID', help='job id or task name')
+    explain.add_argument(
+        'logs',
+        nargs='*',
+        metavar='FILE',
+        help='log files of the processes; "-" or none reads standard input',
+    )
     completion = subcommands.add_parser(
         'completion', help='print the completion script of a shell'
     )
--- a/citronrail/cli/_main.py
+++ b/citronrail/cli/_main.py
@@ -13,6 +13,7 @@
 from citronrail.cli import _arguments
 from citronrail.cli import _check_config
 from citronrail.cli import _exit_codes
+from citronrail.cli import _explain
 from citronrail.cli import _prompt
 from citronrail.cli import _run
 from citronrail.cli import _status
@@ -27,6 +28,7 @@
         'timeline',
         'check-config',
         'completion',
+        'explain',
     }
 )
 INTERRUPTED = 130
@@ -63,6 +65,8 @@
     match args.subcommand:
         case 'check-config':
             return _check_config.check_config(args.files, streams)
+        case 'explain':
+            return _explain_id(parser, args, streams)
         case 'completion':
             streams.stdout.write(
                 shell_integration.shellcode(['citronrail'], shell=args.shell)
@@ -82,6 +86,18 @@
     return _commands(parser, args, options, streams)
 
 
+def _explain_id(
+    parser: argparse.ArgumentParser,
+    args: argparse.Namespace,
+    streams: _run.Streams,
+) -> _exit_codes.ExitCode:
+    try:
+        logs = [_read(path).splitlines() for path in args.logs or ['-']]
+    except (OSError, UnicodeDecodeError) as exc:
+        parser.error(str(exc))
+    return _explain.explain(args.id, logs, streams)
+
+
 def _timeline(
     args: argparse.Namespace,
     options: _arguments.Common,
