Take SIGHUP as a reload, not as the end of the process

Change: the application awaits reload hooks; the programs on the platform read their settings again and log whether they differ.

--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -11,6 +11,7 @@
 
 Hook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+RELOAD_SIGNAL = signal.SIGHUP
 
 
 @dataclasses.dataclass(frozen=True)
@@ -40,6 +41,7 @@
         self._drain_limit_s = drain_limit_s
         self._components: list[LifeCycle] = []
         self._on_started: list[Hook] = []
+        self._on_reload: list[Hook] = []
         self._stop = trio.Event()
         self._stop_reason = 'none'
         self.ready = False
@@ -63,6 +65,13 @@
         """Await ``hook`` once every component has started."""
         self._on_started.append(hook)
 
+    def on_reload(self, hook: Hook) -> None:
+        """Await ``hook`` when SIGHUP says that settings have changed.
+
+        A hook must not raise; the process goes on as it was.
+        """
+        self._on_reload.append(hook)
+
     def stop(self, reason: str = 'request') -> None:
         """Begin a planned stop."""
         self._stop_reason = reason
@@ -71,8 +80,8 @@
     async def run(self, handle_signals: bool = True) -> None:
         """Run all components until a planned stop is complete.
 
-        :param handle_signals: treat SIGTERM and SIGINT as a planned stop,
-            and a second one as a stop at once.
+        :param handle_signals: treat SIGTERM and SIGINT as a planned stop, a
+            second one as a stop at once, and SIGHUP as a reload.
         """
         async with trio.open_nursery() as nursery:
             if handle_signals:
@@ -127,12 +136,22 @@
         *,
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
-        with trio.open_signal_receiver(*STOP_SIGNALS) as received:
+        with trio.open_signal_receiver(
+            *STOP_SIGNALS, RELOAD_SIGNAL
+        ) as received:
             task_status.started()
             async for number in received:
                 name = signal.Signals(number).name
+                if number == RELOAD_SIGNAL:
+                    await self._reload()
+                    continue
                 if self._stop.is_set():
                     observability.emit(events.KILLED, signal=name)
                     scope.cancel()
                     return
                 self.stop(name)
+
+    async def _reload(self) -> None:
+        observability.emit(events.RELOADED, node=self._node_id)
+        for hook in self._on_reload:
+            await hook()
--- /dev/null
+++ b/citronrail/daemon/tests/test_reload.py
@@ -0,0 +1,28 @@
+"""Guards a process against the signal that settings have changed."""
+
+import os
+import signal
+
+import trio
+
+from citronrail.daemon import parts
+
+
+async def test_sighup_reloads_and_does_not_end_the_process():
+    """Guards against SIGHUP's default, which ends a process at once."""
+    app = parts.Application('n1')
+    reloaded = trio.Event()
+
+    async def hook():
+        reloaded.set()
+
+    app.on_reload(hook)
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app.run)
+            while not app.ready:
+                await trio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGHUP)
+            await reloaded.wait()
+            assert app.ready
+            app.stop()
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -31,3 +31,7 @@
 POLICY_UNKNOWN = _events.EventKind(
     1012, 'ERROR', 'placement policy of the settings not used: {reason}'
 )
+RELOADED = _events.EventKind(1013, 'INFO', 'process {node} got SIGHUP')
+SETTINGS_READ = _events.EventKind(
+    1014, 'INFO', 'settings read again: {result}'
+)
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -6,8 +6,11 @@
 
 from citronrail import adapters
 from citronrail.daemon import parts
+from citronrail import errors
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import daemon as events
 from citronrail.platform import _announcement_app
 from citronrail.platform import _caller_app
 from citronrail.platform import _operator_documents
@@ -49,6 +52,7 @@
             _caller_app.metrics_app(), f'{cfg.ip}:{METRICS_PORT}', 'metrics'
         )
         self.app.add('metrics port', metrics.run)
+        self.app.on_reload(self._read_settings)
 
     def _introduce(self) -> messages.Hello:
         return messages.Hello(
@@ -60,6 +64,20 @@
             address=self.address,
         )
 
+    async def _read_settings(self) -> None:
+        """Compare the settings file with what the process started with.
+
+        Addresses and bounds are those of the start: the platform restarts a
+        process that shall get others.
+        """
+        try:
+            changed = _settings.load(self.cfg.path) != self.cfg
+        except errors.ConfigError as exc:
+            observability.emit(events.SETTINGS_READ, result=exc)
+            return
+        result = 'changed, in force at the next start' if changed else 'same'
+        observability.emit(events.SETTINGS_READ, result=result)
+
     async def follow_leader(
         self,
         *,
--- a/citronrail/platform/_settings.py
+++ b/citronrail/platform/_settings.py
@@ -19,6 +19,7 @@
     Addresses are ``IP:PORT`` or '' where the process has none.
     """
 
+    path: str  # where the file was read
     node_id: str
     machine_class: str
     data_centre: str
@@ -47,18 +48,21 @@
             pathlib.Path(path).read_text(),
             Loader=getattr(yaml, 'CSafeLoader', yaml.SafeLoader),
         )
-        return _settings(raw)
+        if not isinstance(raw, dict):
+            raise ValueError('no table of settings')
+        return _settings(path, raw)
     except (OSError, yaml.YAMLError, KeyError, TypeError, ValueError) as exc:
         raise errors.ConfigError(
             f'{path}: {exc!r}', step='settings.load'
         ) from exc
 
 
-def _settings(raw: dict[str, typing.Any]) -> Settings:
+def _settings(path: str, raw: dict[str, typing.Any]) -> Settings:
     listen = raw.get('listen') or {}
     limits = raw.get('limits') or {}
     first, last = raw['internalPortRange']
     return Settings(
+        path=path,
         node_id=str(raw['node']),
         machine_class=str(raw['class']),
         data_centre=str(raw['zone']),
