--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -18,7 +18,7 @@
 PATIENT_PACE = 60  # percent; a filling task waits for a worker that allows it
 # Between a light and a heavy filling image on a worker where nothing serves.
 FREE_WORKER_WEIGHT = 0.4
-TOGETHER_BONUS = 0.6  # serving tasks of the same image on the worker
+TOGETHER_BONUS = 1.3  # serving tasks of the same image on the worker
 COMPANY_BONUS = -0.3  # serving tasks of another image on the worker
 ASSUMED_LOAD = 0.45  # utilisation of a serving task before it is measured
 SAME_RACK_BONUS = 1.0
