--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -16,8 +16,8 @@
 from citronrail.workflow import _commit_chain
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _fleet
-from citronrail.workflow import _job
 from citronrail.workflow import _interference
+from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _operators
 from citronrail.workflow import _orders
