--- a/citronrail/platform/tests/test_deployment.py
+++ b/citronrail/platform/tests/test_deployment.py
@@ -12,9 +12,7 @@
 
 def _pins(name: str) -> set[str]:
     return {
-        line.lower()
-        for line in (ROOT / name).read_text().splitlines()
-        if line
+        line.lower() for line in (ROOT / name).read_text().splitlines() if line
     }
 
 
