--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -15,6 +15,7 @@
 from citronrail import ports
 from citronrail.workflow import _book
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _leadership
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _operators
 from citronrail.workflow import _term
@@ -175,7 +176,9 @@
         return ports.Compare(documents.LEADER_KEY, result.revision)
 
     async def _serve(self, guard: ports.Compare) -> None:
-        leadership = _term.Leadership(guard, lambda: self._lease.held_until)
+        leadership = _leadership.Leadership(
+            guard, lambda: self._lease.held_until
+        )
         token = leadership.fencing
         metrics.LEADERSHIPS.inc()
         observability.emit(events.LEADER_ELECTED, token=token)
--- /dev/null
+++ b/citronrail/workflow/_state_writer.py
@@ -0,0 +1,99 @@
+"""What has to be stored after a round."""
+
+import collections.abc
+
+import trio
+
+from citronrail.model import workflows
+from citronrail import ports
+from citronrail.workflow import _book
+from citronrail.workflow import _documents as documents
+from citronrail.workflow import _interference
+
+KEEP_LEARNED_S = 2.0  # between copies of what was learned
+FORGET_INTERVAL_S = 5.0
+FORGET_AFTER = 1.5  # times the time for which ended jobs must be kept
+UnixClock = collections.abc.Callable[[], float]
+
+
+class StateWriter:
+    """Collects the documents of changed jobs and of what was learned.
+
+    :param book: jobs and workers.
+    :param factors: learned interference of pairs of images.
+    :param bounds: limits of the deployment.
+    :param unix_clock: Unix time in seconds.
+    """
+
+    def __init__(
+        self,
+        book: _book.Book,
+        factors: _interference.PairFactors,
+        bounds: workflows.Bounds,
+        unix_clock: UnixClock,
+    ) -> None:
+        self._book = book
+        self._factors = factors
+        self._bounds = bounds
+        self._unix_clock = unix_clock
+        self._forget_at = 0.0
+        self._learned_at = 0.0
+
+    def writes(self) -> list[ports.Put | ports.Delete]:
+        """Return the writes that are due; the book still counts them."""
+        writes: list[ports.Put | ports.Delete] = [
+            ports.Put(
+                documents.PROGRESS_PREFIX + job.job_id,
+                documents.encode(job.progress()),
+            )
+            for job in self._book.dirty
+        ]
+        writes += self._forgettable()
+        writes += self._learned(bool(writes))
+        acknowledges = any(
+            view.applied > view.acknowledged
+            for view in self._book.workers.values()
+        )
+        if acknowledges and not writes:
+            # Ends of unknown jobs change nothing that would be stored.
+            for view in self._book.workers.values():
+                view.acknowledged = view.applied
+        return writes
+
+    def _learned(self, others: bool) -> list[ports.Put]:
+        """Return what a successor should know, beside other writes."""
+        now = trio.current_time()
+        if now < self._learned_at or not others:
+            return []
+        self._learned_at = now + KEEP_LEARNED_S
+        return [
+            ports.Put(
+                documents.FACTORS_KEY,
+                documents.encode(self._factors.export()),
+            )
+        ]
+
+    def _forgettable(self) -> list[ports.Delete]:
+        """Return deletions of jobs that ended long ago."""
+        now = trio.current_time()
+        if now < self._forget_at:
+            return []
+        self._forget_at = now + FORGET_INTERVAL_S
+        before = self._unix_clock() - FORGET_AFTER * self._bounds.keep_ended_s
+        deletes = []
+        for job in list(self._book.jobs.values()):
+            if not job.ended_at or job.ended_at > before:
+                continue
+            if any(True for _ in job.attempts()):
+                continue
+            del self._book.jobs[job.job_id]
+            self._book.dirty.discard(job)
+            deletes += [
+                ports.Delete(prefix + job.job_id)
+                for prefix in (
+                    documents.PROGRESS_PREFIX,
+                    documents.JOB_PREFIX,
+                    documents.CANCEL_PREFIX,
+                )
+            ]
+        return deletes
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -1,12 +1,10 @@
 """The work of the scheduling entry during one leadership."""
 
-import collections.abc
 import time
 
 import trio
 
 from citronrail import errors
-from citronrail.model import identifiers
 from citronrail.model import messages
 from citronrail.model import workflows
 from citronrail import observability
@@ -17,59 +15,18 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _fleet
 from citronrail.workflow import _interference
-from citronrail.workflow import _job
+from citronrail.workflow import _leadership
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _operators
-from citronrail.workflow import _orders
+from citronrail.workflow import _order_sender
 from citronrail.workflow import _prefix_follower
 from citronrail.workflow import _round
+from citronrail.workflow import _state_writer
 from citronrail.workflow import _upkeep
 
 TICK_S = 0.25
 COMMIT_INTERVAL_S = 0.03
 LOAD_RETRY_S = 0.2
-KEEP_LEARNED_S = 2.0  # between copies of what was learned
-ASK_AGAIN_S = 2.0  # an agent that reports sends a list twice a second
-# After its store lease has ended, a scheduler extends leases of workers for
-# at most this long; its successor waits as long for workers that it can't
-# reach.
-HOLD_AFTER_LOSS_S = 8.0
-FORGET_AFTER = 1.5  # times the time for which ended jobs must be kept
-UnixClock = collections.abc.Callable[[], float]
-
-
-class Leadership:
-    """One leadership of this entry.
-
-    :param guard: condition that fails once it has ended.
-    :param held_until: local time until which it certainly lasts; in the past
-        once it is lost.
-    """
-
-    def __init__(
-        self,
-        guard: ports.Compare,
-        held_until: collections.abc.Callable[[], float],
-    ) -> None:
-        self.guard = guard
-        self._held_until = held_until
-        self._last_held_until = held_until()
-
-    @property
-    def fencing(self) -> int:
-        """Token that workers compare; higher for each leadership."""
-        return self.guard.revision
-
-    @property
-    def ended_at(self) -> float:
-        """Local time until which it lasted, as far as is known."""
-        self._last_held_until = max(self._last_held_until, self._held_until())
-        return self._last_held_until
-
-    @property
-    def holds(self) -> bool:
-        """Whether it certainly lasts now."""
-        return trio.current_time() < min(self.ended_at, self._held_until())
 
 
 class Term:
@@ -87,10 +44,10 @@
         self,
         store: ports.KeyValueStore,
         hub: ports.PeerHub,
-        leadership: Leadership,
+        leadership: _leadership.Leadership,
         operators: _operators.OperatorView,
         bounds: workflows.Bounds,
-        unix_clock: UnixClock = time.time,
+        unix_clock: _state_writer.UnixClock = time.time,
     ) -> None:
         self._store = store
         self._hub = hub
@@ -106,12 +63,12 @@
         self._upkeep = _upkeep.Upkeep(self.book, self._factors)
         self._wake = trio.Event()
         self._loaded = trio.Event()
-        self._outbox: list[tuple[identifiers.NodeId, object]] = []
-        self._starting: list[_job.Attempt] = []
-        self._lease_s = min(bounds.max_lease_s, _orders.LEASE_S)
-        self._forget_at = 0.0
-        self._ask_at = 0.0
-        self._learned_at = 0.0
+        self._writer = _state_writer.StateWriter(
+            self.book, self._factors, bounds, unix_clock
+        )
+        self._sender = _order_sender.OrderSender(
+            hub, self.book, leadership, operators, bounds.max_lease_s
+        )
         self.loaded = False
 
     def _queue_named(self, name: str) -> workflows.Queue | None:
@@ -164,8 +121,7 @@
 
     def on_agent(self, peer: ports.Peer) -> None:
         """Ask a connected agent for its report."""
-        ask = messages.WorkerOrders(fencing=self._leadership.fencing)
-        self._outbox.append((peer.node_id, ask))
+        self._sender.ask(peer)
         self.wake()
 
     def on_agent_gone(self, peer: ports.Peer) -> None:
@@ -224,7 +180,7 @@
         began_at = trio.current_time()
         self.book.unseen_end_at = (
             began_at
-            + HOLD_AFTER_LOSS_S
+            + _leadership.HOLD_AFTER_LOSS_S
             + self._bounds.max_lease_s * (1.0 + _fleet.SLOW_CLOCK)
         )
         while True:
@@ -282,9 +238,9 @@
             self._upkeep.run(now)
             self._place(now)
             await self._commit()
-        elif now > self._leadership.ended_at + HOLD_AFTER_LOSS_S:
+        elif now > self._leadership.hold_until:
             raise errors.Fenced('the lease has ended', step='workflow.term')
-        await self._send_orders()
+        await self._sender.send()
         await trio.sleep(COMMIT_INTERVAL_S)
 
     def _place(self, now: float) -> None:
@@ -292,7 +248,7 @@
             self._queue_named, self._operators.evacuated, self._factors
         )
         placed = _round.place(self.book, policy, now, self._unix_clock())
-        self._starting += placed
+        self._sender.start(placed)
         metrics.RUNS_ASSIGNED.inc(len(placed))
         for attempt in placed:
             observability.emit(
@@ -306,7 +262,7 @@
             self.wake()
 
     async def _commit(self) -> None:
-        writes = self._writes()
+        writes = self._writer.writes()
         if not writes:
             return
         jobs = list(self.book.dirty)
@@ -315,9 +271,9 @@
         applied = [(view, view.applied) for view in self.book.workers.values()]
         with trio.CancelScope() as scope:
             # Commits are tried again until the successor has surely begun.
-            scope.deadline = self._leadership.ended_at + HOLD_AFTER_LOSS_S
+            scope.deadline = self._leadership.hold_until
             async with trio.open_nursery() as nursery:
-                nursery.start_soon(self._hold_leases)
+                nursery.start_soon(self._sender.hold_leases)
                 with metrics.COMMIT_SECONDS.time():
                     await self._chain.commit(writes)
                 nursery.cancel_scope.cancel()
@@ -329,141 +285,3 @@
             job.shown = status
         for view, number in applied:
             view.acknowledged = max(view.acknowledged, number)
-
-    def _writes(self) -> list[ports.Put | ports.Delete]:
-        writes: list[ports.Put | ports.Delete] = [
-            ports.Put(
-                documents.PROGRESS_PREFIX + job.job_id,
-                documents.encode(job.progress()),
-            )
-            for job in self.book.dirty
-        ]
-        writes += self._forgettable()
-        writes += self._learned(bool(writes))
-        acknowledges = any(
-            view.applied > view.acknowledged
-            for view in self.book.workers.values()
-        )
-        if acknowledges and not writes:
-            # Ends of unknown jobs change nothing that would be stored.
-            for view in self.book.workers.values():
-                view.acknowledged = view.applied
-        return writes
-
-    def _learned(self, others: bool) -> list[ports.Put]:
-        """Return what a successor should know, beside other writes."""
-        now = trio.current_time()
-        if now < self._learned_at or not others:
-            return []
-        self._learned_at = now + KEEP_LEARNED_S
-        return [
-            ports.Put(
-                documents.FACTORS_KEY,
-                documents.encode(self._factors.export()),
-            )
-        ]
-
-    def _forgettable(self) -> list[ports.Delete]:
-        """Return deletions of jobs that ended long ago."""
-        now = trio.current_time()
-        if now < self._forget_at:
-            return []
-        self._forget_at = now + 5.0
-        before = self._unix_clock() - FORGET_AFTER * self._bounds.keep_ended_s
-        deletes = []
-        for job in list(self.book.jobs.values()):
-            if not job.ended_at or job.ended_at > before:
-                continue
-            if any(True for _ in job.attempts()):
-                continue
-            del self.book.jobs[job.job_id]
-            self.book.dirty.discard(job)
-            deletes += [
-                ports.Delete(prefix + job.job_id)
-                for prefix in (
-                    documents.PROGRESS_PREFIX,
-                    documents.JOB_PREFIX,
-                    documents.CANCEL_PREFIX,
-                )
-            ]
-        return deletes
-
-    async def _hold_leases(self) -> None:
-        """Keep extending leases while a commit waits for the store."""
-        while True:
-            await trio.sleep(_orders.RENEW_S / 2)
-            await self._send_orders(with_starts=False)
-
-    def _ask_silent(self, now: float) -> None:
-        """Ask agents again whose worker's list isn't known or is old.
-
-        An order or a report may be lost with its connection, unnoticed.
-        """
-        if now < self._ask_at:
-            return
-        self._ask_at = now + ASK_AGAIN_S
-        for peer in self._hub.peers('agent'):
-            view = self.book.workers.get(peer.node_id)
-            if view is None or now - view.listed_at > ASK_AGAIN_S:
-                self.on_agent(peer)
-
-    async def _send_orders(self, with_starts: bool = True) -> None:
-        now = trio.current_time()
-        self._ask_silent(now)
-        outbox, self._outbox = self._outbox, []
-        for node, message in outbox:
-            await self._try_send(node, message)
-        by_node: dict[str, list[_job.Attempt]] = {}
-        if with_starts and self._leadership.holds:
-            starting, self._starting = self._starting, []
-            for attempt in starting:
-                if self._may_start(attempt, now):
-                    by_node.setdefault(attempt.node, []).append(attempt)
-        for view in list(self.book.workers.values()):
-            if view.connected:
-                await self._send_due(view, by_node.get(view.node, []), now)
-
-    def _may_start(self, attempt: _job.Attempt, now: float) -> bool:
-        """Whether a committed run is still wanted; if not, it is dropped."""
-        view = self.book.workers.get(attempt.node)
-        wanted = (
-            not attempt.stop_reason
-            and attempt in attempt.task.attempts
-            and view is not None
-            and view.is_life(attempt.worker_id, attempt.born_ms)
-            and view.usable(now)
-            and view.life.data_centre not in self._operators.evacuated
-        )
-        if not wanted:
-            self.book.void(attempt, 'no longer wanted, never ordered', now)
-        return wanted
-
-    async def _send_due(
-        self,
-        view: _fleet.WorkerView,
-        starting: list[_job.Attempt],
-        now: float,
-    ) -> None:
-        due = _orders.due_orders(
-            view, starting, self._leadership.fencing, self._lease_s, now
-        )
-        if due is None:
-            return
-        for attempt in due.starting:
-            attempt.ordered = True
-            attempt.order_sent_at = now
-            attempt.missing_since = now
-        if await self._try_send(identifiers.NodeId(view.node), due.orders):
-            return
-        for attempt in due.starting:
-            self.book.void(attempt, 'the order was not sent', now)
-
-    async def _try_send(
-        self, node: identifiers.NodeId, message: object
-    ) -> bool:
-        try:
-            await self._hub.send(node, message)
-        except errors.PeerUnreachable:
-            self.book.disconnected(node)
-            return False
-        return True
