--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -20,6 +20,7 @@
 from citronrail.workflow import _operators
 from citronrail.workflow import _order_sender
 from citronrail.workflow import _prefix_follower
+from citronrail.workflow import _reports
 from citronrail.workflow import _round
 from citronrail.workflow import _state_writer
 from citronrail.workflow import _upkeep
@@ -55,10 +56,11 @@
         self._operators = operators
         self._bounds = bounds
         self._unix_clock = unix_clock
-        self.book = _book.Book(self._queue_named, bounds)
+        self.book = _book.Book(self._queue_named)
         self._chain = _commit_chain.CommitChain(
             store, leadership.guard, f'{hub.boot_id}/{leadership.fencing}'
         )
+        self._reports = _reports.Reports(self.book, bounds, leadership.fencing)
         self._factors = _interference.PairFactors()
         self._upkeep = _upkeep.Upkeep(self.book, self._factors)
         self._wake = trio.Event()
@@ -132,10 +134,9 @@
         self, peer: ports.Peer, report: messages.WorkerReport
     ) -> None:
         """Take an agent's report."""
-        self.book.take_report(
+        self._reports.take(
             peer.node_id,
             report,
-            self._leadership.fencing,
             trio.current_time(),
             self._unix_clock(),
         )
--- a/citronrail/workflow/tests/test_order_sender.py
+++ b/citronrail/workflow/tests/test_order_sender.py
@@ -19,6 +19,7 @@
 from citronrail.workflow import _leadership
 from citronrail.workflow import _operators
 from citronrail.workflow import _order_sender
+from citronrail.workflow import _reports
 from citronrail.workflow import _round
 from citronrail.workflow.tests import _world
 
@@ -49,12 +50,16 @@
     return messages.WorkerReport(TOKEN, life, clock_ms=1000)
 
 
+def _take(book, report):
+    reports = _reports.Reports(book, workflows.Bounds(), TOKEN)
+    reports.take('a0', report, trio.current_time(), 0.0)
+
+
 def _assigned():
     """Return a book with one run that is committed and not ordered."""
     now = trio.current_time()
-    bounds = workflows.Bounds()
-    book = _book.Book(lambda name: _world.QUEUE, bounds)
-    book.take_report('a0', _report(), TOKEN, now, 0.0)
+    book = _book.Book(lambda name: _world.QUEUE)
+    _take(book, _report())
     record = documents.JobRecord('j1', 'queue', 'pool', 0.0, _world.one_step())
     book.add_job(record, now, 0.0)
     policy = _round.Policy(
@@ -100,8 +105,7 @@
     """Guards a new life of the worker against orders for the old one."""
     book, attempt, sender, hub = _assigned()
     new_life = dataclasses.replace(LIFE, worker_id='w9', born_ms=2)
-    now = trio.current_time()
-    book.take_report('a0', _report(new_life), TOKEN, now, 0.0)
+    _take(book, _report(new_life))
     await sender.send()
     assert not hub.starts()
     assert attempt.task.waiting
