Answer callers early while the store turns an entry away

Cause: an entry held a submission for up to 2.5 s while the store refused its calls, and stayed in rotation, though other entries were served. Change: a store call is tried for 1.2 s, then the caller gets 503 with Retry-After (nothing stored) or 504 (unknown); readiness goes down once the store has confirmed nothing for 3.6 s.

--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -142,9 +142,7 @@
         'callers',
     )
     ready = process.port(
-        _caller_app.ready_app(
-            lambda: app.ready and operators.config is not None
-        ),
+        _caller_app.ready_app(lambda: app.ready and operators.fresh),
         cfg.ready_address,
         'ready',
     )
--- a/citronrail/workflow/_front.py
+++ b/citronrail/workflow/_front.py
@@ -24,8 +24,9 @@
 T = typing.TypeVar('T')
 REPLY_S = 0.4  # longest wait for the scheduling entry's answer
 RETRY_S = 0.1
-# Part of the caller's time that a store call may be tried again in.
-STORE_SHARE = 0.8
+# The store may turn this entry away and serve the others, so a caller is
+# better off with an early answer and another entry than with a long wait.
+STORE_TRY_S = 1.2
 
 
 class Verdict(enum.Enum):
@@ -179,6 +180,7 @@
     ) -> Verdict:
         """Create a key unless it exists; repeat until the time is up."""
         unknown = False
+        deadline = min(deadline, trio.current_time() + STORE_TRY_S)
         while True:
             try:
                 with trio.fail_at(deadline):
--- a/citronrail/workflow/_operators.py
+++ b/citronrail/workflow/_operators.py
@@ -11,6 +11,9 @@
 from citronrail import ports
 
 DecodeConfig = collections.abc.Callable[[bytes], workflows.OperatorConfig]
+# A watch is answered at least each 2.5 s; a little more and the store isn't
+# reached from here.
+FRESH_S = 3.6
 EvacuatedDataCentre = collections.abc.Callable[[str], str | None]
 
 
@@ -38,6 +41,12 @@
         self.confirmed_at = float('-inf')  # local time of the last answer
         self.changed = trio.Event()
 
+    @property
+    def fresh(self) -> bool:
+        """Whether the store has lately confirmed what is in force."""
+        age_s = trio.current_time() - self.confirmed_at
+        return self.config is not None and age_s < FRESH_S
+
     def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
         """Take all documents of the operators."""
         evacuated = set()
--- /dev/null
+++ b/citronrail/workflow/tests/test_front.py
@@ -0,0 +1,54 @@
+"""Guards callers while the store is away."""
+
+import pytest
+import trio
+
+from citronrail import workflow
+from citronrail.workflow import _front
+from citronrail.workflow import _operators
+from citronrail.workflow.tests import _world
+
+JOB = '00000000000000a1'
+
+
+@pytest.mark.parametrize(
+    ('faults', 'verdict'),
+    [
+        ({'outage': True}, workflow.Verdict.NOT_RUN),
+        ({'hang': True}, workflow.Verdict.UNKNOWN),
+    ],
+    ids=['refusing', 'silent'],
+)
+async def test_caller_is_told_early_and_truly(faults, verdict, autojump_clock):
+    """Guards callers of an entry that the store turns away.
+
+    Another entry may be served, so the answer must not wait until the
+    caller gives up; and only what was surely not stored is "not run".
+    """
+    async with trio.open_nursery() as nursery:
+        world = _world.World()
+        await world.start(nursery)
+        entry = next(iter(world.entries.values()))
+        world.store.set_faults(**faults)
+        began_at = trio.current_time()
+        reply = await entry.service.submit(
+            _world.QUEUE, JOB, _world.one_step(), began_at + 3.0
+        )
+        assert reply.verdict is verdict
+        assert trio.current_time() - began_at <= _front.STORE_TRY_S + 0.2
+        nursery.cancel_scope.cancel()
+
+
+async def test_entry_without_the_store_is_not_fresh(autojump_clock):
+    """Guards the load balancer: it must learn that an entry is turned away."""
+    view = _operators.OperatorView(
+        'c', lambda data: _world.CONFIG, lambda key: None
+    )
+    assert not view.fresh
+    view._take_config(b'')
+    view.on_events(())
+    assert view.fresh
+    await trio.sleep(_operators.FRESH_S + 0.1)
+    assert not view.fresh
+    view.on_events(())
+    assert view.fresh
