Repeat orders on pace while a target is missed

Cause, found in review: an order on pace that is lost was never repeated, as the scheduler took it for carried out; a neighbour could work on beside a missed target for longer than allowed. Tests of the upkeep, list by list.

--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -75,6 +75,8 @@
                 everything=over_s > STOP_ALL_S,
             )
         for (_, attempt), pace in zip(filling, new):
+            if view.in_emergency:
+                attempt.pace_due = True  # an earlier order may be lost
             if pace != attempt.pace:
                 attempt.pace = pace
                 attempt.pace_due = True
--- /dev/null
+++ b/citronrail/workflow/tests/test_upkeep.py
@@ -0,0 +1,91 @@
+"""Guards latency targets against filling tasks, list by list."""
+
+import pytest
+
+from citronrail.model import messages
+from citronrail.model import workflows
+from citronrail.workflow import _book
+from citronrail.workflow import _documents as documents
+from citronrail.workflow import _interference
+from citronrail.workflow import _reports
+from citronrail.workflow import _round
+from citronrail.workflow import _upkeep
+from citronrail.workflow.tests import _world
+
+TOKEN = 5
+TARGET_MS = 50
+LIFE = messages.WorkerLife('w0', 1, 'pool', 'dc', 'ready', 16000, 64000, 0)
+LIST_S = 0.5
+
+
+class _Worker:
+    """One worker with a serving and a filling task."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.book = _book.Book(lambda name: _world.QUEUE)
+        self.factors = _interference.PairFactors()
+        self.upkeep = _upkeep.Upkeep(self.book, self.factors)
+        self._reports = _reports.Reports(self.book, workflows.Bounds(), TOKEN)
+        self.report()
+        serve = _world.one_step(
+            1, long_running=True, latency_target_ms=TARGET_MS, image='shop'
+        )
+        fill = _world.one_step(
+            1, fills=True, cpu_millis=2000, image='heavy', saves_progress=True
+        )
+        for name, spec in (('serve', serve), ('fill', fill)):
+            record = documents.JobRecord(name, 'queue', 'pool', 0.0, spec)
+            self.book.add_job(record, self.now, 0.0)
+        policy = _round.Policy(
+            lambda name: _world.QUEUE, frozenset(), self.factors
+        )
+        placed = _round.place(self.book, policy, self.now, 0.0)
+        for attempt in placed:
+            attempt.ordered = True
+        self.fill = next(a for a in placed if a.task.stage.spec.fills)
+
+    def report(self, rows=()) -> None:
+        """Take a list of the worker."""
+        report = messages.WorkerReport(TOKEN, LIFE, 1000, rows)
+        self._reports.take('a0', report, self.now, 0.0)
+
+    def list_with(self, tail_ms: float) -> None:
+        """Let half a second pass and take the next list."""
+        self.now += LIST_S
+        self.fill.pace_due = False
+        self.report(
+            (
+                messages.RunRow('serve.0.0.0', 1, '', 100, tail_ms),
+                messages.RunRow('fill.0.0.0', 1, '', 30, 2000.0),
+            )
+        )
+        self.upkeep.run(self.now)
+
+
+@pytest.fixture
+def worker():
+    return _Worker()
+
+
+def test_missed_target_stops_filling_within_the_bound(worker):
+    """Guards HARM: a target missed for 4 s while a neighbour works on."""
+    for _ in range(5):  # 2.5 s
+        worker.list_with(60.0)
+    assert worker.fill.pace == 0
+
+
+def test_lost_order_on_pace_is_repeated_while_a_target_is_missed(worker):
+    """Guards a target whose neighbour never got the order to stop."""
+    for _ in range(6):
+        worker.list_with(60.0)
+    assert worker.fill.pace == 0
+    assert worker.fill.pace_due
+
+
+def test_calm_worker_is_left_alone(worker):
+    """Guards filling tasks against cuts without any need."""
+    for _ in range(6):
+        worker.list_with(15.0)
+    assert worker.fill.pace == 100
+    assert not worker.fill.pace_due
