--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -121,7 +121,6 @@
     ended: tuple[EndRow, ...] = ()
     refused: tuple[RefusedStart, ...] = ()
     stopped: tuple[TaskRun, ...] = ()
-    leaving: bool = False
 
 
 @_registry.message
--- a/citronrail/platform/_operator_documents.py
+++ b/citronrail/platform/_operator_documents.py
@@ -1,7 +1,5 @@
 """Documents that operators write to the store, in the project's types."""
 
-import typing
-
 import msgspec
 
 from citronrail import errors
@@ -87,8 +85,3 @@
         objective_s=route.targetCompletionMs / 1000,
         timeout_s=route.timeoutMs / 1000,
     )
-
-
-def config_of(items: typing.Mapping[str, bytes]) -> bytes | None:
-    """Return the configuration document among the operators' items."""
-    return items.get(CONFIG_KEY)
--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -17,12 +17,9 @@
 
     :param node: agent beside the worker.
     :param life: what the worker announced.
-    :param now: local time.
     """
 
-    def __init__(
-        self, node: str, life: messages.WorkerLife, now: float
-    ) -> None:
+    def __init__(self, node: str, life: messages.WorkerLife) -> None:
         self.node = node
         self.life = life
         self.connected = True
@@ -35,8 +32,6 @@
         self.applied = 0  # ends up to this number are in the jobs' state
         self.acknowledged = 0  # ends up to this number are committed
         self.sent_acknowledged = 0
-        self.first_seen_at = now
-        self.draining_since = 0.0
         self.drain_ends_at = 0.0
         self.attempts: dict[tuple[str, int], _job.Attempt] = {}
         self.stray_stops: dict[tuple[str, int], float] = {}
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -89,12 +89,6 @@
         self.per_step[step_name] = self.per_step.get(step_name, 0) + 1
 
 
-class Rejection(typing.NamedTuple):
-    """Why no worker takes a task now."""
-
-    reason: str
-
-
 def fits(step: workflows.StepSpec, step_name: str, room: Room) -> bool:
     """Whether the rules allow a task of this step there now.
 
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -74,18 +74,14 @@
         if view is not None and view.is_life(life.worker_id, life.born_ms):
             if life.state != view.life.state:
                 self._log_life(node, life)
-            if life.state != 'ready' and not view.draining_since:
-                view.draining_since = now
             view.drain_ends_at = now + life.drain_left_s
             view.life = life
             return view
         if view is not None and life.born_ms < view.life.born_ms:
             return None
         self._log_life(node, life)
-        new = _fleet.WorkerView(node, life, now)
+        new = _fleet.WorkerView(node, life)
         new.lease_ends_at = now + self._bounds.max_lease_s * 1.05
-        if life.state != 'ready':
-            new.draining_since = now
         self._book.workers[node] = new
         if view is not None:
             for attempt in list(view.attempts.values()):
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -54,7 +54,6 @@
         self._lease_until_ms = 0
         self._lease_sent_ms = 0
         self._busy = False
-        self._leaving = False
         self._reported_end = 0
         self._pending = _Pending([], [])
         self._poll = trio.CancelScope()
@@ -222,7 +221,6 @@
             ended=found.ended if found else (),
             refused=refused,
             stopped=stopped,
-            leaving=self._leaving,
         )
         try:
             await self._hub.send(scheduler, report)
@@ -264,7 +262,7 @@
             self._nursery.start_soon(self._stop, stop)
         for pace in orders.paces:
             self._nursery.start_soon(self._set_pace, pace)
-        if self._leaving or (self._life and self._life.state != 'ready'):
+        if self._life and self._life.state != 'ready':
             self._refuse_starts(orders, 'leaving')
             return
         for start in orders.starts:
