Give each port of a fleet once, and name a process that ended

Ports are now given once in the life of the starting process. A process that ends while it is waited for is reported with its last output, and a point of the drills whose fleet doesn't heal no longer ends the whole run: the nursery grouped the error past the handler.

Ruled out: a port taken by an outgoing connection (3,000 connections took none of 200 ports that bind chose); the ports now lie outside that range all the same.

--- a/drills/_run.py
+++ b/drills/_run.py
@@ -18,6 +18,12 @@
 
 MAX_CONNECTIONS = 600
 FLEETS_AT_ONCE = 3  # 17 processes each
+NOT_READY = (
+    OSError,
+    TimeoutError,
+    httpx.HTTPError,
+    processes.ProcessEndedError,
+)
 PLAN = fleet.FleetPlan(
     workers=4,
     entries=3,
@@ -83,7 +89,7 @@
             world = _world.World(system, client, rng)
             try:
                 await world.set_up()
-            except (AssertionError, OSError, TimeoutError) as exc:
+            except (AssertionError, *NOT_READY) as exc:
                 for point in points:
                     results[point.name] = _failed(point, exc, 0.0)
                 return
@@ -103,7 +109,7 @@
         result = _failed(point, exc, time.monotonic() - began)
     try:
         await world.heal()
-    except (OSError, TimeoutError, httpx.HTTPError) as exc:
+    except NOT_READY as exc:
         print(f'{point.name}: not healed: {exc!r}', file=sys.stderr)
     print(f'{time.monotonic() - began:6.1f} s  {result.line()}', flush=True)
     return result
--- a/drills/_world.py
+++ b/drills/_world.py
@@ -277,13 +277,7 @@
 
     async def ready(self) -> None:
         """Wait until every entry and agent is ready."""
-        urls = [f'{e.callers_url}/readyz' for e in self.system.entries]
-        urls += [f'{h.agent_url}/readyz' for h in self.system.hosts]
-        async with trio.open_nursery() as nursery:
-            for url in urls:
-                nursery.start_soon(
-                    processes.wait_until_ready, self.client, url
-                )
+        await self.system.ready(self.client)
 
 
 def counts(calls: typing.Iterable[_records.Call]) -> str:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -119,13 +119,20 @@
             self.start_host(host)
         for entry in self.entries:
             self.start_entry(entry)
-        async with trio.open_nursery() as nursery:
-            for entry in self.entries:
-                url = f'{entry.callers_url}/readyz'
-                nursery.start_soon(processes.wait_until_ready, client, url)
-            for host in self.hosts:
-                url = f'{host.agent_url}/readyz'
-                nursery.start_soon(processes.wait_until_ready, client, url)
+        await self.ready(client)
+
+    async def ready(self, client: httpx.AsyncClient) -> None:
+        """Wait until every entry and agent is ready.
+
+        :raises TimeoutError: if one did not become ready in time.
+        :raises ProcessEndedError: if one ended.
+        """
+        urls = {e.name: f'{e.callers_url}/readyz' for e in self.entries}
+        urls.update({h.agent: f'{h.agent_url}/readyz' for h in self.hosts})
+        for name, url in urls.items():
+            await processes.wait_until_ready(
+                client, url, process=self.group[name]
+            )
 
     def start_platform(self) -> None:
         """Start the key-value store and the checkpoint store."""
--- a/standins/processes.py
+++ b/standins/processes.py
@@ -1,8 +1,8 @@
 """Starts, signals and stops processes for demo, drills and measurements."""
 
-import contextlib
 import dataclasses
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -13,23 +13,60 @@
 import httpx
 import trio
 
+LOWEST_PORT = 15_000
+EPHEMERAL_RANGE = pathlib.Path('/proc/sys/net/ipv4/ip_local_port_range')
+DEFAULT_EPHEMERAL_PORT = 32_768  # of Linux
 READY_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 40.0
+LAST_LINES = 5  # of a log, for errors
+
+_given_ports: set[int] = set()  # of this process
 
 
 def free_ports(count: int) -> tuple[int, ...]:
     """Return TCP ports of the loopback address that are free now.
 
-    All sockets are open at once, so that the ports differ.
+    A port is returned once in the life of this process, so that fleets that
+    ask for a few ports at a time never share one. The ports lie below the
+    range of the local ports of outgoing connections, which could take one
+    before its process binds it.
 
     :param count: number of ports.
-    :returns: the port numbers.
+    :returns: the port numbers, none of which was returned before.
+    :raises OSError: if too few ports are free.
     """
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(('127.0.0.1', 0))
-        return tuple(sock.getsockname()[1] for sock in sockets)
+    found: list[int] = []
+    candidates = [
+        port
+        for port in range(LOWEST_PORT, _lowest_ephemeral_port())
+        if port not in _given_ports
+    ]
+    random.shuffle(candidates)
+    for port in candidates:
+        if len(found) == count:
+            break
+        with socket.socket() as sock:
+            try:
+                sock.bind(('127.0.0.1', port))
+            except OSError:
+                continue  # in use by another process
+        found.append(port)
+    if len(found) < count:
+        raise OSError(f'{len(found)} of {count} ports are free')
+    _given_ports.update(found)
+    return tuple(found)
+
+
+def _lowest_ephemeral_port() -> int:
+    """Return the lowest local port of outgoing connections."""
+    try:
+        return int(EPHEMERAL_RANGE.read_text().split()[0])
+    except OSError:
+        return DEFAULT_EPHEMERAL_PORT
+
+
+class ProcessEndedError(Exception):
+    """A process ended while something waited for it to become ready."""
 
 
 @dataclasses.dataclass
@@ -46,6 +83,11 @@
         """Whether the process has not ended yet."""
         return self.process.poll() is None
 
+    def last_output(self) -> str:
+        """Return the last lines of its log."""
+        lines = self.log.read_text(errors='replace').splitlines()
+        return ' / '.join(lines[-LAST_LINES:])
+
 
 class ProcessGroup:
     """Processes that all end when the group is closed.
@@ -157,15 +199,26 @@
     client: httpx.AsyncClient,
     url: str,
     timeout_s: float = READY_TIMEOUT_S,
+    process: ManagedProcess | None = None,
 ) -> None:
     """Wait until a URL answers with a 2xx status.
 
     :param client: client to use.
     :param url: the URL, such as a readiness path.
     :param timeout_s: longest wait in seconds.
+    :param process: the process that serves the URL, if it is known.
     :raises TimeoutError: if it did not become ready in time.
+    :raises ProcessEndedError: if the process ended instead.
     """
-    await wait_for(lambda: _answers(client, url), url, timeout_s)
+
+    async def ready() -> bool:
+        if process is not None and not process.running:
+            raise ProcessEndedError(
+                f'{process.name} ended: {process.last_output()}'
+            )
+        return await _answers(client, url)
+
+    await wait_for(ready, url, timeout_s)
 
 
 async def wait_for(
