--- a/standins/operator_client.py
+++ b/standins/operator_client.py
@@ -50,7 +50,9 @@
         url: str = '',
         command_id: str = '',
     ) -> Reply:
-        """Send one command, to the next entry if one can't be reached.
+        """Send one command, to the next entry if one can't take it.
+
+        An entry can't be reached, or answers 503 while it starts or stops.
 
         :param text: the command.
         :param timeout_s: longest time for all tries, in seconds.
@@ -74,7 +76,9 @@
                 answer = await self._client.post(
                     f'{target}/commands', json=body, timeout=left_s + 1.0
                 )
-                return _reply(answer.json())
+                reply = _reply(answer.json())
+                if answer.status_code != 503 or url or tries >= len(self.urls):
+                    return reply
             except (httpx.HTTPError, ValueError):
                 await trio.sleep(RETRY_S)
         return Reply('unknown', 'no entry answered', 0, ())
