--- /dev/null
+++ b/measure/sharing.py
@@ -0,0 +1,73 @@
+"""Measures how serving and filling tasks share workers.
+
+Run with ``python -m measure.sharing``; one line for each load and the mean
+over all seeds.
+"""
+
+import argparse
+import concurrent.futures
+import statistics
+import sys
+import time
+
+from loguru import logger
+
+from measure import _shared_workers
+
+SEEDS = 12
+MAX_PROCESSES = 3
+LOADS = {
+    'ticketing': _shared_workers.Load(),
+    'few heavy pairs': _shared_workers.Load(heavy_share=0.3),
+    'most pairs heavy': _shared_workers.Load(heavy_share=0.8),
+    'roomy': _shared_workers.Load(serving_jobs=4),
+}
+
+
+def run_one(name: str, seed: int) -> _shared_workers.Outcome:
+    """Play one day of a load."""
+    logger.remove()
+    return _shared_workers.SharedWorkers(LOADS[name], seed).run()
+
+
+def main() -> int:
+    """Measure and print.
+
+    :returns: exit code.
+    """
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', type=int, default=SEEDS)
+    parser.add_argument('--load', choices=LOADS, action='append')
+    args = parser.parse_args()
+    began = time.monotonic()
+    names = args.load or list(LOADS)
+    with concurrent.futures.ProcessPoolExecutor(MAX_PROCESSES) as pool:
+        futs = {
+            name: [
+                pool.submit(run_one, name, seed) for seed in range(args.seeds)
+            ]
+            for name in names
+        }
+        for name, runs in futs.items():
+            _print(name, [fut.result() for fut in runs])
+    print(f'{time.monotonic() - began:.0f} s')
+    return 0
+
+
+def _print(name: str, found: list[_shared_workers.Outcome]) -> None:
+    def mean(field: str) -> float:
+        return statistics.fmean(getattr(one, field) for one in found)
+
+    worths = [one.worth for one in found]
+    error = statistics.stdev(worths) / len(worths) ** 0.5 if worths[1:] else 0
+    print(
+        f'{name:17} worth {mean("worth"):.3f} +- {error:.3f}  '
+        f'plain {mean("plain"):.3f}  filling {mean("filling"):.3f}  '
+        f'serving {mean("serving"):.3f}  harmed {mean("harmed_s"):6.1f} s  '
+        f'thrown away {mean("thrown_away_s"):5.1f} s',
+        flush=True,
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
