Learn interference with its uncertainty, and pace from the start

Now each pair's factor and each job's own load is an estimate with a variance; one clear measurement of a new pair moves it by most of the error, paces are weighed by the span that a list measures, and a run that is placed beside tasks that it presses on starts at the pace that they bear. Margins are wider (aim 0.65 of the target), filling tasks wait for a harmless worker longer.

--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -6,46 +6,57 @@
 A serving task is taken as a queue: its tail is the tail at rest divided by
 one less its utilisation. Its own load and each filling task beside it add to
 the utilisation, a filling task by a factor of the pair of images times the
-share of the worker's processors that it uses. The factors are learned. In
-these terms the effects add up, so that what was measured at low load tells
-what would happen at high load.
+share of the worker's processors that it uses. In these terms the effects add
+up, so that what was measured at low load tells what would happen at high
+load.
+
+The own load of each group of equal serving tasks and the factor of each pair
+are estimates with a variance. A measurement moves what is least certain most
+(a Kalman filter without covariances), so one clear measurement of a new pair
+is enough, and many rough ones of a known pair move it little.
 """
 
 import dataclasses
+import math
 
+# Over half of the pairs that were seen press with 1.0 to 1.5, the others
+# hardly at all.
 PRIOR_FACTOR = 0.5
+PRIOR_VARIANCE = 0.36
+FACTOR_DRIFT = 0.01  # variance that a factor gains in a second
 MAX_FACTOR = 6.0
-LEARNING_STEP = 0.35
-# Measurements beside small filling tasks are mostly noise; this keeps them
-# from moving a factor far. In squared shares of a worker's processors.
-LEARNING_FLOOR = 0.004
-# Part of the learned effect that is taken off when the load without filling
-# tasks is estimated; the whole would let errors feed themselves.
-TRUSTED_PART = 0.7
+PRIOR_LOAD_VARIANCE = 0.04
+LOAD_DRIFT = 0.004  # variance that an own load gains in a second
+TAIL_NOISE = 0.06  # standard deviation of a measured tail, as a share of it
+LEAST_NOISE = 0.015  # standard deviation of a measured utilisation
 MAX_UTILISATION = 0.99
 REST_RATIO = 0.2  # tail at rest as a share of the target, before it is seen
 LEAST_LOAD = 0.22  # utilisation at the least tail that is ever measured
-DANGER_RATIO = 0.9  # of the latency target; above it pace is cut
+DANGER_RATIO = 0.75  # of the latency target; above it pace is cut
 # The measured tail is rough; from here on the real one may be over.
 AT_TARGET_RATIO = 0.93
-AIM_RATIO = 0.8  # what a cut aims at
+AIM_RATIO = 0.65  # what a cut aims at
 RISE = 40  # percentage points that are given back at once
 # A filling task that adds less utilisation than this is left alone.
 HARMLESS = 0.03
 NEGLIGIBLE = 0.01  # utilisation that can't be what misses a target
 FULL_PACE = 100
+ASSUMED_LOAD = 0.45  # utilisation of a serving task before it is measured
+CAUTION = 0.5  # standard deviations that a factor may be above its mean
 
 
 @dataclasses.dataclass(frozen=True)
 class Serving:
     """A task that serves, by its image and its utilisation.
 
-    ``rest_ratio`` is its tail at rest as a share of its target.
+    ``rest_ratio`` is its tail at rest as a share of its target, ``own_load``
+    its utilisation without the filling tasks beside it.
     """
 
     image: str
     utilisation: float
     rest_ratio: float = REST_RATIO
+    own_load: float = ASSUMED_LOAD
 
     @property
     def at_target(self) -> bool:
@@ -65,17 +76,48 @@
 
 @dataclasses.dataclass(frozen=True)
 class Filling:
-    """A filling task; ``share`` of the worker's processors at full pace."""
+    """A filling task; ``share`` of the worker's processors at full pace.
+
+    ``seen_pace`` is the pace during the span of the latest measurement, in
+    percent.
+    """
 
     image: str
     share: float
     pace: int = FULL_PACE
+    seen_pace: float = FULL_PACE
 
     @property
     def weight(self) -> float:
         """Share of the worker's processors at the present pace."""
         return self.share * self.pace / FULL_PACE
 
+    @property
+    def seen_weight(self) -> float:
+        """Share of the worker's processors in the latest measurement."""
+        return self.share * self.seen_pace / FULL_PACE
+
+
+@dataclasses.dataclass
+class _Estimate:
+    """A figure that measurements move; ``at`` is a local time."""
+
+    mean: float
+    variance: float
+    at: float
+
+    def drift(self, rate: float, most: float, now: float) -> None:
+        """Become less certain with time."""
+        elapsed_s = max(0.0, now - self.at)
+        self.variance = min(most, self.variance + rate * elapsed_s)
+        self.at = now
+
+    def move(self, weight: float, error: float, total: float) -> None:
+        """Take a part of an error, by this figure's part of the variance."""
+        gain = self.variance * weight / total
+        self.mean += gain * error
+        self.variance *= max(0.0, 1.0 - gain * weight)
+
 
 def utilisation(ratio: float, rest_ratio: float) -> float:
     """Return the utilisation that a tail shows.
@@ -92,18 +134,20 @@
 class LearnedFactors:
     """What was learned, as the store keeps it.
 
-    ``factors`` holds the serving image, the filling image and the factor.
+    ``factors`` holds the serving image, the filling image, the factor and
+    its variance.
     """
 
-    factors: tuple[tuple[str, str, float], ...] = ()
+    factors: tuple[tuple[str, str, float, float], ...] = ()
     rest_ratios: tuple[tuple[str, float], ...] = ()
 
 
 class PairFactors:
-    """Learned factors of pairs of images, and tails of images at rest."""
+    """Learned factors of pairs of images, and loads of serving tasks."""
 
     def __init__(self) -> None:
-        self._factors: dict[tuple[str, str], float] = {}
+        self._factors: dict[tuple[str, str], _Estimate] = {}
+        self._own: dict[str, _Estimate] = {}  # by group
         self._rest: dict[str, float] = {}
 
     def rest_ratio(self, image: str) -> float:
@@ -123,12 +167,24 @@
         return Serving(image, utilisation(ratio, rest), rest)
 
     def factor(self, serving: str, filling: str) -> float:
-        """Return the factor of a pair, a cautious prior if it is new.
+        """Return the factor of a pair, a prior if it is new.
+
+        :param serving: image of the serving task.
+        :param filling: image of the filling task.
+        """
+        known = self._factors.get((serving, filling))
+        return PRIOR_FACTOR if known is None else known.mean
+
+    def cautious_factor(self, serving: str, filling: str) -> float:
+        """Return what the factor of a pair may well be.
 
         :param serving: image of the serving task.
         :param filling: image of the filling task.
         """
-        return self._factors.get((serving, filling), PRIOR_FACTOR)
+        known = self._factors.get((serving, filling))
+        if known is None:
+            return PRIOR_FACTOR + CAUTION * math.sqrt(PRIOR_VARIANCE)
+        return known.mean + CAUTION * math.sqrt(known.variance)
 
     def added(self, serving: str, filling: tuple[Filling, ...]) -> float:
         """Return the utilisation that filling tasks add."""
@@ -142,7 +198,7 @@
         :param filling: image of filling tasks.
         """
         known = [
-            value
+            value.mean
             for (_, item), value in self._factors.items()
             if item == filling
         ]
@@ -151,43 +207,79 @@
     def export(self) -> LearnedFactors:
         """Return what was learned, to be kept for a successor."""
         return LearnedFactors(
-            tuple((*pair, value) for pair, value in self._factors.items()),
+            tuple(
+                (*pair, value.mean, value.variance)
+                for pair, value in self._factors.items()
+            ),
             tuple(self._rest.items()),
         )
 
-    def adopt(self, learned: LearnedFactors) -> None:
-        """Take over what a predecessor has learned."""
+    def adopt(self, learned: LearnedFactors, now: float) -> None:
+        """Take over what a predecessor has learned.
+
+        :param learned: what the store has kept.
+        :param now: local time in seconds.
+        """
         self._factors = {
-            (serving, filling): value
-            for serving, filling, value in learned.factors
+            (serving, filling): _Estimate(mean, variance, now)
+            for serving, filling, mean, variance in learned.factors
         }
         self._rest = dict(learned.rest_ratios)
 
-    def own_load(self, task: Serving, filling: tuple[Filling, ...]) -> float:
-        """Estimate the utilisation of a task without filling tasks."""
-        added = self.added(task.image, filling)
-        return max(0.0, task.utilisation - TRUSTED_PART * added)
+    def own_load(self, group: str) -> float:
+        """Return the utilisation of a group's tasks on their own.
+
+        :param group: serving tasks that share a load.
+        """
+        known = self._own.get(group)
+        return ASSUMED_LOAD if known is None else known.mean
 
     def learn(
-        self, serving: str, growth: float, filling: tuple[Filling, ...]
+        self,
+        group: str,
+        task: Serving,
+        filling: tuple[Filling, ...],
+        now: float,
     ) -> None:
         """Take a measurement.
 
-        :param serving: image of the serving task.
-        :param growth: its utilisation above that without filling tasks.
+        :param group: serving tasks that share the measured task's load.
+        :param task: the measured task.
         :param filling: the filling tasks beside it.
+        :param now: local time in seconds.
         """
+        own = self._own.setdefault(
+            group, _Estimate(task.utilisation, PRIOR_LOAD_VARIANCE, now)
+        )
+        own.drift(LOAD_DRIFT, PRIOR_LOAD_VARIANCE, now)
         weights: dict[str, float] = {}
-        for task in filling:
-            weights[task.image] = weights.get(task.image, 0.0) + task.weight
-        power = sum(weight * weight for weight in weights.values())
-        error = growth - self.added(serving, filling)
-        gain = LEARNING_STEP * error / (power + LEARNING_FLOOR)
-        for image, weight in weights.items():
-            if weight <= 0:
-                continue
-            new = self.factor(serving, image) + gain * weight
-            self._factors[serving, image] = min(MAX_FACTOR, max(0.0, new))
+        for item in filling:
+            weight = weights.get(item.image, 0.0) + item.seen_weight
+            weights[item.image] = weight
+        parts = [
+            (self._factor_estimate(task.image, image, now), weight)
+            for image, weight in weights.items()
+            if weight > 0
+        ]
+        noise = LEAST_NOISE + TAIL_NOISE * (1.0 - task.utilisation)
+        total = noise * noise + own.variance
+        total += sum(part.variance * w * w for part, w in parts)
+        error = task.utilisation - own.mean
+        error -= sum(part.mean * w for part, w in parts)
+        own.move(1.0, error, total)
+        own.mean = min(1.0, max(0.0, own.mean))
+        for part, weight in parts:
+            part.move(weight, error, total)
+            part.mean = min(MAX_FACTOR, max(0.0, part.mean))
+
+    def _factor_estimate(
+        self, serving: str, filling: str, now: float
+    ) -> _Estimate:
+        found = self._factors.setdefault(
+            (serving, filling), _Estimate(PRIOR_FACTOR, PRIOR_VARIANCE, now)
+        )
+        found.drift(FACTOR_DRIFT, PRIOR_VARIANCE, now)
+        return found
 
 
 def emergency_paces(
@@ -239,18 +331,16 @@
     )
     limits = [item.pace for item in wanted]
     for task in serving:
-        own = task.utilisation - factors.added(task.image, filling)
-        expected = own + factors.added(task.image, wanted)
-        if max(expected, task.utilisation) <= task.danger:
+        expected = task.own_load + factors.added(task.image, wanted)
+        if expected <= task.danger:
             continue
-        cut = _cut_for(task, own, filling, factors)
+        cut = _cut_for(task, filling, factors)
         limits = [min(limit, new) for limit, new in zip(limits, cut)]
     return tuple(limits)
 
 
 def _cut_for(
     task: Serving,
-    own: float,
     filling: tuple[Filling, ...],
     factors: PairFactors,
 ) -> list[int]:
@@ -260,7 +350,7 @@
     ]
     pressing = sum(value for value in adding if value > HARMLESS)
     harmless = sum(value for value in adding if value <= HARMLESS)
-    room = max(0.0, task.aim - own - harmless)
+    room = max(0.0, task.aim - task.own_load - harmless)
     share = min(1.0, room / pressing) if pressing > 0 else 1.0
     return [
         int(FULL_PACE * share) if value > HARMLESS else FULL_PACE
@@ -270,23 +360,30 @@
 
 def affordable_pace(
     serving: tuple[Serving, ...],
-    joining: tuple[Filling, ...],
+    beside: tuple[Filling, ...],
     candidate: Filling,
     factors: PairFactors,
 ) -> int:
     """Return the pace at which a filling task could join a worker.
 
     :param serving: the worker's serving tasks, as last measured.
-    :param joining: filling tasks there that no measurement shows yet.
+    :param beside: filling tasks that are there or will be.
     :param candidate: the filling task.
     :param factors: what was learned of pairs.
     :returns: percent from 0 to 100.
     """
     pace = FULL_PACE
     for task in serving:
-        adds = factors.factor(task.image, candidate.image) * candidate.share
+        adds = (
+            factors.cautious_factor(task.image, candidate.image)
+            * candidate.share
+        )
         if adds <= HARMLESS:
             continue
-        room = task.aim - task.utilisation - factors.added(task.image, joining)
+        taken = sum(
+            factors.cautious_factor(task.image, item.image) * item.share
+            for item in beside
+        )
+        room = task.aim - task.own_load - taken
         pace = min(pace, int(FULL_PACE * max(0.0, room) / adds))
     return pace
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -5,6 +5,9 @@
 from citronrail.model import workflows
 from citronrail.workflow import _documents as documents
 
+PACE_EFFECT_S = 0.2  # from an order to its effect on the worker
+MEASURED_S = 0.5  # span of a listed tail
+
 
 class Attempt:
     """One run of a task on a worker; it may exist until it is known ended.
@@ -23,7 +26,9 @@
         'order_sent_at',
         'ordered',
         'pace',
+        'pace_before',
         'pace_due',
+        'pace_set_at',
         'percent',
         'steady_percent',
         'steady_since',
@@ -57,11 +62,30 @@
         self.steady_percent = 0  # progress at that moment
         self.load = 0.0
         self.pace = 100
+        self.pace_before = 0
+        self.pace_set_at = 0.0
         self.pace_due = False  # whether the worker isn't told of it yet
         self.starved_since = 0.0
         self.stop_reason = ''  # why it is being stopped, '' if it isn't
         self.stop_sent_at = 0.0
 
+    def set_pace(self, pace: int, now: float) -> None:
+        """Note a new pace, in percent."""
+        self.pace_before = self.pace
+        self.pace = pace
+        self.pace_set_at = now
+
+    def seen_pace(self, now: float) -> float:
+        """Return the mean pace of the span that a list of now measures.
+
+        :param now: local time in seconds.
+        :returns: percent.
+        """
+        changed_at = self.pace_set_at or self.order_sent_at
+        part = (now - changed_at - PACE_EFFECT_S) / MEASURED_S
+        part = min(1.0, max(0.0, part))
+        return self.pace_before + part * (self.pace - self.pace_before)
+
     @property
     def key(self) -> tuple[str, int]:
         """Name of the task and number of the run."""
@@ -150,6 +174,11 @@
         self.done_count = 0
         self.ready_since = 0.0  # local time of its first turn
 
+    @property
+    def name(self) -> str:
+        """Identity of the stage."""
+        return f'{self.job.job_id}.{self.occurrence}.{self.step}'
+
     @property
     def done(self) -> bool:
         """Whether all of its tasks are done."""
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -15,22 +15,21 @@
 SLOW_PENALTY = 1.5
 SLOW_SPEED = 0.6  # of the fleet's median; above it speed isn't looked at
 PACE_WEIGHT = 0.6  # between a pace of 0 and full pace
-PATIENT_PACE = 60  # percent; a filling task waits for a worker that allows it
+PATIENT_PACE = 90  # percent; a filling task waits for a worker that allows it
 # Between a light and a heavy filling image on a worker where nothing serves.
 FREE_WORKER_WEIGHT = 0.4
 TOGETHER_BONUS = 1.3  # serving tasks of the same image on the worker
 COMPANY_BONUS = -0.3  # serving tasks of another image on the worker
-ASSUMED_LOAD = 0.45  # utilisation of a serving task before it is measured
 SAME_RACK_BONUS = 1.0
 SHUNNED_PENALTY = 3.0  # where the task has failed
 # A serving task uses about this share of its reserved processors; filling
 # tasks get the rest.
-SERVING_USE = 0.7
+SERVING_USE = 0.5
 # A filling task starts where at least this share of its processors is idle;
 # with less it would only slow down those that fill there already.
 LEAST_IDLE_SHARE = 0.75
 # A filling task waits this long for a worker where it does no harm.
-PATIENCE_S = 12.0
+PATIENCE_S = 25.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -55,9 +54,6 @@
     filling: list[_interference.Filling] = dataclasses.field(
         default_factory=list
     )
-    joining: list[_interference.Filling] = dataclasses.field(
-        default_factory=list
-    )  # filling tasks that no measurement shows yet
     speed: float = 1.0
     avoided: bool = False
     in_emergency: bool = False  # a serving task keeps missing its target
@@ -80,12 +76,12 @@
             share = step.cpu_millis / max(1, self.total_cpu)
             task = _interference.Filling(step.image, share)
             self.filling.append(task)
-            if joining:
-                self.joining.append(task)
         else:
             self.free_cpu -= step.cpu_millis
         if step.latency_target_ms and joining:
-            self.serving += (_interference.Serving(step.image, ASSUMED_LOAD),)
+            self.serving += (
+                _interference.Serving(step.image, _interference.ASSUMED_LOAD),
+            )
         self.per_step[step_name] = self.per_step.get(step_name, 0) + 1
 
 
@@ -160,7 +156,7 @@
     share = step.cpu_millis / max(1, room.total_cpu)
     return _interference.affordable_pace(
         room.serving,
-        tuple(room.joining),
+        tuple(room.filling),
         _interference.Filling(step.image, share),
         factors,
     )
@@ -264,7 +260,6 @@
                 room,
                 per_step=dict(room.per_step),
                 filling=list(room.filling),
-                joining=list(room.joining),
             )
             for room in group
         ]
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -13,6 +13,7 @@
 from citronrail.workflow import _queue_order
 
 MAX_STARTS = 120  # of one round; the next follows at once
+START_PACED = 90  # percent; a run that may do more starts at full pace
 COPY_SILENT_S = 1.5  # without a list of the worker that runs the task
 COPY_AFTER = 1.6  # times the estimate, and a little more for short tasks
 COPY_EXTRA_S = 0.5
@@ -82,15 +83,10 @@
         joining = not attempt.listed_at or (
             bool(stage.spec.latency_target_ms) and attempt.percent < 100
         )
-        room.take(stage.spec, step_name(stage), joining)
+        room.take(stage.spec, stage.name, joining)
     return room
 
 
-def step_name(stage: _job.Stage) -> str:
-    """Return the identity of a stage."""
-    return f'{stage.job.job_id}.{stage.occurrence}.{stage.step}'
-
-
 def place(
     book: _book.Book, policy: Policy, now: float, unix_now: float
 ) -> list[_job.Attempt]:
@@ -175,7 +171,7 @@
     if stage.spec.gang:
         return _place_gang(book, stage, rooms, factors)
     placed = []
-    name = step_name(stage)
+    name = stage.name
     if not stage.ready_since:
         stage.ready_since = now
     patient = now - stage.ready_since < _placement.PATIENCE_S
@@ -192,8 +188,13 @@
         )
         if room is None:
             break
+        pace = _placement.starting_pace(stage.spec, room, factors)
         room.take(stage.spec, name)
-        placed.append(_assign(book, task, room, task.last_run + 1))
+        attempt = _assign(book, task, room, task.last_run + 1)
+        if stage.spec.fills and pace < START_PACED:
+            attempt.pace = pace
+            attempt.pace_due = True
+        placed.append(attempt)
     return placed
 
 
@@ -225,7 +226,7 @@
     placed: list[_job.Attempt] = []
     if not stage.spec.speculative:
         return placed
-    name = step_name(stage)
+    name = stage.name
     for task in stage.tasks:
         if not _needs_copy(book, task, now):
             continue
@@ -246,7 +247,7 @@
 ) -> list[_job.Attempt]:
     if any(task.attempts for task in stage.tasks):
         return []  # members of the last run have not all ended
-    name = step_name(stage)
+    name = stage.name
     chosen = _placement.choose_for_gang(
         stage.spec, name, rooms, len(stage.tasks), factors
     )
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -203,7 +203,7 @@
                 learned.key, learned.value, _interference.LearnedFactors
             )
             if factors is not None:
-                self._factors.adopt(factors)
+                self._factors.adopt(factors, began_at)
         for item in listing.items:
             progress = _book.decode_item(
                 item.key, item.value, documents.ProgressRecord
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -1,5 +1,7 @@
 """Care for what runs: health of workers, pace of filling tasks, drains."""
 
+import dataclasses
+
 from citronrail.workflow import _book
 from citronrail.workflow import _fleet
 from citronrail.workflow import _health
@@ -7,7 +9,7 @@
 from citronrail.workflow import _job
 
 HEALTH_INTERVAL_S = 0.5
-PACE_INTERVAL_S = 0.4
+PACE_INTERVAL_S = 0.2
 STARVED_PACE = 30  # percent; below it a run hardly advances
 STARVED_S = 2.0
 # A target that is missed for this long shows that what was learned is wrong.
@@ -53,17 +55,13 @@
         if view.listed_at <= last or now - last < PACE_INTERVAL_S:
             return
         self._paced_list[view.node] = now
-        filling = _filling(view)
+        filling = _filling(view, now)
         tasks = tuple(item for item, _ in filling)
-        serving = self._serving(view)
-        view.serving = tuple(task for task, _ in serving)
+        view.serving = self._measure(view, tasks, now)
         if not filling:
             view.over_since = 0.0
             view.in_emergency = False
             return
-        for task, stage in serving:
-            growth = task.utilisation - self._own_load(stage)
-            self._factors.learn(task.image, growth, tasks)
         new = _interference.paces(view.serving, tasks, self._factors)
         over_s = self._over_for(view, now)
         view.in_emergency = over_s > OVER_S
@@ -78,7 +76,7 @@
             if view.in_emergency:
                 attempt.pace_due = True  # an earlier order may be lost
             if pace != attempt.pace:
-                attempt.pace = pace
+                attempt.set_pace(pace, now)
                 attempt.pace_due = True
                 attempt.moved_at = now  # what follows is another speed
                 attempt.steady_since = now
@@ -93,36 +91,27 @@
         view.over_since = view.over_since or now
         return now - view.over_since
 
-    def _serving(
-        self, view: _fleet.WorkerView
-    ) -> list[tuple[_interference.Serving, _job.Stage]]:
-        """Return the serving tasks of a worker, as last measured."""
+    def _measure(
+        self,
+        view: _fleet.WorkerView,
+        filling: tuple[_interference.Filling, ...],
+        now: float,
+    ) -> tuple[_interference.Serving, ...]:
+        """Learn from a worker's list, and return its serving tasks."""
         found = []
         for attempt in view.attempts.values():
-            spec = attempt.task.stage.spec
-            if spec.latency_target_ms and attempt.percent >= 100:
-                ratio = attempt.load / spec.latency_target_ms
-                task = self._factors.observe(spec.image, ratio)
-                found.append((task, attempt.task.stage))
-        return found
-
-    def _own_load(self, stage: _job.Stage) -> float:
-        """Estimate the utilisation of a stage without filling tasks.
-
-        The tasks of a stage carry the same load, so the least estimate is
-        the nearest to it.
-        """
-        found = 1.0
-        for task in stage.tasks:
-            for attempt in task.attempts:
-                view = self._book.workers.get(attempt.node)
-                if view is None or attempt.percent < 100:
-                    continue
-                ratio = attempt.load / stage.spec.latency_target_ms
-                seen = self._factors.observe(stage.spec.image, ratio)
-                beside = tuple(item for item, _ in _filling(view))
-                found = min(found, self._factors.own_load(seen, beside))
-        return found
+            stage = attempt.task.stage
+            spec = stage.spec
+            if not spec.latency_target_ms or attempt.percent < 100:
+                continue
+            ratio = attempt.load / spec.latency_target_ms
+            task = self._factors.observe(spec.image, ratio)
+            self._factors.learn(stage.name, task, filling, now)
+            found.append((task, stage.name))
+        return tuple(
+            dataclasses.replace(task, own_load=self._factors.own_load(group))
+            for task, group in found
+        )
 
     def _move_if_starved(self, attempt: _job.Attempt, now: float) -> None:
         """Stop a run that is paced down for long; its progress is saved."""
@@ -146,7 +135,7 @@
             share = spec.cpu_millis / max(1, view.life.cpu_millis)
             pace = _interference.affordable_pace(
                 view.serving,
-                (),
+                tuple(item for item, _ in _filling(view, now)),
                 _interference.Filling(spec.image, share),
                 self._factors,
             )
@@ -213,7 +202,7 @@
 
 
 def _filling(
-    view: _fleet.WorkerView,
+    view: _fleet.WorkerView, now: float
 ) -> list[tuple[_interference.Filling, _job.Attempt]]:
     """Return the filling tasks that work on a worker."""
     total = max(1, view.life.cpu_millis)
@@ -222,7 +211,9 @@
         spec = attempt.task.stage.spec
         if spec.fills and attempt.listed_at:
             share = spec.cpu_millis / total
-            item = _interference.Filling(spec.image, share, attempt.pace)
+            item = _interference.Filling(
+                spec.image, share, attempt.pace, attempt.seen_pace(now)
+            )
             found.append((item, attempt))
     return found
 
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -260,14 +260,24 @@
         self._lease_until_ms = max(self._lease_until_ms, orders.lease_until_ms)
         for stop in orders.stops:
             self._nursery.start_soon(self._stop, stop)
+        starting = {(item.task, item.run) for item in orders.starts}
+        first_paces = {}
         for pace in orders.paces:
-            self._nursery.start_soon(self._set_pace, pace)
+            if (pace.task, pace.run) in starting:
+                first_paces[pace.task, pace.run] = pace
+            else:
+                self._nursery.start_soon(self._set_pace, pace)
         if self._life and self._life.state != 'ready':
             self._refuse_starts(orders, 'leaving')
             return
         for start in orders.starts:
             self._busy = True
-            self._nursery.start_soon(self._start, start, orders.fencing)
+            self._nursery.start_soon(
+                self._start,
+                start,
+                orders.fencing,
+                first_paces.get((start.task, start.run)),
+            )
         if self._lease_until_ms > self._lease_sent_ms + LEASE_STEP_MS:
             self._poll.cancel()
 
@@ -282,7 +292,12 @@
         ]
         self._poll.cancel()
 
-    async def _start(self, order: messages.StartOrder, fencing: int) -> None:
+    async def _start(
+        self,
+        order: messages.StartOrder,
+        fencing: int,
+        pace: messages.PaceOrder | None,
+    ) -> None:
         life = self._life
         if life is None:
             return
@@ -308,6 +323,8 @@
                     run=order.run,
                     reason=result.reason,
                 )
+        if pace is not None and result.verdict != ports.StartVerdict.REFUSED:
+            await self._set_pace(pace)
 
     async def _stop(self, run: messages.TaskRun) -> None:
         """Stop a run; the scheduler repeats the order if this fails."""
--- a/citronrail/workflow/tests/test_decisions.py
+++ b/citronrail/workflow/tests/test_decisions.py
@@ -42,15 +42,20 @@
     )
 
 
-def _serving(utilisation, image='shop'):
-    return _interference.Serving(image, utilisation)
-
-
-def _taught(factor, filling='heavy', serving='shop'):
-    factors = _interference.PairFactors()
-    for _ in range(40):
-        task = _interference.Filling(filling, 0.125)
-        factors.learn(serving, factor * 0.125, (task,))
+def _serving(utilisation, image='shop', own_load=None):
+    own_load = utilisation if own_load is None else own_load
+    return _interference.Serving(image, utilisation, own_load=own_load)
+
+
+def _taught(factor, filling='heavy', serving='shop', factors=None):
+    """Measure a pair forty times, with and without the filling task."""
+    factors = factors or _interference.PairFactors()
+    task = _interference.Filling(filling, 0.125)
+    for number in range(40):
+        now = 0.5 * number
+        factors.learn('s', _serving(0.4, serving), (), now)
+        raised = _serving(0.4 + factor * 0.125, serving)
+        factors.learn('s', raised, (task,), now)
     return factors
 
 
@@ -64,6 +69,36 @@
     assert learned == pytest.approx(factor, abs=0.05)
 
 
+def test_one_clear_measurement_of_a_new_pair_is_enough():
+    """Guards serving tasks against a new heavy neighbour.
+
+    Seen on ticketing quiet-1: a tail went from 70 to 355 ms of 125 as two
+    tasks of a new image began; they were cut to half pace, and a second
+    later to none.
+    """
+    factors = _interference.PairFactors()
+    for number in range(6):
+        factors.learn('s', _serving(0.74), (), 0.5 * number)
+    heavy = (_interference.Filling('heavy', 0.14),)
+    raised = _serving(0.946, own_load=0.74)
+    factors.learn('s', raised, heavy, 3.0)
+    assert factors.factor('shop', 'heavy') > 1.0
+    assert factors.own_load('s') == pytest.approx(0.74, abs=0.07)
+    assert _interference.paces((raised,), heavy, factors)[0] < 10
+
+
+def test_own_load_is_not_blamed_for_what_a_cut_left_behind():
+    """Guards filling tasks against a pace that stays down after a cut.
+
+    The first list after a cut still shows the tail of the time before it.
+    """
+    factors = _taught(1.5)
+    cut = (_interference.Filling('heavy', 0.125, pace=0, seen_pace=100.0),)
+    raised = _serving(0.4 + 1.5 * 0.125)
+    factors.learn('s', raised, cut, 20.0)
+    assert factors.own_load('s') == pytest.approx(0.4, abs=0.03)
+
+
 def test_same_factor_explains_low_and_high_load():
     """Guards the model: tails of one pair measured at two loads.
 
@@ -82,15 +117,14 @@
 
 def test_task_in_danger_has_only_its_pressing_neighbours_cut():
     """Guards harmless filling tasks against cuts for others' harm."""
-    factors = _taught(2.0)
-    for _ in range(40):
-        light = _interference.Filling('light', 0.125)
-        factors.learn('shop', 0.0, (light,))
+    factors = _taught(0.0, 'light', factors=_taught(2.0))
     filling = (
         _interference.Filling('heavy', 0.125),
         _interference.Filling('light', 0.125),
     )
-    heavy, light = _interference.paces((_serving(0.85),), filling, factors)
+    heavy, light = _interference.paces(
+        (_serving(0.85, own_load=0.6),), filling, factors
+    )
     assert heavy < 60
     assert light == 100
 
