--- a/measure/_shared_workers.py
+++ b/measure/_shared_workers.py
@@ -9,6 +9,7 @@
 """
 
 import dataclasses
+import enum
 import math
 import random
 
@@ -37,6 +38,23 @@
 WINDOW_S = 2.0  # in which a serving task earns
 
 
+class Contender(enum.Enum):
+    """How filling tasks get along with serving ones."""
+
+    LEARNED = 'learned'
+    UNPACED = 'unpaced'  # learned placement, but all work at full pace
+    APART = 'apart'  # filling tasks only where nothing serves
+
+
+class _EveryPairPresses(_interference.PairFactors):
+    """Keeps filling tasks away from serving ones."""
+
+    def cautious_factor(self, serving: str, filling: str) -> float:
+        """Return a factor that no worker has room for."""
+        del serving, filling
+        return 1000.0
+
+
 @dataclasses.dataclass(frozen=True)
 class Load:
     """What comes in a day; means of log-normal draws.
@@ -185,7 +203,8 @@
             self._end((stop.task, stop.run), 'stopped')
         for pace in order.paces:
             run = self.runs.get((pace.task, pace.run))
-            if run is not None:
+            paced = self.world.contender is not Contender.UNPACED
+            if run is not None and paced:
                 run.pace = pace.percent
 
     def _end(self, key: tuple[str, int], how: str) -> None:
@@ -260,10 +279,17 @@
 
     :param load: what comes.
     :param seed: seed of all draws.
+    :param contender: which decisions to play.
     """
 
-    def __init__(self, load: Load, seed: int) -> None:
+    def __init__(
+        self,
+        load: Load,
+        seed: int,
+        contender: Contender = Contender.LEARNED,
+    ) -> None:
         self.load = load
+        self.contender = contender
         self.rng = random.Random(seed)
         self.credit = ServingCredit()
         self.thrown_away_s = 0.0
@@ -275,7 +301,11 @@
         self._reports = _reports.Reports(
             self._book, workflows.Bounds(), FENCING
         )
-        self._learned = _interference.PairFactors()
+        self._learned = (
+            _EveryPairPresses()
+            if contender is Contender.APART
+            else _interference.PairFactors()
+        )
         self._upkeep = _upkeep.Upkeep(self._book, self._learned)
         self._workers = [
             _Worker(
@@ -432,6 +462,8 @@
 
     def _decide(self, now: float) -> None:
         self._upkeep.run(now)
+        if self.contender is Contender.APART:
+            self._keep_patient(now)
         policy = _round.Policy(QUEUES.get, frozenset(), self._learned)
         placed = _round.place(self._book, policy, now, now)
         for attempt in placed:
@@ -451,6 +483,13 @@
                 end for end in worker.ends if end.number > view.acknowledged
             ]
 
+    def _keep_patient(self, now: float) -> None:
+        """Have filling tasks wait for a worker where nothing serves."""
+        for job in self._book.jobs.values():
+            for stage in job.stages:
+                if stage.spec.fills and stage.ready_since:
+                    stage.ready_since = now
+
     def _outcome(self) -> Outcome:
         earned: dict[str, float] = {}
         owed: dict[str, float] = {}
--- a/measure/sharing.py
+++ b/measure/sharing.py
@@ -1,7 +1,7 @@
 """Measures how serving and filling tasks share workers.
 
-Run with ``python -m measure.sharing``; one line for each load and the mean
-over all seeds.
+Run with ``python -m measure.sharing``: the decisions against no sharing and
+against sharing without pacing; means over all seeds.
 """
 
 import argparse
@@ -17,17 +17,19 @@
 SEEDS = 12
 MAX_PROCESSES = 3
 LOADS = {
-    'ticketing': _shared_workers.Load(),
-    'few heavy pairs': _shared_workers.Load(heavy_share=0.3),
-    'most pairs heavy': _shared_workers.Load(heavy_share=0.8),
+    'many heavy pairs': _shared_workers.Load(heavy_share=0.55),
+    'some heavy pairs': _shared_workers.Load(heavy_share=0.4),
+    'no heavy pairs': _shared_workers.Load(heavy_share=0.0),
     'roomy': _shared_workers.Load(serving_jobs=4),
 }
 
 
-def run_one(name: str, seed: int) -> _shared_workers.Outcome:
+def run_one(
+    name: str, contender: _shared_workers.Contender, seed: int
+) -> _shared_workers.Outcome:
     """Play one day of a load."""
     logger.remove()
-    return _shared_workers.SharedWorkers(LOADS[name], seed).run()
+    return _shared_workers.SharedWorkers(LOADS[name], seed, contender).run()
 
 
 def main() -> int:
@@ -43,13 +45,17 @@
     names = args.load or list(LOADS)
     with concurrent.futures.ProcessPoolExecutor(MAX_PROCESSES) as pool:
         futs = {
-            name: [
-                pool.submit(run_one, name, seed) for seed in range(args.seeds)
+            (name, contender): [
+                pool.submit(run_one, name, contender, seed)
+                for seed in range(args.seeds)
             ]
             for name in names
+            for contender in _shared_workers.Contender
         }
-        for name, runs in futs.items():
-            _print(name, [fut.result() for fut in runs])
+        for (name, contender), runs in futs.items():
+            _print(
+                f'{name}, {contender.value}', [fut.result() for fut in runs]
+            )
     print(f'{time.monotonic() - began:.0f} s')
     return 0
 
@@ -61,7 +67,7 @@
     worths = [one.worth for one in found]
     error = statistics.stdev(worths) / len(worths) ** 0.5 if worths[1:] else 0
     print(
-        f'{name:17} worth {mean("worth"):.3f} +- {error:.3f}  '
+        f'{name:26} worth {mean("worth"):.3f} +- {error:.3f}  '
         f'plain {mean("plain"):.3f}  filling {mean("filling"):.3f}  '
         f'serving {mean("serving"):.3f}  harmed {mean("harmed_s"):6.1f} s  '
         f'thrown away {mean("thrown_away_s"):5.1f} s',
