Take from a silent worker's agent when its leases end

The agent beside a worker is the only one to pass leases on, so it knows when they end, in worst case 8 s after its own start for those of an agent before it. It now says so with each report; a new scheduler takes it once the agent has seen its token. Still waited for as before: a worker lost together with its agent.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -112,6 +112,9 @@
 
     ``fencing`` is the token that the worker has confirmed before it made the
     list; ``clock_ms`` is the worker's clock at that moment, 0 without a list.
+    ``token`` is the highest token that the agent has seen. All leases of the
+    worker's present life end within ``lease_left_s``, as far as orders up to
+    ``lease_until_ms`` go.
     """
 
     fencing: int
@@ -121,6 +124,9 @@
     ended: tuple[EndRow, ...] = ()
     refused: tuple[RefusedStart, ...] = ()
     stopped: tuple[TaskRun, ...] = ()
+    token: int = 0
+    lease_until_ms: int = 0
+    lease_left_s: float = 0.0
 
 
 @_registry.message
--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -28,6 +28,7 @@
         self.clock_read_at = 0.0
         self.listed_at = 0.0
         self.lease_ends_at = 0.0  # when all runs there have surely ended
+        self.lease_until_ms = 0  # last order, on the worker's clock
         self.renewed_at = 0.0
         self.applied = 0  # ends up to this number are in the jobs' state
         self.acknowledged = 0  # ends up to this number are committed
@@ -85,7 +86,8 @@
         elapsed_s = (ends_at - self.clock_read_at) * (1.0 - SLOW_CLOCK)
         self.lease_ends_at = max(self.lease_ends_at, ends_at)
         self.renewed_at = now
-        return self.clock_ms + int(elapsed_s * 1000)
+        self.lease_until_ms = self.clock_ms + int(elapsed_s * 1000)
+        return self.lease_until_ms
 
     def note_list(self, clock_ms: int, now: float) -> None:
         """Note that a list made at ``clock_ms`` has arrived now."""
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -51,6 +51,8 @@
         view.connected = True
         for refused in report.refused:
             self._refused(view, refused, now)
+        if not report.clock_ms:
+            self._note_silence(view, report, now)
         if report.fencing != self._fencing or not report.clock_ms:
             return
         if not view.fenced:
@@ -97,6 +99,26 @@
             state=life.state,
         )
 
+    def _note_silence(
+        self,
+        view: _fleet.WorkerView,
+        report: messages.WorkerReport,
+        now: float,
+    ) -> None:
+        """Take from a silent worker's agent when its leases end.
+
+        A predecessor's runs on a worker that is gone would else be waited for
+        as long as any predecessor may have extended any lease.
+        """
+        if report.token != self._fencing:
+            return  # the agent may still take a predecessor's orders
+        if report.lease_until_ms < view.lease_until_ms:
+            return  # an order of ours is on its way
+        if not view.fenced:
+            self._attach_unseen(view, now)
+        ends_at = now + report.lease_left_s
+        view.lease_ends_at = min(view.lease_ends_at, ends_at)
+
     def _attach_unseen(self, view: _fleet.WorkerView, now: float) -> None:
         view.lease_ends_at = max(view.lease_ends_at, self._book.unseen_end_at)
         for attempt in self._book.unseen.pop(view.node, ()):
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -11,6 +11,8 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
+from citronrail.workflow import _fleet
+from citronrail.workflow import _orders
 
 LIST_WAIT_MS = 500  # how long a list waits for an end while tasks run
 IDLE_WAIT_MS = 1500
@@ -45,6 +47,7 @@
         self._worker = worker
         self._hub = hub
         self._life: messages.WorkerLife | None = None
+        self._began_at = 0.0
         self._clock_ms = 0
         self._clock_read_at = 0.0
         self._fencing = 0
@@ -136,6 +139,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """List and report until cancelled."""
+        self._began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -221,6 +225,9 @@
             ended=found.ended if found else (),
             refused=refused,
             stopped=stopped,
+            token=self._fencing,
+            lease_until_ms=self._lease_until_ms,
+            lease_left_s=self._lease_left_s(),
         )
         try:
             await self._hub.send(scheduler, report)
@@ -233,6 +240,21 @@
             item for item in self._pending.stopped if item not in stopped
         ]
 
+    def _lease_left_s(self) -> float:
+        """Return after how long no run of the present life can be left.
+
+        Only agents pass leases on, this one or one before it on this host,
+        whose last order was given before this one began.
+        """
+        now = trio.current_time()
+        earlier_s = self._began_at + _orders.LEASE_S - now
+        left_ms = max(0, self._lease_until_ms - self._clock_ms)
+        elapsed_s = now - self._clock_read_at
+        own_s = left_ms / 1000 / (1.0 - _fleet.SLOW_CLOCK) - elapsed_s
+        if not self._lease_until_ms:
+            own_s = 0.0
+        return max(0.0, own_s, earlier_s * (1.0 + _fleet.SLOW_CLOCK))
+
     # Orders
 
     async def _on_orders(
--- a/citronrail/workflow/tests/test_takeover.py
+++ b/citronrail/workflow/tests/test_takeover.py
@@ -12,6 +12,7 @@
 
 JOBS = [f'{number:016x}' for number in range(6)]
 WAIT_LIMIT_S = 3.0
+LASTING_LIMIT_S = 6.0
 
 
 async def _loaded_world(nursery, **kwargs):
@@ -116,6 +117,33 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_runs_on_a_lost_worker_are_not_waited_for_twice(autojump_clock):
+    """Guards lasting tasks whose worker and scheduler are lost in turn.
+
+    Seen in a hunt on Langar (mix, seed 236219678481): the successor waited
+    for the longest lease that its predecessor could have extended, and the
+    task was away for 29 s. The agent beside the worker knows the real one.
+    """
+    async with trio.open_nursery() as nursery:
+        world = await _loaded_world(nursery)
+        world.plans[JOBS[5]] = task_worker.TaskPlan(work_s=1e9)
+        await world.submit(JOBS[5], _world.one_step(1, long_running=True))
+        name = f'{JOBS[5]}.0.0.0'
+        await world.until(lambda: name in world.history.tasks)
+        record = world.history.tasks[name]
+        ((worker_id, _),) = record.active
+        lost = next(w for w in world.workers if w.worker_id == worker_id)
+        lost.faults.silent = True
+        lost_at = trio.current_time()
+        await trio.sleep(4.0)
+        world.kill_entry(world.leader.name)
+        await world.until(lambda: len(record.starts) > 1)
+        lapsed_s = 2.0 + world.bounds.max_lease_s  # renewed until then
+        assert trio.current_time() - lost_at < lapsed_s + LASTING_LIMIT_S
+        assert world.history.violations == []
+        nursery.cancel_scope.cancel()
+
+
 async def test_lost_question_is_asked_again(autojump_clock):
     """Guards workers whose agent never got the scheduler's question.
 
