Reject jobs that fit no worker at once

Cause: a job whose tasks are larger than every worker, or need a label or an accelerator that none has, was accepted and waited until its caller gave up.

The scheduler keeps the kinds of workers that it has seen in the store, from 6 s after its start, and never fewer; entries answer such a job with 429 and a Retry-After of a minute unless it was accepted before.

--- a/citronrail/platform/_caller_app.py
+++ b/citronrail/platform/_caller_app.py
@@ -120,6 +120,10 @@
             return _answer(200, {})
         case workflow.Verdict.NOT_RUN:
             return _not_run(reply.retry_after_s)
+        case workflow.Verdict.UNFIT:
+            return _not_run(
+                reply.retry_after_s, 429, 'no worker has room for its tasks'
+            )
         case _:
             return _answer(504, {'error': 'outcome unknown, send it again'})
 
@@ -152,8 +156,12 @@
     return _not_run(reply.retry_after_s)
 
 
-def _not_run(retry_after_s: int) -> quart.Response:
-    res = _answer(503, {'error': 'not done, come back later'})
+def _not_run(
+    retry_after_s: int,
+    status: int = 503,
+    error: str = 'not done, come back later',
+) -> quart.Response:
+    res = _answer(status, {'error': error})
     res.headers['Retry-After'] = str(retry_after_s)
     return res
 
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -11,6 +11,7 @@
 ROOT = 'citronrail/'
 CONTROL_PREFIX = ROOT + 'control/'
 LEADER_KEY = CONTROL_PREFIX + 'scheduler'
+FLEET_KEY = CONTROL_PREFIX + 'fleet'
 INBOX_PREFIX = ROOT + 'inbox/'
 JOB_PREFIX = INBOX_PREFIX + 'job/'
 CANCEL_PREFIX = INBOX_PREFIX + 'cancel/'
@@ -83,6 +84,22 @@
     address: str  # tcp://IP:PORT of its peer port
 
 
+class WorkerShape(msgspec.Struct, frozen=True, array_like=True):
+    """What of a worker decides which tasks fit there."""
+
+    service: str
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+    labels: tuple[str, ...] = ()  # sorted, without racks
+
+
+class FleetRecord(msgspec.Struct, frozen=True):
+    """All kinds of workers that schedulers have seen."""
+
+    shapes: tuple[WorkerShape, ...] = ()
+
+
 T = typing.TypeVar('T')
 
 
--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -35,9 +35,13 @@
         self.leader: documents.LeaderRecord | None = None
         self.revision = 0
         self.changed = trio.Event()
+        self.fleet = documents.FleetRecord()
 
     def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
         """Take the present leader, if there is one."""
+        for item in items:
+            if item.key == documents.FLEET_KEY:
+                self._take_fleet(item.value)
         for item in items:
             if item.key == documents.LEADER_KEY:
                 self._take(item.value, item.revision)
@@ -49,6 +53,15 @@
         for change in changes:
             if change.key == documents.LEADER_KEY:
                 self._take(change.value, change.revision)
+            elif change.key == documents.FLEET_KEY and change.value:
+                self._take_fleet(change.value)
+
+    def _take_fleet(self, value: bytes) -> None:
+        fleet = _book.decode_item(
+            documents.FLEET_KEY, value, documents.FleetRecord
+        )
+        if fleet is not None:
+            self.fleet = fleet
 
     def _take(self, value: bytes | None, revision: int) -> None:
         if value is None:
@@ -188,6 +201,7 @@
             leadership,
             self._operators,
             self._bounds,
+            self._view.fleet.shapes,
             time.time,
         )
         reason = 'planned stop'
--- a/citronrail/workflow/_front.py
+++ b/citronrail/workflow/_front.py
@@ -16,6 +16,7 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
+from citronrail.workflow import _admission
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _election
 from citronrail.workflow import _metrics as metrics
@@ -27,6 +28,8 @@
 # The store may turn this entry away and serve the others, so a caller is
 # better off with an early answer and another entry than with a long wait.
 STORE_TRY_S = 1.2
+# A job that fits no worker can be handed in again once the fleet has changed.
+UNFIT_RETRY_S = 60
 
 
 class Verdict(enum.Enum):
@@ -34,6 +37,7 @@
 
     DONE = 'done'
     NOT_RUN = 'not run'  # and never will
+    UNFIT = 'unfit'  # not run, as no worker has room for it
     UNKNOWN = 'unknown'  # repeat it with the same id
     ABSENT = 'absent'  # no such job
 
@@ -103,6 +107,9 @@
         )
         key = documents.JOB_PREFIX + job_id
         began_at = trio.current_time()
+        if await self._is_unfit(queue, job_id, spec, deadline):
+            _count('submit', Verdict.UNFIT, began_at)
+            return Reply(Verdict.UNFIT, retry_after_s=UNFIT_RETRY_S)
         outcome = await self._create(key, record, deadline)
         _count('submit', outcome, began_at)
         match outcome:
@@ -129,6 +136,30 @@
                 )
         return Reply(outcome)
 
+    async def _is_unfit(
+        self,
+        queue: workflows.Queue,
+        job_id: str,
+        spec: workflows.WorkflowSpec,
+        deadline: float,
+    ) -> bool:
+        """Whether no worker can run a job that isn't accepted yet."""
+        step = _admission.unfit_step(
+            spec, queue.service, self._view.fleet.shapes
+        )
+        if step is None:
+            return False
+        # It may have been accepted while another kind of worker was known.
+        if await self._exists(job_id, deadline) is not Verdict.ABSENT:
+            return False
+        observability.emit(
+            events.JOB_TURNED_AWAY,
+            job=job_id,
+            queue=queue.name,
+            reason=f'tasks of step {step} fit no worker of {queue.service}',
+        )
+        return True
+
     async def cancel(self, job_id: str, deadline: float) -> Reply:
         """Cancel a job; durable when this returns ``DONE``.
 
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -2,16 +2,20 @@
 
 import collections.abc
 
+import msgspec
 import trio
 
 from citronrail.model import workflows
 from citronrail import ports
+from citronrail.workflow import _admission
 from citronrail.workflow import _book
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 
 KEEP_LEARNED_S = 2.0  # between copies of what was learned
 FORGET_INTERVAL_S = 5.0
+FIRST_SHAPES_S = 6.0
+SHAPES_INTERVAL_S = 1.0
 FORGET_AFTER = 1.5  # times the time for which ended jobs must be kept
 UnixClock = collections.abc.Callable[[], float]
 
@@ -22,6 +26,7 @@
     :param book: jobs and workers.
     :param factors: learned interference of pairs of images.
     :param bounds: limits of the deployment.
+    :param shapes: kinds of workers that the store shows.
     :param unix_clock: Unix time in seconds.
     """
 
@@ -30,12 +35,15 @@
         book: _book.Book,
         factors: _interference.PairFactors,
         bounds: workflows.Bounds,
+        shapes: _admission.Shapes,
         unix_clock: UnixClock,
     ) -> None:
         self._book = book
         self._factors = factors
         self._bounds = bounds
         self._unix_clock = unix_clock
+        self._shapes = frozenset(shapes)
+        self._shapes_at = 0.0
         self._forget_at = 0.0
         self._learned_at = 0.0
 
@@ -50,6 +58,7 @@
         ]
         writes += self._forgettable()
         writes += self._learned(bool(writes))
+        writes += self._new_shapes()
         acknowledges = any(
             view.applied > view.acknowledged
             for view in self._book.workers.values()
@@ -73,6 +82,30 @@
             )
         ]
 
+    def _new_shapes(self) -> list[ports.Put]:
+        """Return kinds of workers that the store doesn't show yet.
+
+        The first ones wait until most of the fleet has been seen, so that no
+        entry takes the few that came first for all there are.
+        """
+        now = trio.current_time()
+        if not self._shapes_at:
+            self._shapes_at = now + FIRST_SHAPES_S
+        if now < self._shapes_at:
+            return []
+        self._shapes_at = now + SHAPES_INTERVAL_S
+        seen = {
+            _admission.shape_of(view.life)
+            for view in self._book.workers.values()
+        }
+        if seen <= self._shapes:
+            return []
+        self._shapes |= seen
+        record = documents.FleetRecord(
+            tuple(sorted(self._shapes, key=msgspec.structs.astuple))
+        )
+        return [ports.Put(documents.FLEET_KEY, documents.encode(record))]
+
     def _forgettable(self) -> list[ports.Delete]:
         """Return deletions of jobs that ended long ago."""
         now = trio.current_time()
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -10,6 +10,7 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
+from citronrail.workflow import _admission
 from citronrail.workflow import _book
 from citronrail.workflow import _commit_chain
 from citronrail.workflow import _documents as documents
@@ -38,6 +39,7 @@
     :param leadership: the leadership.
     :param operators: the operators' wishes in force.
     :param bounds: limits of the deployment.
+    :param shapes: kinds of workers that earlier schedulers have seen.
     :param unix_clock: Unix time in seconds.
     """
 
@@ -48,6 +50,7 @@
         leadership: _leadership.Leadership,
         operators: _operators.OperatorView,
         bounds: workflows.Bounds,
+        shapes: _admission.Shapes = (),
         unix_clock: _state_writer.UnixClock = time.time,
     ) -> None:
         self._store = store
@@ -66,7 +69,7 @@
         self._wake = trio.Event()
         self._loaded = trio.Event()
         self._writer = _state_writer.StateWriter(
-            self.book, self._factors, bounds, unix_clock
+            self.book, self._factors, bounds, shapes, unix_clock
         )
         self._sender = _order_sender.OrderSender(
             hub, self.book, leadership, operators, bounds.max_lease_s
--- a/citronrail/workflow/tests/test_front.py
+++ b/citronrail/workflow/tests/test_front.py
@@ -39,6 +39,44 @@
         nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'cpu_millis': 9000},
+        {'memory_mb': 50_000},
+        {'accelerators': 1},
+        {'required_label': 'gpu'},
+    ],
+    ids=['cpu', 'memory', 'accelerators', 'label'],
+)
+async def test_job_that_fits_no_worker_is_rejected_at_once(
+    fields, autojump_clock
+):
+    """Guards callers of tasks that would wait for ever."""
+    async with trio.open_nursery() as nursery:
+        world = _world.World(cpu_millis=4000, memory_mb=8000)
+        await world.start(nursery)
+        unfit = _world.one_step(1, **fields)
+        early = await _submit(world, JOB, unfit)
+        assert early.verdict is workflow.Verdict.DONE  # no workers known yet
+        await trio.sleep(8.0)
+        late = await _submit(world, '00000000000000a2', unfit)
+        assert late.verdict is workflow.Verdict.UNFIT
+        assert late.retry_after_s > 0
+        again = await _submit(world, JOB, unfit)
+        assert again.verdict is workflow.Verdict.DONE  # it was accepted
+        fit = await _submit(world, '00000000000000a3', _world.one_step())
+        assert fit.verdict is workflow.Verdict.DONE
+        assert '00000000000000a2.0.0.0' not in world.history.tasks
+        nursery.cancel_scope.cancel()
+
+
+async def _submit(world, job_id, spec) -> workflow.Reply:
+    entry = next(iter(world.entries.values()))
+    deadline = trio.current_time() + 3.0
+    return await entry.service.submit(_world.QUEUE, job_id, spec, deadline)
+
+
 async def test_entry_without_the_store_is_not_fresh(autojump_clock):
     """Guards the load balancer: it must learn that an entry is turned away."""
     view = _operators.OperatorView(
