Add a soak of the platform's programs under faults from outside

python -m soak: entries and agents as processes, each with its own loopback address; signals, and proxies that delay, silence, reset or lose answers on the paths to the store and to the workers; faults of the store; new lives of workers. Callers keep their connections open. Promises are checked from what callers and workers see.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PY := .venv/bin/python
 STAMP := .venv/.ready
 
-.PHONY: setup demo test check drills measure measure-path measure-processes capacity clean
+.PHONY: setup demo test check drills soak measure measure-path measure-sharing measure-processes capacity clean
 
 setup: $(STAMP)
 
@@ -16,7 +16,7 @@
 check: setup
 	$(PY) -m ruff format --check .
 	$(PY) -m ruff check .
-	$(PY) -m flake8 citronrail standins measure drills demo
+	$(PY) -m flake8 citronrail standins measure drills soak demo
 	$(PY) -m mypy
 
 demo: setup
@@ -25,9 +25,15 @@
 drills: setup
 	$(PY) -m drills $(if $(SEED),--seed $(SEED)) $(if $(POINT),--point $(POINT))
 
+soak: setup
+	$(PY) -m soak $(if $(SEED),--seed $(SEED)) $(if $(SEEDS),--seeds $(SEEDS))
+
 measure: setup
 	$(PY) -m measure.policies
 
+measure-sharing: setup
+	$(PY) -m measure.sharing
+
 measure-path: setup
 	$(PY) -m measure.path
 
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized faults against the real programs of the platform."""
--- a/standins/task_worker/__init__.py
+++ b/standins/task_worker/__init__.py
@@ -1,6 +1,7 @@
 """Stand-in for a worker that runs tasks of workflows under leases."""
 
 from standins.task_worker._history import RunHistory
+from standins.task_worker._history import TaskRecord
 from standins.task_worker._memory_worker import MemoryTaskWorker
 from standins.task_worker._memory_worker import TaskPlan
 from standins.task_worker._memory_worker import WorkerFaults
@@ -9,5 +10,6 @@
     'MemoryTaskWorker',
     'RunHistory',
     'TaskPlan',
+    'TaskRecord',
     'WorkerFaults',
 ]
