Mend what the soak found: stale states, leases across lives

A term now answers only while its lease certainly lasts; the entry reads the store instead.

The agent now also counts the longest lease from its last call, and its word isn't taken for runs that were ordered from an earlier life. A worker that gave no answer is asked again without a lease and without a cursor, as a new life counts its ends anew.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -112,8 +112,8 @@
 
     ``fencing`` is the token that the worker has confirmed before it made the
     list; ``clock_ms`` is the worker's clock at that moment, 0 without a list.
-    ``token`` is the highest token that the agent has seen. All leases of the
-    worker's present life end within ``lease_left_s``, as far as orders up to
+    ``token`` is the highest token that the agent has seen. If the worker
+    stays silent, its runs end within ``lease_left_s``, as far as orders up to
     ``lease_until_ms`` go.
     """
 
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -182,7 +182,7 @@
     """
     process = _Process(cfg, boot_id, rng, 'agent')
     worker = _worker.PlatformWorker(cfg.worker_address)
-    agent = workflow.WorkerAgent(worker, process.hub)
+    agent = workflow.WorkerAgent(worker, process.hub, cfg.bounds.max_lease_s)
     port = process.port(
         _announcement_app.announcement_app(agent),
         cfg.announcements_address,
--- a/citronrail/workflow/_fleet.py
+++ b/citronrail/workflow/_fleet.py
@@ -28,6 +28,7 @@
         self.clock_read_at = 0.0
         self.listed_at = 0.0
         self.lease_ends_at = 0.0  # when all runs there have surely ended
+        self.has_crossed = False  # holds orders for an earlier life
         self.lease_until_ms = 0  # last order, on the worker's clock
         self.renewed_at = 0.0
         self.applied = 0  # ends up to this number are in the jobs' state
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -114,6 +114,11 @@
             return  # the agent may still take a predecessor's orders
         if report.lease_until_ms < view.lease_until_ms:
             return  # an order of ours is on its way
+        unseen = self._book.unseen.get(view.node, ())
+        if view.has_crossed or not all(
+            view.is_life(item.worker_id, item.born_ms) for item in unseen
+        ):
+            return  # an order for an earlier life may be carried out yet
         if not view.fenced:
             self._attach_unseen(view, now)
         ends_at = now + report.lease_left_s
@@ -141,6 +146,7 @@
         if attempt.worker_id != view.worker_id or attempt.listed_at:
             self._book.void(attempt, 'the worker began a new life', now)
             return
+        view.has_crossed = True
         attempt.born_ms = view.life.born_ms
         attempt.missing_since = now
         view.attempts[attempt.key] = attempt
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -150,15 +150,18 @@
         self._wake.set()
 
     def state_of(self, job_id: str) -> str:
-        """Return the committed state of a job, '' if it isn't known."""
+        """Return the committed state of a job, '' if it isn't known.
+
+        Once the lease may have ended, a successor may know a later state.
+        """
         job = self.book.jobs.get(job_id)
-        if job is None or not self.loaded:
+        if job is None or not self.loaded or not self._leadership.holds:
             return ''
         return job.shown.value
 
     def pending_in(self, queue: str) -> int:
         """Return how many jobs of a queue wait for their first start."""
-        if not self.loaded:
+        if not self.loaded or not self._leadership.holds:
             return -1
         return sum(
             1
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -12,7 +12,6 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
 from citronrail.workflow import _fleet
-from citronrail.workflow import _orders
 
 LIST_WAIT_MS = 500  # how long a list waits for an end while tasks run
 IDLE_WAIT_MS = 1500
@@ -24,6 +23,7 @@
 LEASE_STEP_MS = 700  # a lease that grows by more is passed on at once
 STOP_TRIES = 3
 MAX_STARTS_AT_ONCE = 12
+SLOW_CLOCK_FACTOR = 1.0 / (1.0 - _fleet.SLOW_CLOCK)
 
 
 @dataclasses.dataclass
@@ -41,13 +41,21 @@
 
     :param worker: the worker.
     :param hub: connection to the scheduling entry.
+    :param max_lease_s: longest lease that the worker grants, in seconds.
     """
 
-    def __init__(self, worker: ports.TaskWorker, hub: ports.PeerHub) -> None:
+    def __init__(
+        self,
+        worker: ports.TaskWorker,
+        hub: ports.PeerHub,
+        max_lease_s: float,
+    ) -> None:
         self._worker = worker
         self._hub = hub
         self._life: messages.WorkerLife | None = None
+        self._max_lease_s = max_lease_s
         self._began_at = 0.0
+        self._called_at = 0.0  # last call that may have extended a lease
         self._clock_ms = 0
         self._clock_read_at = 0.0
         self._fencing = 0
@@ -163,16 +171,22 @@
         )
         if self._confirmed != fencing or self._pending.refused or stopped:
             order = dataclasses.replace(order, wait_ms=0)
-        self._lease_sent_ms = self._lease_until_ms
+        if self._silent:
+            # It may answer with a new life, whose clock and ends begin anew.
+            order = ports.LeaseOrder(fencing, acknowledged=0)
+        self._lease_sent_ms = order.lease_until_ms
         found = None
         with trio.CancelScope() as self._poll:
             try:
                 found = await self._worker.list_runs(life, order)
             except errors.CitronrailError as exc:
+                if not isinstance(exc, errors.WorkerRefused):
+                    self._note_call(order)
                 self._note_silence(life, exc)
                 await self._report(None, ())
                 await trio.sleep(RETRY_S)
                 return
+        self._note_call(order)
         if found is None or not self._same(life.worker_id, life.born_ms):
             return
         self._silent = False
@@ -191,6 +205,11 @@
             await trio.sleep(REPORTED_PAUSE_S)
         self._reported_end = max(self._reported_end, newest)
 
+    def _note_call(self, order: ports.LeaseOrder) -> None:
+        """Note a call that the worker has, or may have, carried out."""
+        if order.lease_until_ms:
+            self._called_at = trio.current_time()
+
     def _note_silence(
         self, life: messages.WorkerLife, exc: errors.CitronrailError
     ) -> None:
@@ -241,19 +260,19 @@
         ]
 
     def _lease_left_s(self) -> float:
-        """Return after how long no run of the present life can be left.
+        """Return after how long no run can be left if nothing is heard.
 
-        Only agents pass leases on, this one or one before it on this host,
-        whose last order was given before this one began.
+        Leases of the present life end by its clock. A call for an earlier
+        life may have been carried out by the present one, whose clock is
+        behind, so the longest lease after the last call counts as well, or
+        after our start for an agent that was here before us.
         """
         now = trio.current_time()
-        earlier_s = self._began_at + _orders.LEASE_S - now
         left_ms = max(0, self._lease_until_ms - self._clock_ms)
-        elapsed_s = now - self._clock_read_at
-        own_s = left_ms / 1000 / (1.0 - _fleet.SLOW_CLOCK) - elapsed_s
-        if not self._lease_until_ms:
-            own_s = 0.0
-        return max(0.0, own_s, earlier_s * (1.0 + _fleet.SLOW_CLOCK))
+        ends_at = self._clock_read_at + left_ms / 1000 * SLOW_CLOCK_FACTOR
+        longest_s = self._max_lease_s * SLOW_CLOCK_FACTOR
+        touched_at = max(self._began_at, self._called_at)
+        return max(0.0, ends_at - now, touched_at + longest_s - now)
 
     # Orders
 
@@ -332,6 +351,7 @@
             result = await self._worker.start(
                 life, order, valid_until, fencing
             )
+        self._called_at = trio.current_time()
         match result.verdict:
             case ports.StartVerdict.REFUSED:
                 self._pending.refused.append(
--- a/citronrail/workflow/tests/_world.py
+++ b/citronrail/workflow/tests/_world.py
@@ -120,7 +120,9 @@
         self.hub = memory_peers.MemoryHub(
             world.network, _peer(name, boot, 'agent')
         )
-        self.agent = workflow.WorkerAgent(worker, self.hub)
+        self.agent = workflow.WorkerAgent(
+            worker, self.hub, world.bounds.max_lease_s
+        )
 
     async def run(self) -> None:
         """Run until killed."""
--- a/citronrail/workflow/tests/test_takeover.py
+++ b/citronrail/workflow/tests/test_takeover.py
@@ -144,6 +144,51 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_nothing_is_acknowledged_to_an_unknown_life(autojump_clock):
+    """Guards ends of a new life against the cursor of the one before.
+
+    Ends are counted anew, so a cursor of the old life drops those that the
+    new one has not yet told.
+    """
+    async with trio.open_nursery() as nursery:
+        world = await _loaded_world(nursery)
+        orders = []
+        worker = world.workers[0]
+        list_runs = worker.list_runs
+
+        async def watched(life, order):
+            orders.append(order)
+            return await list_runs(life, order)
+
+        worker.list_runs = watched
+        await trio.sleep(10.0)
+        assert orders[-1].acknowledged > 0
+        worker.faults.silent = True
+        await trio.sleep(4.0)
+        orders.clear()
+        await trio.sleep(3.0)
+        assert orders
+        assert not any(o.acknowledged or o.lease_until_ms for o in orders)
+        nursery.cancel_scope.cancel()
+
+
+async def test_stale_state_is_not_shown(autojump_clock):
+    """Guards callers of an entry that doesn't know that it was replaced.
+
+    Found by the soak (seeds 7 and 100): an entry that was paused showed a
+    job as queued that its successor had shown as cancelled.
+    """
+    async with trio.open_nursery() as nursery:
+        world = await _loaded_world(nursery)
+        term = world.leader.election.term
+        assert term.state_of(JOBS[0]) == 'running'
+        world.store.set_faults(outage=True)
+        await trio.sleep(3.0)
+        assert term.state_of(JOBS[0]) == ''
+        assert term.pending_in(_world.QUEUE.name) == -1
+        nursery.cancel_scope.cancel()
+
+
 async def test_lost_question_is_asked_again(autojump_clock):
     """Guards workers whose agent never got the scheduler's question.
 
