--- a/measure/tests/test_sharing.py
+++ b/measure/tests/test_sharing.py
@@ -1,7 +1,7 @@
 """Replays the load of a full day of shared workers."""
 
-import pytest
 from loguru import logger
+import pytest
 
 from measure import _shared_workers as shared
 
