--- a/measure/_shared_workers.py
+++ b/measure/_shared_workers.py
@@ -13,29 +13,26 @@
 import math
 import random
 
-from citronrail.model import messages
 from citronrail.model import workflows
 from citronrail.workflow import _book
-from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _orders
 from citronrail.workflow import _reports
 from citronrail.workflow import _round
 from citronrail.workflow import _upkeep
+from measure import _sharing_load
+from measure import _sharing_worker
 
-STEP_S = 0.1
 DAY_S = 46.0
-TRAFFIC_S = 34.0
 REPORT_S = 0.5  # an agent's list without ends
 ORDER_S = 0.1  # from a decision to its effect on the worker
-CHECKPOINT_S = 2.0
-MEASURED_S = 0.5  # span of a measured tail
-FENCING = 1
 LATE_SHARE = 0.15  # of a job's worth if it is late, up to three objectives
 USELESS_AFTER = 3.0  # times the objective
-HARM_WEIGHT = 4.0  # of time over target because of filling tasks
-WINDOW_S = 2.0  # in which a serving task earns
+STEP_S = _sharing_worker.STEP_S
+FENCING = _sharing_worker.FENCING
+QUEUES = _sharing_load.QUEUES
+Load = _sharing_load.Load
 
 
 class Contender(enum.Enum):
@@ -55,87 +52,6 @@
         return 1000.0
 
 
-@dataclasses.dataclass(frozen=True)
-class Load:
-    """What comes in a day; means of log-normal draws.
-
-    Sizes in thousandths of a core, times in seconds, rates in jobs a second.
-    """
-
-    workers: int = 11
-    worker_cpu: int = 64_000
-    sizes: tuple[float, ...] = (1.0, 1.0, 1.5)
-    serving_jobs: int = 9
-    serving_tasks: float = 6.0
-    serving_cpu: float = 13_000.0
-    serving_images: int = 5
-    filling_jobs: int = 2  # at the start
-    filling_rate: float = 0.56
-    filling_tasks: float = 8.0
-    filling_cpu: float = 7_000.0
-    filling_work_s: float = 4.4
-    filling_images: int = 9
-    estimate_error: float = 0.9
-    plain_rate: float = 2.2
-    plain_tasks: float = 6.0
-    plain_cpu: float = 960.0
-    plain_work_s: float = 2.0
-    rest_ms: float = 19.0
-    target_ms: int = 125
-    load: float = 0.45  # of a serving task, in the middle of its wave
-    swing: float = 0.5
-    swing_s: float = 20.0
-    heavy_share: float = 0.55  # of the pairs of images
-    heavy_factor: float = 1.3
-    light_factor: float = 0.05
-    serving_use: float = 0.5  # share of the reserved processors
-    noise: float = 0.05  # of a measured tail
-    spike_rate: float = 0.05  # of a serving task's load, a second
-    spike_s: float = 0.8
-    spike: float = 0.12  # utilisation
-
-
-QUEUES = {
-    name: workflows.Queue(name, 'h', f'/{name}', 'pool', priority, 4, 2.0, 1.0)
-    for name, priority in (('serving', 0), ('plain', 0), ('filling', 2))
-}
-
-
-class _Run:
-    """One run on a worker."""
-
-    def __init__(self, attempt: _job.Attempt, work_s: float) -> None:
-        self.attempt = attempt
-        self.work_s = work_s
-        self.done_s = float(attempt.task.checkpoint or 0.0)
-        self.saved_s = self.done_s
-        self.pace = 100
-        self.share = 1.0
-        self.tails: list[float] = []
-        self.spike_until = 0.0
-
-    @property
-    def spec(self) -> workflows.StepSpec:
-        """The step of its task."""
-        return self.attempt.task.stage.spec
-
-
-@dataclasses.dataclass
-class ServingCredit:
-    """Seconds of serving tasks: at work, over target, and why."""
-
-    owed_s: float = 0.0
-    at_work_s: float = 0.0
-    over_s: float = 0.0
-    harmed_s: float = 0.0  # over target because of filling tasks
-
-    @property
-    def share(self) -> float:
-        """Part of the credit that was earned."""
-        lost = self.over_s + (HARM_WEIGHT - 1.0) * self.harmed_s
-        return max(0.0, self.at_work_s - lost) / max(1.0, self.owed_s)
-
-
 @dataclasses.dataclass(frozen=True)
 class Outcome:
     """Parts of the worth that each kind of job earned, from 0 to 1."""
@@ -152,128 +68,6 @@
         return 0.1 * self.plain + 0.3 * self.filling + 0.6 * self.serving
 
 
-class _Worker:
-    """A worker with its runs."""
-
-    def __init__(self, number: int, cpu: int, world: 'SharedWorkers') -> None:
-        self.world = world
-        self.node = f'a{number}'
-        self.life = messages.WorkerLife(
-            f'w{number}', 1, 'pool', 'dc', 'ready', cpu, cpu * 4, 0
-        )
-        self.runs: dict[tuple[str, int], _Run] = {}
-        self.ends: list[messages.EndRow] = []
-        self.ended = 0
-        self.orders: list[tuple[float, messages.WorkerOrders]] = []
-        self.report_at = 0.0
-
-    def step(self, now: float) -> None:
-        """Let all runs work for one step."""
-        for due_at, order in [o for o in self.orders if o[0] <= now]:
-            self.orders.remove((due_at, order))
-            self._take(order)
-        serving = [r for r in self.runs.values() if r.spec.latency_target_ms]
-        filling = [r for r in self.runs.values() if r.spec.fills]
-        used = sum(
-            run.spec.cpu_millis
-            * (
-                self.world.load.serving_use
-                if run.spec.latency_target_ms
-                else 1.0
-            )
-            for run in self.runs.values()
-            if not run.spec.fills
-        )
-        wanted = sum(r.spec.cpu_millis * r.pace / 100 for r in filling)
-        left = max(0.0, self.life.cpu_millis - used)
-        share = min(1.0, left / wanted) if wanted else 1.0
-        for run in list(self.runs.values()):
-            if not run.spec.latency_target_ms:
-                pace = run.pace / 100 * share if run.spec.fills else 1.0
-                self._work(run, pace)
-        for run in serving:
-            self._serve(run, filling, share, now)
-
-    def _take(self, order: messages.WorkerOrders) -> None:
-        for start in order.starts:
-            key = (start.task, start.run)
-            attempt = self.world.attempts[key]
-            self.runs[key] = _Run(attempt, self.world.work_s(attempt.task))
-        for stop in order.stops:
-            self._end((stop.task, stop.run), 'stopped')
-        for pace in order.paces:
-            run = self.runs.get((pace.task, pace.run))
-            paced = self.world.contender is not Contender.UNPACED
-            if run is not None and paced:
-                run.pace = pace.percent
-
-    def _end(self, key: tuple[str, int], how: str) -> None:
-        run = self.runs.pop(key, None)
-        if run is None:
-            return
-        saves = run.spec.saves_progress
-        if how == 'stopped' and not saves:
-            self.world.thrown_away_s += run.done_s
-        checkpoint = str(run.done_s) if saves else ''
-        self.ended += 1
-        self.ends.append(messages.EndRow(self.ended, *key, how, checkpoint))
-        self.report_at = 0.0
-
-    def _work(self, run: _Run, pace: float) -> None:
-        run.done_s += STEP_S * pace
-        if run.done_s - run.saved_s >= CHECKPOINT_S:
-            run.saved_s = run.done_s
-        if run.done_s >= run.work_s:
-            self._end(run.attempt.key, 'done')
-
-    def _serve(
-        self, run: _Run, filling: list[_Run], share: float, now: float
-    ) -> None:
-        world = self.world
-        if world.rng.random() < world.load.spike_rate * STEP_S:
-            run.spike_until = now + world.load.spike_s
-        own = world.own_load(run.attempt.task.stage.job.job_id, now)
-        if now < run.spike_until:
-            own += world.load.spike
-        added = sum(
-            world.factor(run.spec.image, other.spec.image, now)
-            * other.spec.cpu_millis
-            / self.life.cpu_millis
-            * other.pace
-            / 100
-            * share
-            for other in filling
-        )
-        tail = world.tail_ms(own + added)
-        run.tails = [*run.tails[-4:], tail]
-        run.done_s = 1.0
-        target = run.spec.latency_target_ms
-        credit = world.credit
-        credit.at_work_s += STEP_S
-        if tail > target:
-            credit.over_s += STEP_S
-            if world.tail_ms(own) <= target:
-                credit.harmed_s += STEP_S
-
-    def report(self) -> messages.WorkerReport:
-        """Return the agent's next report."""
-        rows = tuple(self._row(run) for run in self.runs.values())
-        return messages.WorkerReport(
-            FENCING, self.life, 1000, rows, tuple(self.ends)
-        )
-
-    def _row(self, run: _Run) -> messages.RunRow:
-        spec = run.spec
-        name, number = run.attempt.key
-        if spec.latency_target_ms:
-            mean = sum(run.tails) / max(1, len(run.tails))
-            noise = self.world.rng.gauss(1.0, self.world.load.noise)
-            return messages.RunRow(name, number, '', 100, mean * noise)
-        checkpoint = str(run.saved_s) if spec.saves_progress else ''
-        percent = int(100 * min(1.0, run.done_s / run.work_s))
-        return messages.RunRow(name, number, checkpoint, percent, 0.0)
-
-
 class SharedWorkers:
     """A day of shared workers under the real decisions.
 
@@ -290,8 +84,9 @@
     ) -> None:
         self.load = load
         self.contender = contender
+        self.paced = contender is not Contender.UNPACED
         self.rng = random.Random(seed)
-        self.credit = ServingCredit()
+        self.credit = _sharing_worker.ServingCredit()
         self.thrown_away_s = 0.0
         self.attempts: dict[tuple[str, int], _job.Attempt] = {}
         self._factors: dict[tuple[str, str], tuple[float, float]] = {}
@@ -308,100 +103,27 @@
         )
         self._upkeep = _upkeep.Upkeep(self._book, self._learned)
         self._workers = [
-            _Worker(
+            _sharing_worker.Worker(
                 n, int(load.worker_cpu * self.rng.choice(load.sizes)), self
             )
             for n in range(load.workers)
         ]
-        self._arrivals = sorted(self._draw_arrivals(), key=lambda a: a[0])
-
-    # Draws
-
-    def _draw(self, mean: float, spread: float) -> float:
-        sigma = math.sqrt(math.log(1.0 + spread * spread))
-        return self.rng.lognormvariate(
-            math.log(mean) - sigma * sigma / 2, sigma
-        )
-
-    def _times(self, rate: float, at_start: int) -> list[float]:
-        times = [self.rng.uniform(0.0, 0.5) for _ in range(at_start)]
-        now = 0.0
-        while rate:
-            now += self.rng.expovariate(rate)
-            if now > TRAFFIC_S:
-                break
-            times.append(now)
-        return times
-
-    def _draw_arrivals(self) -> list[tuple[float, documents.JobRecord]]:
-        load = self.load
-        found = []
-        for at in self._times(0.025, load.serving_jobs):
-            step = workflows.StepSpec(
-                max(1, round(self._draw(load.serving_tasks, 0.4))),
-                int(self._draw(load.serving_cpu, 0.25)),
-                26_000,
-                long_running=True,
-                latency_target_ms=load.target_ms,
-                image=f's{self.rng.randrange(load.serving_images)}',
-                max_per_worker=self.rng.choice((0, 1)),
-            )
-            found.append((at, self._record('serving', (step,))))
-        for at in self._times(load.plain_rate, 0):
-            found.append((at, self._record('plain', self._plain())))
-        for at in self._times(load.filling_rate, load.filling_jobs):
-            found.append((at, self._record('filling', self._fills())))
-        return found
-
-    def _plain(self) -> tuple[workflows.StepSpec, ...]:
-        load = self.load
-        return tuple(
-            workflows.StepSpec(
-                max(1, round(self._draw(load.plain_tasks, 0.8))),
-                int(self._draw(load.plain_cpu, 0.45)),
-                1900,
-                estimate_s=load.plain_work_s,
-                after=(number - 1,) if number else (),
-            )
-            for number in range(self.rng.choice((1, 1, 2)))
-        )
-
-    def _fills(self) -> tuple[workflows.StepSpec, ...]:
-        load = self.load
-        image = f'f{self.rng.randrange(load.filling_images)}'
-        return tuple(
-            workflows.StepSpec(
-                max(1, round(self._draw(load.filling_tasks, 0.6))),
-                int(self._draw(load.filling_cpu, 0.3)),
-                13_000,
-                estimate_s=self._draw(
-                    load.filling_work_s, load.estimate_error
-                ),
-                after=(number - 1,) if number else (),
-                saves_progress=self.rng.random() < 0.85,
-                fills=True,
-                image=image,
-            )
-            for number in range(self.rng.choice((1, 2, 2, 3)))
-        )
-
-    def _record(
-        self, queue: str, steps: tuple[workflows.StepSpec, ...]
-    ) -> documents.JobRecord:
-        job_id = f'{self.rng.getrandbits(64):016x}'
-        self._phases[job_id] = self.rng.uniform(0.0, 2.0 * math.pi)
-        spec = workflows.WorkflowSpec('', steps)
-        return documents.JobRecord(job_id, queue, 'pool', 0.0, spec)
+        self._arrivals = _sharing_load.Arrivals(load, self.rng).draw()
 
     # The world that the scheduler doesn't know
 
     def own_load(self, job_id: str, now: float) -> float:
         """Return the utilisation that a serving job's users cause."""
         wave = math.sin(
-            2.0 * math.pi * now / self.load.swing_s + self._phases[job_id]
+            2.0 * math.pi * now / self.load.swing_s + self._phase(job_id)
         )
         return self.load.load * (1.0 + self.load.swing * wave)
 
+    def _phase(self, job_id: str) -> float:
+        if job_id not in self._phases:
+            self._phases[job_id] = self.rng.uniform(0.0, 2.0 * math.pi)
+        return self._phases[job_id]
+
     def factor(self, serving: str, filling: str, now: float) -> float:
         """Return how much a filling image presses on a serving one."""
         pair = (serving, filling)
@@ -411,7 +133,10 @@
                 self.load.heavy_factor if heavy else self.load.light_factor
             )
             phase = self.rng.uniform(0.0, 2.0 * math.pi)
-            self._factors[pair] = (self._draw(middle, 0.4), phase)
+            self._factors[pair] = (
+                _sharing_load.draw(self.rng, middle, 0.4),
+                phase,
+            )
         middle, phase = self._factors[pair]
         return middle * (1.0 + 0.3 * math.sin(now + phase))
 
@@ -428,7 +153,7 @@
                 'serving': 1e9,
             }
             mean = means[task.stage.job.record.queue]
-            self._work[task.name] = self._draw(mean, 0.3)
+            self._work[task.name] = _sharing_load.draw(self.rng, mean, 0.3)
         return self._work[task.name]
 
     # The day
