Count every label of a worker when a job is judged unfit

Labels that begin with r were taken for racks and left out, so a job that requires such a label would have been rejected though workers have it.

--- a/citronrail/workflow/_admission.py
+++ b/citronrail/workflow/_admission.py
@@ -14,17 +14,14 @@
 def shape_of(life: messages.WorkerLife) -> documents.WorkerShape:
     """Return what of a worker decides which tasks fit.
 
-    Racks are left out, as no task requires one.
-
     :param life: what the worker announced.
     """
-    labels = (label for label in life.labels if not label.startswith('r'))
     return documents.WorkerShape(
         life.service,
         life.cpu_millis,
         life.memory_mb,
         life.accelerators,
-        tuple(sorted(labels)),
+        tuple(sorted(life.labels)),
     )
 
 
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -91,7 +91,7 @@
     cpu_millis: int
     memory_mb: int
     accelerators: int
-    labels: tuple[str, ...] = ()  # sorted, without racks
+    labels: tuple[str, ...] = ()  # sorted
 
 
 class FleetRecord(msgspec.Struct, frozen=True):
--- a/citronrail/workflow/tests/test_front.py
+++ b/citronrail/workflow/tests/test_front.py
@@ -3,7 +3,9 @@
 import pytest
 import trio
 
+from citronrail.model import messages
 from citronrail import workflow
+from citronrail.workflow import _admission
 from citronrail.workflow import _front
 from citronrail.workflow import _operators
 from citronrail.workflow.tests import _world
@@ -71,6 +73,20 @@
         nursery.cancel_scope.cancel()
 
 
+def test_every_label_of_a_worker_counts():
+    """Guards jobs that require a label, whatever its name."""
+    life = messages.WorkerLife(
+        'w0', 1, 'pool', 'dc', 'ready', 4000, 8000, 0, ('risc', 'r1-3')
+    )
+    shapes = (_admission.shape_of(life),)
+    for label in ('risc', 'r1-3', ''):
+        spec = _world.one_step(1, required_label=label)
+        assert _admission.unfit_step(spec, 'pool', shapes) is None
+    spec = _world.one_step(1, required_label='gpu')
+    assert _admission.unfit_step(spec, 'pool', shapes) == 0
+    assert _admission.unfit_step(spec, 'other', shapes) is None
+
+
 async def _submit(world, job_id, spec) -> workflow.Reply:
     entry = next(iter(world.entries.values()))
     deadline = trio.current_time() + 3.0
