Hand the leadership over at the end of a planned stop

An entry that is being stopped now schedules on while it waits for the load balancer (2.4 s) and stands for election no longer, so the leadership goes once, to an entry that stays.

--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -166,8 +166,11 @@
     app.add('leader', process.follow_leader)
     app.add('ready port', ready.run)
     app.add('callers port', callers.run, callers.drain)
-    app.add('balancer', parts.idle, await_balancer)
+    # Drained in reverse: the leadership is handed over after the wait, when
+    # an entry that was restarted before this one may be back.
     app.add('election', election.run, election.drain)
+    app.add('balancer', parts.idle, await_balancer)
+    app.add('candidacy', parts.idle, election.retire)
     await _run(process)
 
 
--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -114,6 +114,7 @@
         )
         self._claim_delay_s = CLAIM_DELAY_S / max(0.1, processor_share)
         self._lease = coordination.StoreLease(store, LEASE_TTL_S)
+        self._retiring = False
         self._stopping = False
         self._scope = trio.CancelScope()
         self.term: _term.Term | None = None
@@ -129,6 +130,8 @@
         task_status.started()
         while not self._stopping:
             await self._await_vacancy()
+            if self._retiring:
+                break
             with trio.CancelScope() as self._scope:
                 guard = await self._claim()
                 if guard is not None:
@@ -136,6 +139,14 @@
             self.term = None
         await trio.sleep_forever()
 
+    async def retire(self) -> None:
+        """Stand for election no longer; a present leadership goes on.
+
+        Entries that are stopped one after another would else hand the
+        leadership to one that is about to stop as well, or to none.
+        """
+        self._retiring = True
+
     async def drain(self) -> None:
         """Leave the leadership to another entry at once."""
         self._stopping = True
--- a/citronrail/workflow/tests/test_takeover.py
+++ b/citronrail/workflow/tests/test_takeover.py
@@ -87,6 +87,31 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_stopping_entries_schedule_on_and_are_not_elected(
+    autojump_clock,
+):
+    """Guards work while all entries are restarted one after another.
+
+    Seen in incident inc-0975: three entries were stopped 2 s apart, each
+    handed over at once, and for 2.1 s no entry scheduled.
+    """
+    async with trio.open_nursery() as nursery:
+        world = await _loaded_world(nursery)
+        leader = world.leader
+        staying = next(e for e in world.entries.values() if e is not leader)
+        for entry in world.entries.values():
+            if entry is not staying:
+                await entry.election.retire()
+        await world.submit(JOBS[4], _world.one_step(1))
+        task = f'{JOBS[4]}.0.0.0'
+        await world.until(lambda: task in world.history.tasks, 1.0)
+        assert world.leader is leader
+        await leader.election.drain()
+        await world.until(lambda: world.leader not in (None, leader))
+        assert world.leader is staying
+        nursery.cancel_scope.cancel()
+
+
 async def test_restarted_agent_adopts_what_runs(autojump_clock):
     """Guards running tasks against the end of the process beside them."""
     async with trio.open_nursery() as nursery:
