--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -175,6 +175,7 @@
             # It may answer with a new life, whose clock and ends begin anew.
             order = ports.LeaseOrder(fencing, acknowledged=0)
         self._lease_sent_ms = order.lease_until_ms
+        self._note_call(order)  # it may arrive at any time until it ends
         found = None
         with trio.CancelScope() as self._poll:
             try:
@@ -347,6 +348,7 @@
             (elapsed_s + START_VALID_S) * 1000
         )
         valid_until = min(valid_until, self._lease_until_ms)
+        self._called_at = trio.current_time()
         async with self._limit:
             result = await self._worker.start(
                 life, order, valid_until, fencing
