Compute a starting pace once a worker, and drop what nothing reads

Placing a filling task computed the pace that a worker's serving tasks bear twice for each worker, and the share of a step on a worker stood four times. Loads of serving jobs stayed in the scheduler's memory after the jobs were forgotten. STOP_TRIES and a decoded type were read by nothing.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -26,10 +26,6 @@
     removed: bool = False
 
 
-class _ItemAnswer(_Item, frozen=True):
-    asOf: int = 0  # noqa: N815 - name on the wire
-
-
 class _RangeAnswer(msgspec.Struct, frozen=True):
     items: tuple[msgspec.Raw, ...] = ()
     hasMore: bool = False  # noqa: N815 - name on the wire
--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -19,6 +19,8 @@
 import dataclasses
 import math
 
+from citronrail.model import workflows
+
 # Over half of the pairs that were seen press with 1.0 to 1.5, the others
 # hardly at all.
 PRIOR_FACTOR = 0.5
@@ -98,6 +100,23 @@
         return self.share * self.seen_pace / FULL_PACE
 
 
+def filling_task(
+    step: workflows.StepSpec,
+    total_cpu: int,
+    pace: int = FULL_PACE,
+    seen_pace: float = FULL_PACE,
+) -> Filling:
+    """Return a task of a filling step on a worker.
+
+    :param step: the task's step.
+    :param total_cpu: processors of the worker, in thousandths of a core.
+    :param pace: its present pace, in percent.
+    :param seen_pace: its pace in the latest measurement, in percent.
+    """
+    share = step.cpu_millis / max(1, total_cpu)
+    return Filling(step.image, share, pace, seen_pace)
+
+
 @dataclasses.dataclass
 class _Estimate:
     """A figure that measurements move; ``at`` is a local time."""
@@ -234,6 +253,10 @@
         known = self._own.get(group)
         return ASSUMED_LOAD if known is None else known.mean
 
+    def forget(self, group: str) -> None:
+        """Drop the load of a group that has ended."""
+        self._own.pop(group, None)
+
     def learn(
         self,
         group: str,
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -73,9 +73,9 @@
         use = SERVING_USE if step.latency_target_ms else 1.0
         self.idle_cpu -= step.cpu_millis * use
         if step.fills:
-            share = step.cpu_millis / max(1, self.total_cpu)
-            task = _interference.Filling(step.image, share)
-            self.filling.append(task)
+            self.filling.append(
+                _interference.filling_task(step, self.total_cpu)
+            )
         else:
             self.free_cpu -= step.cpu_millis
         if step.latency_target_ms and joining:
@@ -120,12 +120,14 @@
     step: workflows.StepSpec,
     room: Room,
     factors: _interference.PairFactors,
+    pace: int,
 ) -> float:
     """Rate a worker for a task; more is better.
 
     :param step: the task's step.
     :param room: a worker where it fits.
     :param factors: learned interference of pairs of images.
+    :param pace: the pace at which it may start there, in percent.
     """
     total = max(1, room.total_cpu)
     value = (room.idle_cpu - step.cpu_millis) / total
@@ -135,10 +137,8 @@
         else:
             value -= REMOTE_PENALTY
     if step.fills:
-        value += _harmlessness(step, room, factors)
+        value += _harmlessness(step, room, factors, pace)
     elif step.latency_target_ms:
-        # The fullest worker first, so that others stay free of serving
-        # tasks and heavy filling tasks find room there.
         value += _company(step, room, factors)
     if room.speed < SLOW_SPEED:
         value -= SLOW_PENALTY * (1.0 - room.speed)
@@ -153,11 +153,10 @@
     """Return the pace at which a task may start on a worker, in percent."""
     if not step.fills:
         return _interference.FULL_PACE
-    share = step.cpu_millis / max(1, room.total_cpu)
     return _interference.affordable_pace(
         room.serving,
         tuple(room.filling),
-        _interference.Filling(step.image, share),
+        _interference.filling_task(step, room.total_cpu),
         factors,
     )
 
@@ -166,12 +165,12 @@
     step: workflows.StepSpec,
     room: Room,
     factors: _interference.PairFactors,
+    pace: int,
 ) -> float:
     """Rate a worker by what a filling task would do to its serving tasks."""
     if not room.serving:
         heavy = min(1.5, factors.heaviness(step.image))
         return PACE_WEIGHT + FREE_WORKER_WEIGHT * (heavy - 0.5)
-    pace = starting_pace(step, room, factors)
     return PACE_WEIGHT * pace / _interference.FULL_PACE
 
 
@@ -221,9 +220,10 @@
         if step.fills and room.in_emergency:
             continue
         least = PATIENT_PACE if patient else 0
-        if starting_pace(step, room, factors) < least:
+        pace = starting_pace(step, room, factors)
+        if pace < least:
             continue
-        value = score(step, room, factors)
+        value = score(step, room, factors, pace)
         if room.node in shunned:
             value -= SHUNNED_PENALTY
         if value > best_score:
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -121,6 +121,8 @@
                 continue
             del self._book.jobs[job.job_id]
             self._book.dirty.discard(job)
+            for stage in job.stages:
+                self._factors.forget(stage.name)
             deletes += [
                 ports.Delete(prefix + job.job_id)
                 for prefix in (
--- a/citronrail/workflow/_upkeep.py
+++ b/citronrail/workflow/_upkeep.py
@@ -132,11 +132,10 @@
         for view in self._book.workers.values():
             if view.node == attempt.node or not view.usable(now):
                 continue
-            share = spec.cpu_millis / max(1, view.life.cpu_millis)
             pace = _interference.affordable_pace(
                 view.serving,
                 tuple(item for item, _ in _filling(view, now)),
-                _interference.Filling(spec.image, share),
+                _interference.filling_task(spec, view.life.cpu_millis),
                 self._factors,
             )
             if pace >= MOVE_PACE:
@@ -205,14 +204,15 @@
     view: _fleet.WorkerView, now: float
 ) -> list[tuple[_interference.Filling, _job.Attempt]]:
     """Return the filling tasks that work on a worker."""
-    total = max(1, view.life.cpu_millis)
     found = []
     for attempt in view.attempts.values():
         spec = attempt.task.stage.spec
         if spec.fills and attempt.listed_at:
-            share = spec.cpu_millis / total
-            item = _interference.Filling(
-                spec.image, share, attempt.pace, attempt.seen_pace(now)
+            item = _interference.filling_task(
+                spec,
+                view.life.cpu_millis,
+                attempt.pace,
+                attempt.seen_pace(now),
             )
             found.append((item, attempt))
     return found
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -21,7 +21,6 @@
 # order that was held up isn't carried out.
 START_VALID_S = 1.5
 LEASE_STEP_MS = 700  # a lease that grows by more is passed on at once
-STOP_TRIES = 3
 MAX_STARTS_AT_ONCE = 12
 SLOW_CLOCK_FACTOR = 1.0 / (1.0 - _fleet.SLOW_CLOCK)
 
--- a/citronrail/workflow/tests/test_decisions.py
+++ b/citronrail/workflow/tests/test_decisions.py
@@ -99,6 +99,15 @@
     assert factors.own_load('s') == pytest.approx(0.4, abs=0.03)
 
 
+def test_load_of_a_job_that_ended_is_dropped():
+    """Guards the scheduler's memory: jobs come for as long as it runs."""
+    factors = _taught(1.0)
+    assert factors.own_load('s') == pytest.approx(0.4, abs=0.03)
+    factors.forget('s')
+    assert factors.own_load('s') == _interference.ASSUMED_LOAD
+    factors.forget('s')  # a stage whose load was never measured
+
+
 def test_same_factor_explains_low_and_high_load():
     """Guards the model: tails of one pair measured at two loads.
 
