Rank the workers of a step once instead of once a task

Cause: a round scored all workers for each task, and summed up all runs of all workers even if nothing waited.

Change: StepRanking keeps the workers of a step in a heap and scores again only the worker that was chosen; PlacementFailures ends searches that an equal or smaller task has already made in vain; a round without waiting tasks visits no worker; the remaining capacity of a worker is determined again only after a report or a run that ended. Choices are the same (hypothesis test).

Conclusion: placement no longer grows with workers times tasks.

--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -211,6 +211,34 @@
     return max(-2.0, value)
 
 
+def evaluate(
+    step: workflows.StepSpec,
+    step_name: str,
+    candidate: WorkerCapacity,
+    factors: _interference.PairFactors,
+    min_pace: int = 0,
+) -> float | None:
+    """Score a worker for a task, if the task may start there now.
+
+    :param step: the task's step.
+    :param step_name: identity of the step for the limit per worker.
+    :param candidate: the worker.
+    :param factors: learned interference factors.
+    :param min_pace: lowest acceptable initial pace, in percent.
+    :returns: the score, higher is better; None if the task may not start.
+    """
+    if candidate.avoided or not fits(step, step_name, candidate):
+        return None
+    if not has_idle_cpu(step, candidate):
+        return None
+    if step.fills and candidate.target_violated:
+        return None
+    pace = initial_pace(step, candidate, factors)
+    if pace < min_pace:
+        return None
+    return score(step, candidate, factors, pace)
+
+
 def choose_worker(
     step: workflows.StepSpec,
     step_name: str,
@@ -220,7 +248,10 @@
     wait_for_low_impact: bool = False,
     avoid_nodes: typing.Collection[str] = (),
 ) -> WorkerCapacity | None:
-    """Choose the worker for a task.
+    """Choose the worker for a single task.
+
+    :class:`citronrail.workflow._step_ranking.StepRanking` makes the same
+    choices for many tasks of a step without scoring all workers for each.
 
     :param step: the task's step.
     :param step_name: identity of the step for the limit per worker.
@@ -231,20 +262,13 @@
     :param avoid_nodes: agents whose worker is penalised.
     :returns: the worker, or None if the task has to wait.
     """
+    min_pace = PREFERRED_MIN_PACE_PERCENT if wait_for_low_impact else 0
     best = None
     best_score = float('-inf')
     for candidate in candidates:
-        if candidate.avoided or not fits(step, step_name, candidate):
-            continue
-        if not has_idle_cpu(step, candidate):
-            continue
-        if step.fills and candidate.target_violated:
-            continue
-        min_pace = PREFERRED_MIN_PACE_PERCENT if wait_for_low_impact else 0
-        pace = initial_pace(step, candidate, factors)
-        if pace < min_pace:
+        value = evaluate(step, step_name, candidate, factors, min_pace)
+        if value is None:
             continue
-        value = score(step, candidate, factors, pace)
         if candidate.node in avoid_nodes:
             value -= FAILED_THERE_PENALTY
         if value > best_score:
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -53,6 +53,7 @@
         if view is None:
             return
         view.connected = True
+        view.capacity = None
         for refused in report.refused:
             self._on_refused(view, refused, now)
         if not report.clock_ms:
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -10,6 +10,7 @@
 from citronrail.workflow import _placement
 from citronrail.workflow import _queue_order
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _step_ranking
 from citronrail.workflow import _worker_view
 
 MAX_STARTS_PER_ROUND = 120  # the next round follows at once
@@ -38,6 +39,15 @@
     factors: _interference.PairFactors
 
 
+@dataclasses.dataclass(frozen=True)
+class _Fleet:
+    """Remaining capacity of a service's workers during a round."""
+
+    service: str
+    candidates: list[_placement.WorkerCapacity]
+    failures: _step_ranking.PlacementFailures
+
+
 def candidates_by_service(
     workers: collections.abc.Iterable[_worker_view.WorkerView],
     evacuated: frozenset[str],
@@ -59,15 +69,25 @@
     )
     by_service: dict[str, list[_placement.WorkerCapacity]] = {}
     for view in usable:
-        candidate = _candidate(view, now)
+        if view.capacity is None:
+            view.capacity = remaining_capacity(view)
+        candidate = view.capacity
         candidate.speed = speeds.get(view.node, 1.0)
+        candidate.avoided = view.avoid_until > now or bool(
+            view.unknown_run_stops
+        )
+        candidate.target_violated = view.target_violated
         by_service.setdefault(view.life.service, []).append(candidate)
     return by_service
 
 
-def _candidate(
-    view: _worker_view.WorkerView, now: float
+def remaining_capacity(
+    view: _worker_view.WorkerView,
 ) -> _placement.WorkerCapacity:
+    """Return what the runs of a worker leave of its capacity.
+
+    :param view: the worker.
+    """
     life = view.life
     candidate = _placement.WorkerCapacity(
         node=view.node,
@@ -80,9 +100,7 @@
         free_memory=life.memory_mb,
         free_accelerators=life.accelerators,
         idle_cpu=life.cpu_millis,
-        avoided=view.avoid_until > now or bool(view.unknown_run_stops),
         serving=view.serving,
-        target_violated=view.target_violated,
     )
     for attempt in view.attempts.values():
         stage = attempt.task.stage
@@ -107,20 +125,26 @@
     :param unix_now: Unix time in seconds.
     :returns: the new runs; they must be committed before they are ordered.
     """
+    ordered = _ordered_stages(scheduler_state, policy, now, unix_now)
+    if not ordered:
+        return []
     by_service = candidates_by_service(
         scheduler_state.workers.values(), policy.evacuated, now
     )
-    if not by_service:
-        return []
+    failures = _step_ranking.PlacementFailures()
     placed: list[_job.Attempt] = []
-    for job, stages in _ordered_stages(scheduler_state, policy, now, unix_now):
+    for job, stages in ordered:
         queue = policy.queue_named(job.record.queue)
         service = queue.service if queue else job.record.service
         candidates = by_service.get(service, [])
         for stage in stages:
             if candidates:
                 placed += _place_stage(
-                    scheduler_state, stage, candidates, policy.factors, now
+                    scheduler_state,
+                    stage,
+                    _Fleet(service, candidates, failures),
+                    policy.factors,
+                    now,
                 )
                 placed += _place_speculative_runs(
                     scheduler_state, stage, candidates, policy.factors, now
@@ -180,37 +204,43 @@
 def _place_stage(
     scheduler_state: _scheduler_state.SchedulerState,
     stage: _job.Stage,
-    candidates: list[_placement.WorkerCapacity],
+    fleet: _Fleet,
     factors: _interference.PairFactors,
     now: float,
 ) -> list[_job.Attempt]:
-    if stage.spec.gang:
-        return _place_gang(scheduler_state, stage, candidates, factors)
-    placed = []
-    name = stage.name
+    spec = stage.spec
+    if spec.gang:
+        return _place_gang(scheduler_state, stage, fleet.candidates, factors)
     if not stage.ready_since:
         stage.ready_since = now
     wait_for_low_impact = (
         now - stage.ready_since < _placement.LOW_IMPACT_WAIT_S
     )
-    for task in stage.tasks:
-        if not task.waiting or task.retry_at > now:
-            continue
-        candidate = _placement.choose_worker(
-            stage.spec,
-            name,
-            candidates,
-            factors,
-            wait_for_low_impact=wait_for_low_impact,
-            avoid_nodes=(task.failed_on,),
-        )
-        if candidate is None:
+    waiting = [
+        task for task in stage.tasks if task.waiting and task.retry_at <= now
+    ]
+    if not waiting or fleet.failures.cover(
+        fleet.service, spec, wait_for_low_impact
+    ):
+        return []
+    ranking = _step_ranking.StepRanking(
+        spec,
+        stage.name,
+        fleet.candidates,
+        factors,
+        wait_for_low_impact=wait_for_low_impact,
+    )
+    placed = []
+    for task in waiting:
+        choice = ranking.take(task.failed_on)
+        if choice is None:
+            fleet.failures.add(fleet.service, spec, wait_for_low_impact)
             break
-        pace = _placement.initial_pace(stage.spec, candidate, factors)
-        candidate.reserve(stage.spec, name)
-        attempt = _assign(scheduler_state, task, candidate, task.last_run + 1)
-        if stage.spec.fills and pace < THROTTLED_START_BELOW_PERCENT:
-            attempt.pace = pace
+        attempt = _assign(
+            scheduler_state, task, choice.candidate, task.last_run + 1
+        )
+        if spec.fills and choice.pace < THROTTLED_START_BELOW_PERCENT:
+            attempt.pace = choice.pace
             attempt.pace_due = True
         placed.append(attempt)
     return placed
--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -65,6 +65,7 @@
         best_effort = _best_effort_tasks(view, now)
         tasks = tuple(item for item, _ in best_effort)
         view.serving = self._measure(view, tasks, now)
+        view.capacity = None
         if not best_effort:
             view.target_missed_since = 0.0
             view.target_violated = False
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -157,6 +157,7 @@
         view = self.workers.get(attempt.node)
         if view is not None and view.attempts.get(attempt.key) is attempt:
             del view.attempts[attempt.key]
+            view.capacity = None
         self.dirty.add(task.stage.job)
 
     def mark_disconnected(self, node: str) -> None:
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -3,6 +3,7 @@
 from citronrail.model import messages
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _placement
 
 # By how much a worker's clock may be slower than the local one: 2% guaranteed
 # by the platform, and 1% for the local clock.
@@ -43,6 +44,8 @@
         self.unknown_run_stops: dict[tuple[str, int], float] = {}
         self.avoid_until = 0.0
         self.failed_jobs: list[str] = []  # of runs since the last success
+        # Remaining capacity; None if it has to be determined anew.
+        self.capacity: _placement.WorkerCapacity | None = None
         self.serving: tuple[_interference.ServingTask, ...] = ()
         self.target_missed_since = 0.0  # 0 while all targets are met
         self.target_violated = False  # a target is missed despite throttling
