Import on the platform only what its programs use

Cause: citronrail.adapters imported every adapter, and with it the router, the language and quart with flask, jinja2 and werkzeug, into each entry and agent.

The tests' clients are httpx over ASGI, the assertions are as before, with one more for a body over the limit of the port.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -1,12 +1,16 @@
 """HTTP application for the announcements of the worker on this host."""
 
 import msgspec
-import quart
-import quart_trio
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import trio
 
 from citronrail.model import messages
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
+from citronrail.platform import _http_apps
 from citronrail import workflow
 
 STATES = ('ready', 'draining')
@@ -32,22 +36,20 @@
 _DECODER = msgspec.json.Decoder(_Heartbeat)
 
 
-def announcement_app(agent: workflow.WorkerAgent) -> quart_trio.QuartTrio:
+def announcement_app(agent: workflow.WorkerAgent) -> applications.Starlette:
     """Create the application for the worker on this host.
 
     :param agent: receives the announced incarnations and states.
     :returns: an ASGI application.
     """
-    app = quart_trio.QuartTrio(__name__)
     last_seq: dict[tuple[str, int], int] = {}
 
-    @app.post('/Instances.Heartbeat/<worker_id>')
-    async def heartbeat(worker_id: str) -> quart.Response:
-        body = await quart.request.get_data()
+    async def heartbeat(req: requests.Request) -> responses.Response:
+        worker_id = req.path_params['worker_id']
         try:
-            worker_heartbeat = _DECODER.decode(body)
-        except msgspec.DecodeError as exc:
-            return _refuse(worker_id, str(exc))
+            worker_heartbeat = _DECODER.decode(await _http_apps.read_body(req))
+        except (ValueError, trio.TooSlowError) as exc:
+            return _refuse(worker_id, repr(exc))
         if worker_heartbeat.state not in STATES:
             return _refuse(
                 worker_id, f'unknown state {worker_heartbeat.state!r}'
@@ -57,14 +59,20 @@
             last_seq.clear()
             last_seq[key] = worker_heartbeat.seq
             agent.announce(_worker_life(worker_id, worker_heartbeat))
-        return quart.Response('{}', 200, content_type='application/json')
-
-    @app.post('/Instances.Deregister/<worker_id>')
-    async def leave(worker_id: str) -> quart.Response:
-        agent.leave(worker_id)
-        return quart.Response('{}', 200, content_type='application/json')
-
-    return app
+        return _http_apps.json_response(200, {})
+
+    async def leave(req: requests.Request) -> responses.Response:
+        agent.leave(req.path_params['worker_id'])
+        return _http_apps.json_response(200, {})
+
+    return _http_apps.application(
+        routing.Route(
+            '/Instances.Heartbeat/{worker_id}', heartbeat, methods=['POST']
+        ),
+        routing.Route(
+            '/Instances.Deregister/{worker_id}', leave, methods=['POST']
+        ),
+    )
 
 
 def _worker_life(
@@ -84,8 +92,8 @@
     )
 
 
-def _refuse(worker_id: str, reason: str) -> quart.Response:
+def _refuse(worker_id: str, reason: str) -> responses.Response:
     observability.emit(
         events.ANNOUNCEMENT_REFUSED, reason=f'{worker_id[:40]}: {reason}'
     )
-    return quart.Response('{}', 400, content_type='application/json')
+    return _http_apps.json_response(400, {})
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -13,6 +13,7 @@
 from citronrail.observability.catalogue import daemon as events
 from citronrail.platform import _announcement_app
 from citronrail.platform import _caller_app
+from citronrail.platform import _http_apps
 from citronrail.platform import _operator_documents
 from citronrail.platform import _settings
 from citronrail.platform import _store
@@ -51,7 +52,7 @@
             cfg.node_id, cfg.bounds.grace_s * DRAIN_SHARE
         )
         metrics = self.port(
-            _caller_app.metrics_app(), f'{cfg.ip}:{METRICS_PORT}', 'metrics'
+            _http_apps.metrics_app(), f'{cfg.ip}:{METRICS_PORT}', 'metrics'
         )
         self.app.add('metrics port', metrics.run)
         self.app.on_reload(self._check_settings)
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -1,5 +1,6 @@
 """Guards the HTTP interfaces for callers and workers, with bad input."""
 
+import httpx
 import msgspec
 import pytest
 import trio
@@ -24,6 +25,11 @@
 )
 
 
+def _client(app) -> httpx.AsyncClient:
+    transport = httpx.ASGITransport(app)
+    return httpx.AsyncClient(transport=transport, base_url='http://a.example')
+
+
 class _Service:
     """Returns the reply that a test has set."""
 
@@ -53,7 +59,7 @@
 @pytest.fixture
 def client(service):
     config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
-    return _caller_app.caller_app(service, lambda: config).test_client()
+    return _client(_caller_app.caller_app(service, lambda: config))
 
 
 def _body(**changes) -> bytes:
@@ -61,7 +67,7 @@
 
 
 async def _post(client, path, body, host='a.example'):
-    return await client.post(path, data=body, headers={'Host': host})
+    return await client.post(path, content=body, headers={'Host': host})
 
 
 async def test_job_goes_to_the_queue_with_the_longest_prefix(client, service):
@@ -82,6 +88,7 @@
         (f'/q/{JOB}', 'a.example', _body(spec='x' * 4001), 400),
         (f'/q/{JOB}', 'a.example', _body(steps=[{'count': 0}]), 400),
         (f'/q/{JOB}', 'a.example', b'x' * 6000, 413),
+        (f'/q/{JOB}', 'a.example', b'x' * 5_000_000, 413),
     ],
     ids=[
         'no queue',
@@ -92,6 +99,7 @@
         'long spec',
         'empty step',
         'large body',
+        'body over the limit of the port',
     ],
 )
 async def test_bad_request_gets_the_right_status(
@@ -125,9 +133,9 @@
     """Guards the three other requests of callers."""
     headers = {'Host': 'a.example'}
     res = await client.get(f'/q/{JOB}', headers=headers)
-    assert await res.get_json() == {'state': 'running'}
+    assert res.json() == {'state': 'running'}
     res = await client.get('/q/', headers=headers)
-    assert await res.get_json() == {'pending': 3}
+    assert res.json() == {'pending': 3}
     service.reply = workflow.Reply(workflow.Verdict.ABSENT)
     assert (await client.get(f'/q/{JOB}', headers=headers)).status_code == 410
     res = await client.delete(f'/q/{JOB}', headers=headers)
@@ -136,7 +144,7 @@
 
 async def test_entry_without_configuration_replies_503():
     """Guards against a 404 before the configuration is loaded."""
-    client = _caller_app.caller_app(_Service(), lambda: None).test_client()
+    client = _client(_caller_app.caller_app(_Service(), lambda: None))
     res = await _post(client, f'/q/{JOB}', _body())
     assert res.status_code == 503
 
@@ -208,14 +216,14 @@
 async def _send_heartbeat(client, **changes):
     return await client.post(
         '/Instances.Heartbeat/i-1',
-        data=msgspec.json.encode(HEARTBEAT | changes),
+        content=msgspec.json.encode(HEARTBEAT | changes),
     )
 
 
 async def test_announcements_are_accepted_in_order():
     """Guards against a delayed announcement that overwrites a newer one."""
     agent = _Agent()
-    client = _announcement_app.announcement_app(agent).test_client()
+    client = _client(_announcement_app.announcement_app(agent))
     assert (await _send_heartbeat(client)).status_code == 200
     assert (
         await _send_heartbeat(client, state='draining', seq=6)
@@ -235,7 +243,7 @@
 async def test_malformed_announcement_is_rejected(changes):
     """Guards against accepting a malformed announcement."""
     agent = _Agent()
-    client = _announcement_app.announcement_app(agent).test_client()
+    client = _client(_announcement_app.announcement_app(agent))
     assert (await _send_heartbeat(client, **changes)).status_code == 400
     assert agent.lives == []
 
--- a/citronrail/tests/test_imports.py
+++ b/citronrail/tests/test_imports.py
@@ -1,6 +1,7 @@
 """Tests of import rules: domain modules don't depend on transports."""
 
 import ast
+import importlib
 import pathlib
 
 import pytest
@@ -59,3 +60,13 @@
             continue
         private = parts[2].startswith('_')
         assert not private or parts[1] == package, name
+
+
+@pytest.mark.parametrize('package', ['adapters', 'coordination'])
+def test_names_imported_on_first_use_exist(package):
+    """Guards against a public name whose module was renamed."""
+    module = importlib.import_module(f'citronrail.{package}')
+    for name in module.__all__:
+        assert getattr(module, name) is not None
+    with pytest.raises(AttributeError):
+        module.no_such_name  # noqa: B018
