Extend leases with the next list call instead of cancelling one

Change: a call is cancelled only if the lease that the worker knows ends within 3 s. Also, rounds of the scheduler pause for as long as the last one took, at most 0.25 s, and starts are looked up by worker when orders are sent.

--- a/citronrail/workflow/_order_sender.py
+++ b/citronrail/workflow/_order_sender.py
@@ -87,11 +87,12 @@
         starting: list[_job.Attempt] = []
         if with_starts and self._leadership.valid:
             starting, self._pending_starts = self._pending_starts, []
+        starts_by_node: dict[str, list[_job.Attempt]] = {}
+        for attempt in starting:
+            starts_by_node.setdefault(attempt.node, []).append(attempt)
         for view in list(self._scheduler_state.workers.values()):
             if view.connected:
-                worker_starts = [
-                    item for item in starting if item.node == view.node
-                ]
+                worker_starts = starts_by_node.get(view.node, [])
                 await self._send_due(view, worker_starts, now)
         for attempt in starting:
             if not attempt.ordered:
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -27,7 +27,8 @@
 from citronrail.workflow import _worker_view
 
 TICK_S = 0.25
-COMMIT_INTERVAL_S = 0.03
+COMMIT_INTERVAL_S = 0.03  # shortest time between two rounds
+MAX_PAUSE_S = 0.25
 LOAD_RETRY_S = 0.2
 
 
@@ -269,7 +270,11 @@
         elif now > self._leadership.extend_until:
             raise errors.Fenced('the lease has ended', step='workflow.term')
         await self._sender.send()
-        await trio.sleep(COMMIT_INTERVAL_S)
+        # On a slow host, rounds without a pause would leave no time for the
+        # reports and the renewal of the lease.
+        await trio.sleep(
+            min(MAX_PAUSE_S, max(COMMIT_INTERVAL_S, trio.current_time() - now))
+        )
 
     def _place(self, now: float) -> None:
         policy = _round.Policy(
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -21,7 +21,9 @@
 # The worker refuses a start that arrives later than this, so that delayed
 # orders aren't carried out.
 START_VALIDITY_S = 1.5
-LEASE_FORWARD_STEP_MS = 700  # a longer extension is forwarded at once
+# A lease that the worker knows to end sooner is extended at once; a list call
+# under way is cancelled for that, which costs its connection.
+LEASE_FORWARD_MARGIN_MS = 3000
 MAX_CONCURRENT_STARTS = 12
 CLOCK_DRIFT_FACTOR = 1.0 / (1.0 - _worker_view.MAX_CLOCK_DRIFT_RATIO)
 
@@ -334,9 +336,18 @@
                 orders.fencing,
                 first_paces.get((start.task, start.run)),
             )
-        if self._lease_until_ms > self._lease_sent_ms + LEASE_FORWARD_STEP_MS:
+        if self._lease_runs_out():
             self._list_scope.cancel()
 
+    def _lease_runs_out(self) -> bool:
+        """Whether the worker needs an extension before the next list call."""
+        elapsed_s = trio.current_time() - self._clock_read_at
+        clock_ms = self._clock_ms + elapsed_s * 1000 * CLOCK_DRIFT_FACTOR
+        return (
+            self._lease_until_ms > self._lease_sent_ms
+            and self._lease_sent_ms < clock_ms + LEASE_FORWARD_MARGIN_MS
+        )
+
     def _refuse_starts(
         self, orders: messages.WorkerOrders, reason: str
     ) -> None:
