Check a start's permission again right before the worker is called

Cause: an agent on a slow host queued starts behind 12 calls. Reading the path showed two faults as well: an order that waited was sent after a new leader or a new incarnation of the worker had shown itself, to the new incarnation if it kept its id.

Change: the validity counts from the arrival of the order; when its turn comes, an order of another leader, for another incarnation or past its validity is refused without a call. Refusals are reported without a list and several together; a confirmed stop waits for the next list while runs are listed. Six starts are under way at once in place of twelve.

--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -24,7 +24,7 @@
 # A lease that the worker knows to end sooner is extended at once; a list call
 # under way is cancelled for that, which costs its connection.
 LEASE_FORWARD_MARGIN_MS = 3000
-MAX_CONCURRENT_STARTS = 12
+MAX_CONCURRENT_STARTS = 6
 CLOCK_DRIFT_FACTOR = 1.0 / (1.0 - _worker_view.MAX_CLOCK_DRIFT_RATIO)
 
 
@@ -36,6 +36,19 @@
     stopped: list[messages.TaskRun]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Permission:
+    """Permission of the scheduler to start a run on a worker.
+
+    ``start_until`` is the local time at which it ends.
+    """
+
+    worker_id: str
+    born_ms: int
+    fencing: int
+    start_until: float
+
+
 class WorkerAgent:
     """Lists and reports the worker's runs, and carries out orders.
 
@@ -75,6 +88,7 @@
         self._wake = trio.Event()
         self._limit = trio.CapacityLimiter(MAX_CONCURRENT_STARTS)
         self._nursery: trio.Nursery | None = None
+        self._report_scheduled = False
         self._unreachable = False
         self._stopping: set[tuple[str, int]] = set()
         hub.subscribe(messages.WorkerOrders, self._on_orders)
@@ -101,8 +115,7 @@
             self._log(life)
             self._life = life
             self._wake.set()
-            if self._nursery is not None:
-                self._nursery.start_soon(self._report_without_list)
+            self._schedule_report()
         return True
 
     def leave(self, worker_id: str) -> None:
@@ -235,7 +248,14 @@
             )
         self._unreachable = True
 
+    def _schedule_report(self) -> None:
+        """Report soon without a list; one report serves several reasons."""
+        if self._nursery is not None and not self._report_scheduled:
+            self._report_scheduled = True
+            self._nursery.start_soon(self._report_without_list)
+
     async def _report_without_list(self) -> None:
+        self._report_scheduled = False
         await self._report(None, ())
 
     async def _report(
@@ -310,7 +330,7 @@
             self._scheduler = peer.node_id
             self._wake.set()
             self._list_scope.cancel()
-            self._nursery.start_soon(self._report_without_list)
+            self._schedule_report()
         if not self._is_current(orders.worker_id, orders.born_ms):
             self._refuse_starts(orders, 'another life')
             return
@@ -328,12 +348,18 @@
         if self._life and self._life.state != 'ready':
             self._refuse_starts(orders, 'leaving')
             return
+        start_until = trio.current_time() + START_VALIDITY_S
         for start in orders.starts:
             self._busy = True
             self._nursery.start_soon(
                 self._start,
                 start,
-                orders.fencing,
+                _Permission(
+                    orders.worker_id,
+                    orders.born_ms,
+                    orders.fencing,
+                    start_until,
+                ),
                 first_paces.get((start.task, start.run)),
             )
         if self._lease_runs_out():
@@ -357,34 +383,37 @@
             messages.RefusedStart(item.task, item.run, reason)
             for item in orders.starts
         ]
-        self._list_scope.cancel()
+        self._schedule_report()
 
     async def _start(
         self,
         order: messages.StartOrder,
-        fencing: int,
+        permission: _Permission,
         pace: messages.PaceOrder | None,
     ) -> None:
-        life = self._life
-        if life is None:
-            return
-        elapsed_s = trio.current_time() - self._clock_read_at
-        valid_until = self._clock_ms + math.ceil(
-            (elapsed_s + START_VALIDITY_S) * 1000
-        )
-        valid_until = min(valid_until, self._lease_until_ms)
-        self._last_lease_call_at = trio.current_time()
+        """Start a run, unless its permission has ended meanwhile.
+
+        :param order: the run.
+        :param permission: checked again right before the call, as the order
+            may have waited here or this process may have been suspended.
+        :param pace: first pace of the run, None for full pace.
+        """
         async with self._limit:
+            life = self._life
+            reason = self._why_ended(permission)
+            if life is None or reason:
+                self._refuse_start(order, reason)
+                return
             result = await self._worker.start(
-                life, order, valid_until, fencing
+                life,
+                order,
+                self._on_worker_clock(permission.start_until),
+                permission.fencing,
             )
         self._last_lease_call_at = trio.current_time()
         match result.verdict:
             case ports.StartVerdict.REFUSED:
-                self._pending.refused.append(
-                    messages.RefusedStart(order.task, order.run, result.reason)
-                )
-                self._list_scope.cancel()
+                self._refuse_start(order, result.reason)
             case ports.StartVerdict.UNKNOWN:
                 observability.emit(
                     events.START_UNANSWERED,
@@ -395,6 +424,33 @@
         if pace is not None and result.verdict != ports.StartVerdict.REFUSED:
             await self._set_pace(pace)
 
+    def _why_ended(self, permission: _Permission) -> str:
+        """Return why a start is no longer permitted, '' if it still is."""
+        if not self._is_current(permission.worker_id, permission.born_ms):
+            return 'another life'
+        if permission.fencing != self._fencing:
+            return 'fence'
+        if trio.current_time() > permission.start_until:
+            return 'late'
+        return ''
+
+    def _refuse_start(self, order: messages.StartOrder, reason: str) -> None:
+        self._pending.refused.append(
+            messages.RefusedStart(order.task, order.run, reason)
+        )
+        self._schedule_report()
+
+    def _on_worker_clock(self, start_until: float) -> int:
+        """Return the end of a start's validity on the worker's clock, in ms.
+
+        It is no later than the end of the lease that the scheduler granted.
+        """
+        self._last_lease_call_at = trio.current_time()
+        valid_until = self._clock_ms + math.ceil(
+            (start_until - self._clock_read_at) * 1000
+        )
+        return min(valid_until, self._lease_until_ms)
+
     async def _stop(self, run: messages.TaskRun) -> None:
         """Stop a run; if this fails, the scheduler repeats the order."""
         life = self._life
@@ -413,7 +469,8 @@
             self._stopping.discard(key)
         if self._is_current(life.worker_id, life.born_ms):
             self._pending.stopped.append(run)
-            self._list_scope.cancel()
+            if not self._busy:
+                self._list_scope.cancel()
 
     async def _set_pace(self, order: messages.PaceOrder) -> None:
         life = self._life
--- a/citronrail/workflow/tests/test_worker_agent.py
+++ b/citronrail/workflow/tests/test_worker_agent.py
@@ -1,7 +1,15 @@
 """Tests of the agent's calls to its worker."""
 
+import dataclasses
+
+import pytest
 import trio
 
+from citronrail.model import identifiers
+from citronrail.model import messages
+from citronrail import ports
+from citronrail import workflow
+from citronrail.workflow import _worker_agent
 from citronrail.workflow.tests import _cluster
 from standins import task_worker
 
@@ -47,3 +55,131 @@
     )
     assert run.number == 1
     nursery.cancel_scope.cancel()
+
+
+LIFE = messages.WorkerLife('w0', 1, 'pool', 'dc', 'ready', 16000, 64000, 0)
+LEADER = ports.Peer(
+    node_id=identifiers.NodeId('e0'),
+    boot_id=identifiers.BootId('e0-1'),
+    role='entry',
+    data_centre=identifiers.DataCentreName('dc'),
+)
+
+
+class _SlowWorker:
+    """A worker on a slow host: each start takes ``start_s``."""
+
+    def __init__(self, start_s: float) -> None:
+        self.start_s = start_s
+        self.started: list[tuple[str, float]] = []
+
+    async def list_runs(self, life, order):
+        await trio.sleep(order.wait_ms / 1000 + 0.01)
+        clock_ms = 1000 + int(trio.current_time() * 1000)
+        return ports.WorkerList(life.born_ms, clock_ms, (), ())
+
+    async def start(self, life, order, start_until_ms, fencing):
+        self.started.append((order.task, trio.current_time()))
+        await trio.sleep(self.start_s)
+        return ports.StartResult(ports.StartVerdict.STARTED)
+
+
+class _Hub:
+    """Records what the agent sends, and hands it orders."""
+
+    node_id = identifiers.NodeId('a0')
+
+    def __init__(self) -> None:
+        self.refused: dict[str, str] = {}
+        self.on_orders = None
+
+    def subscribe(self, kind, handler) -> None:
+        self.on_orders = handler
+
+    async def send(self, peer, message, payload=None) -> None:
+        for item in message.refused:
+            self.refused[item.task] = item.reason
+
+
+def _orders(fencing=5, starts=0, **fields) -> messages.WorkerOrders:
+    return messages.WorkerOrders(
+        fencing=fencing,
+        worker_id='w0',
+        born_ms=1,
+        lease_until_ms=10**9,
+        starts=tuple(
+            messages.StartOrder(f't{n:02}', 1, 'x') for n in range(starts)
+        ),
+        **fields,
+    )
+
+
+async def _begin(nursery, start_s) -> tuple:
+    worker, hub = _SlowWorker(start_s), _Hub()
+    agent = workflow.WorkerAgent(worker, hub, 8.0)
+    await nursery.start(agent.run)
+    agent.announce(LIFE)
+    await hub.on_orders(LEADER, _orders(), b'')
+    await trio.sleep(0.1)
+    return worker, hub, agent
+
+
+async def test_order_that_waited_too_long_is_not_started(
+    autojump_clock, nursery
+):
+    """Guards against a start after its permission has run out.
+
+    The validity counts from the arrival of the order, however long it waits
+    for a free call.
+    """
+    worker, hub, _ = await _begin(nursery, start_s=2.0)
+    began_at = trio.current_time()
+    at_once = _worker_agent.MAX_CONCURRENT_STARTS
+    await hub.on_orders(LEADER, _orders(starts=at_once + 2), b'')
+    await trio.sleep(5.0)
+    assert len(worker.started) == at_once
+    assert all(
+        at - began_at <= _worker_agent.START_VALIDITY_S
+        for _, at in worker.started
+    )
+    assert sorted(hub.refused.values()) == ['late', 'late']
+
+
+@pytest.mark.parametrize('case', ['new leader', 'new incarnation'])
+async def test_waiting_order_is_dropped_at_a_hand_over(
+    autojump_clock, nursery, case
+):
+    """Guards against orders of two leaders, or for two incarnations, at once.
+
+    Orders that still wait in the agent when a new leader or a new incarnation
+    of the worker shows itself must not reach the worker.
+    """
+    worker, hub, agent = await _begin(nursery, start_s=1.0)
+    at_once = _worker_agent.MAX_CONCURRENT_STARTS
+    await hub.on_orders(LEADER, _orders(starts=at_once + 3), b'')
+    await trio.sleep(0.5)
+    if case == 'new leader':
+        other = dataclasses.replace(LEADER, node_id=identifiers.NodeId('e1'))
+        await hub.on_orders(other, _orders(fencing=6), b'')
+    else:
+        agent.announce(dataclasses.replace(LIFE, born_ms=2))
+    await trio.sleep(3.0)
+    assert len(worker.started) == at_once
+    reason = 'fence' if case == 'new leader' else 'another life'
+    assert sorted(hub.refused.values()) == [reason] * 3
+
+
+async def test_refusals_cancel_no_list_call(autojump_clock, nursery):
+    """Guards against a new connection to the worker for each refused start."""
+    worker, hub, _ = await _begin(nursery, start_s=0.01)
+    cancelled = _count_cancelled_lists(worker)
+
+    async def refuse(life, order, start_until_ms, fencing):
+        return ports.StartResult(ports.StartVerdict.REFUSED, 'late')
+
+    worker.start = refuse
+    for _ in range(10):
+        await hub.on_orders(LEADER, _orders(starts=4), b'')
+        await trio.sleep(0.2)
+    assert len(hub.refused) == 4
+    assert not cancelled
