Read a job's state with one store call, and count refused jobs as waiting

Change: progress is read first, and the job's own key only if there is none; a job waits until a worker has listed a run or its end; progress of another writer that can't be decoded is logged and answered with 503, it was an error of the request before.

Tests: three fail on the code before.

--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -20,6 +20,7 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _election
 from citronrail.workflow import _metrics as metrics
+from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _term
 
 T = typing.TypeVar('T')
@@ -193,9 +194,6 @@
         state = (await self._query_leader(job_id=job_id)).state
         if state:
             return Reply(Verdict.DONE, state)
-        outcome = await self._exists(job_id, deadline)
-        if outcome is not Verdict.DONE:
-            return Reply(outcome)
         return await self._stored_state(job_id, deadline)
 
     async def pending(self, queue: workflows.Queue) -> Reply:
@@ -235,14 +233,27 @@
         )
 
     async def _stored_state(self, job_id: str, deadline: float) -> Reply:
+        """Read the state from the store, with one call for a job with runs.
+
+        Entries read it from the store when the scheduling entry is overloaded
+        or absent, which is when each call counts.
+        """
         key = documents.PROGRESS_PREFIX + job_id
 
         def to_reply(item: ports.KeyValue) -> Reply:
-            record = documents.decode(item.value, documents.ProgressRecord)
+            record = _scheduler_state.decode_item(
+                key, item.value, documents.ProgressRecord
+            )
+            if record is None:
+                return Reply(Verdict.UNKNOWN)
             return Reply(Verdict.DONE, record.status)
 
-        queued = Reply(Verdict.DONE, documents.JobStatus.QUEUED.value)
-        reply = await self._read(key, deadline, to_reply, queued)
+        reply = await self._read(key, deadline, to_reply, Verdict.ABSENT)
+        if reply is Verdict.ABSENT:
+            reply = await self._exists(job_id, deadline)
+            if reply is Verdict.DONE:
+                queued = documents.JobStatus.QUEUED.value
+                return Reply(Verdict.DONE, queued)
         return reply if isinstance(reply, Reply) else Reply(reply)
 
     async def _read(
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -216,7 +216,8 @@
         self.ended_at = 0.0  # Unix time in seconds
         # Status in the last commit, which is the one shown to callers.
         self.committed_status = documents.JobStatus.QUEUED
-        self.started = False
+        self.started = False  # a run was assigned
+        self.begun = False  # a worker has listed a run, or its end
         self.failed_on: set[str] = set()  # agents of failed runs
 
     @property
@@ -274,6 +275,8 @@
             for task, record in zip(stage.tasks, records):
                 _restore_task(stage, task, record)
         self.started = any(stage.started for stage in self.stages)
+        # Whether assigned runs have begun isn't stored.
+        self.begun = self.started
 
 
 def _restore_task(
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -241,6 +241,7 @@
             how=end.how,
         )
         job = task.stage.job
+        job.begun = True
         self._scheduler_state.dirty.add(job)
         if end.checkpoint and end.run >= task.last_run:
             task.checkpoint = end.checkpoint
@@ -308,6 +309,7 @@
 ) -> None:
     attempt.missing_since = 0.0
     if not attempt.listed_at:
+        attempt.task.stage.job.begun = True
         attempt.listed_at = now
         attempt.steady_since = now
         attempt.steady_percent = row.percent
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -174,7 +174,9 @@
         return job.committed_status.value
 
     def pending_count(self, queue: str) -> int:
-        """Return the number of jobs of a queue that have not started.
+        """Return the number of jobs of a queue of which no run has begun.
+
+        A run that was assigned may still be refused by its worker.
 
         :returns: -1 if it isn't known.
         """
@@ -183,7 +185,7 @@
         return sum(
             1
             for job in self.scheduler_state.jobs.values()
-            if job.open and not job.started and job.record.queue == queue
+            if job.open and not job.begun and job.record.queue == queue
         )
 
     # Scheduling
--- a/citronrail/workflow/tests/test_caller_service.py
+++ b/citronrail/workflow/tests/test_caller_service.py
@@ -4,9 +4,11 @@
 import trio
 
 from citronrail.model import messages
+from citronrail import ports
 from citronrail import workflow
 from citronrail.workflow import _admission
 from citronrail.workflow import _caller_service
+from citronrail.workflow import _documents as documents
 from citronrail.workflow import _operator_view
 from citronrail.workflow.tests import _cluster
 
@@ -111,3 +113,80 @@
     assert not view.fresh
     view.on_events(())
     assert view.fresh
+
+
+async def _count_reads(cluster) -> list[str]:
+    """Record the keys that are read from the store."""
+    keys = []
+    get = cluster.store.get
+
+    async def counting(key):
+        keys.append(key)
+        return await get(key)
+
+    cluster.store.get = counting
+    return keys
+
+
+async def test_state_takes_one_read_while_the_leader_is_silent(
+    autojump_clock, nursery
+):
+    """Guards against more store calls the more the scheduler is overloaded.
+
+    Load pattern: callers ask for their jobs, and the scheduling entry doesn't
+    answer in time.
+    """
+    cluster = _cluster.SimulatedCluster()
+    await cluster.start(nursery)
+    await _submit(cluster, JOB, _cluster.one_step(1, long_running=True))
+    await cluster.until_state(JOB, 'running')
+    other = next(e for e in cluster.entries.values() if e != cluster.leader)
+    cluster.cut(cluster.leader.name)
+    keys = await _count_reads(cluster)
+    reply = await other.service.state(JOB, trio.current_time() + 2.0)
+    assert (reply.verdict, reply.state) == (workflow.Verdict.DONE, 'running')
+    assert len([key for key in keys if JOB in key]) == 1
+    absent = await other.service.state('f' * 16, trio.current_time() + 2.0)
+    assert absent.verdict is workflow.Verdict.ABSENT
+    nursery.cancel_scope.cancel()
+
+
+async def test_unreadable_progress_is_no_answer(autojump_clock, nursery):
+    """Guards against an error of the process, or a wrong state, from bytes
+    of another writer.
+    """
+    cluster = _cluster.SimulatedCluster()
+    await cluster.start(nursery)
+    await _submit(cluster, JOB, _cluster.one_step(1, long_running=True))
+    await cluster.until_state(JOB, 'running')
+    other = next(e for e in cluster.entries.values() if e != cluster.leader)
+    cluster.cut(cluster.leader.name)
+    key = documents.PROGRESS_PREFIX + JOB
+    await cluster.store.txn([], [ports.Put(key, b'\xff\x00')])
+    reply = await other.service.state(JOB, trio.current_time() + 2.0)
+    assert reply.verdict is workflow.Verdict.UNKNOWN
+    nursery.cancel_scope.cancel()
+
+
+async def test_job_whose_starts_are_refused_still_waits(
+    autojump_clock, nursery
+):
+    """Guards against a number of waiting jobs that leaves out refused ones.
+
+    Found on the small twin of sertao-traduz-grown quiet-1 (rule MIXED): the
+    workers refused the starts as late, and 0 of 9 jobs were said to wait.
+    """
+    cluster = _cluster.SimulatedCluster()
+    await cluster.start(nursery)
+    for worker in cluster.workers:
+        worker.faults.refusing = True
+    await _submit(cluster, JOB, _cluster.one_step(1))
+    await trio.sleep(3.0)
+    for entry in cluster.entries.values():
+        reply = await entry.service.pending(_cluster.QUEUE)
+        assert (reply.verdict, reply.pending) == (workflow.Verdict.DONE, 1)
+    for worker in cluster.workers:
+        worker.faults.refusing = False
+    await cluster.until_state(JOB, 'completed')
+    assert (await entry.service.pending(_cluster.QUEUE)).pending == 0
+    nursery.cancel_scope.cancel()
