Keep a malformed answer from ending an agent or an entry

Cause, found by reading for what operators of similar systems report: a row of a worker's list with too few fields or of other types raised ValueError in the agent's list task, and an item of a listing that can't be decoded raised ValidationError in an entry's watch; both end the process. An answer to a transaction that can't be read was no store error, and the caller got 500.

Change: such a list is an unanswered call, such an item is logged and left out, other answers have an unknown outcome.

Tests: a property test over answers and five cases fail on the code before.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from citronrail import errors
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.platform import _http
 from citronrail import ports
 
@@ -15,6 +17,7 @@
 WATCH_POLL_S = 2.5
 WATCH_GRACE_S = 0.7  # added to the long-poll wait to get the timeout
 PEER = 'store'
+T = typing.TypeVar('T')
 _BUSY_STATUSES = (429, 503)
 
 
@@ -65,7 +68,7 @@
         if res.status_code == 404:
             return None
         _check_status(res, 'get')
-        return _key_value(_http.decode(res, _Item, PEER))
+        return _key_value(_decode(res, _Item))
 
     async def list(self, prefix: str) -> ports.Listing:
         """Read all keys with a prefix, page by page.
@@ -82,9 +85,13 @@
                 query['after'] = after
             res = await self._call('GET', '/kv-range', query=query)
             _check_status(res, 'list')
-            page = _http.decode(res, _RangeResponse, PEER)
+            page = _decode(res, _RangeResponse)
             revision = revision or page.asOf
-            found = [_decode_item(raw) for raw in page.items]
+            found = [
+                item
+                for raw in page.items
+                if (item := _decode_item(raw)) is not None
+            ]
             items += [_key_value(item) for item in found]
             if not page.hasMore or not found:
                 return ports.Listing(tuple(items), revision)
@@ -128,14 +135,14 @@
                 'the lease has ended', step='store.txn', peer=PEER
             )
         _check_status(res, 'txn')
-        return ports.TxnResult(True, _http.decode(res, _TxnResponse, PEER).rev)
+        return ports.TxnResult(True, _decode(res, _TxnResponse).rev)
 
     async def grant_lease(self, ttl_s: float) -> int:
         """Create a lease and return its id."""
         body = msgspec.json.encode({'ttlMs': round(ttl_s * 1000)})
         res = await self._call('POST', '/kv-lease', body=body)
         _check_status(res, 'lease')
-        return _http.decode(res, _LeaseResponse, PEER).lease
+        return _decode(res, _LeaseResponse).lease
 
     async def keep_alive(self, lease_id: int) -> bool:
         """Renew a lease; False if it has expired."""
@@ -185,7 +192,7 @@
                     peer=PEER,
                 )
             _check_status(res, 'watch')
-            response = _http.decode(res, _WatchResponse, PEER)
+            response = _decode(res, _WatchResponse)
             after = max(after, response.asOf)
             yield tuple(_watch_event(item) for item in response.events)
 
@@ -226,8 +233,28 @@
     raise errors.StoreOutcomeUnknown(text, step=f'store.{step}', peer=PEER)
 
 
-def _decode_item(raw: msgspec.Raw) -> _Item:
-    return msgspec.json.decode(raw, type=_Item)
+def _decode(res: typing.Any, kind: type[T]) -> T:
+    """Decode a response.
+
+    :raises citronrail.errors.StoreOutcomeUnknown: if it is malformed.
+    """
+    try:
+        return _http.decode(res, kind, PEER)
+    except _http.CallUnanswered as exc:
+        raise errors.StoreOutcomeUnknown(
+            exc.message, step=exc.step, peer=PEER
+        ) from exc
+
+
+def _decode_item(raw: msgspec.Raw) -> _Item | None:
+    """Decode an item of a listing; log and return None if it is malformed."""
+    try:
+        return msgspec.json.decode(raw, type=_Item)
+    except msgspec.DecodeError as exc:
+        observability.emit(
+            events.DOCUMENT_UNREADABLE, key=bytes(raw)[:80], reason=exc
+        )
+        return None
 
 
 def _decode_value(item: _Item) -> bytes:
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -59,10 +59,18 @@
             '/hold', life, body, CALL_TIMEOUT_S + order.wait_ms / 1000
         )
         response = _http.decode(res, _ListResponse, PEER)
+        try:
+            running = tuple(_run_row(row) for row in response.running)
+        except (TypeError, ValueError) as exc:
+            raise errors.WorkerOutcomeUnknown(
+                f'malformed list: {exc}',
+                step='worker/hold',
+                peer=life.worker_id,
+            ) from exc
         return ports.WorkerList(
             response.born,
             response.clockMs,
-            tuple(_run_row(row) for row in response.running),
+            running,
             tuple(messages.EndRow(*row) for row in response.ended),
         )
 
@@ -164,6 +172,16 @@
 
 
 def _run_row(row: tuple[typing.Any, ...]) -> messages.RunRow:
+    """Decode a row of the list of runs.
+
+    :raises TypeError, ValueError: if it is malformed.
+    """
     task, run, checkpoint, percent = row[:4]
+    if not (
+        isinstance(task, str)
+        and isinstance(run, int)
+        and isinstance(checkpoint, str)
+    ):
+        raise TypeError(f'a field has another type: {row!r}'[:200])
     load = float(row[4]) if len(row) > 4 else 0.0
     return messages.RunRow(task, run, checkpoint, int(percent), load)
--- a/citronrail/platform/tests/test_adapter.py
+++ b/citronrail/platform/tests/test_adapter.py
@@ -1,8 +1,16 @@
 """Guards the calls to the platform against its published protocol."""
 
+import contextlib
 import random
 
+import hypothesis
+from hypothesis import strategies as st
+import msgspec
 import pytest
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
 import trio
 
 from citronrail import adapters
@@ -185,3 +193,105 @@
     start = messages.StartOrder('a.0.0.0', 1, 'argument')
     result = await client.start(other, start, memory.clock_ms() + 5000, 8)
     assert result.verdict is ports.StartVerdict.REFUSED
+
+
+def _fixed_app(body: bytes) -> applications.Starlette:
+    """Create an application that answers every request with one body."""
+
+    async def answer(_: requests.Request) -> responses.Response:
+        return responses.Response(body)
+
+    methods = ['GET', 'POST', 'DELETE']
+    return applications.Starlette(
+        routes=[routing.Route('/{path:path}', answer, methods=methods)]
+    )
+
+
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: st.lists(inner, max_size=6),
+    max_leaves=12,
+)
+BODIES = st.binary(max_size=40) | st.builds(
+    lambda items, running, ended: msgspec.json.encode(
+        {
+            'clockMs': 1,
+            'running': running,
+            'ended': ended,
+            'items': items,
+            'events': items,
+            'lease': running,
+            'rev': ended,
+        }
+    ),
+    JSON_VALUES,
+    JSON_VALUES,
+    JSON_VALUES,
+)
+
+
+@hypothesis.given(body=BODIES)
+@hypothesis.settings(max_examples=40, deadline=None)
+def test_malformed_answer_is_an_error_of_the_call(body):
+    """Guards against an answer that ends a whole process.
+
+    Agents and entries handle the package's own errors; any other error ends
+    the process.
+    """
+
+    async def call_all() -> None:
+        async with trio.open_nursery() as nursery:
+            address = await _serve(nursery, _fixed_app(body))
+            store = _store.PlatformStore(address)
+            client = _worker.PlatformWorker(address)
+            life = messages.WorkerLife('w', 1, 'p', 'dc', 'ready', 1, 1, 0)
+            run = messages.TaskRun('t', 1)
+            pace = messages.PaceOrder('t', 1, 50)
+            start = messages.StartOrder('t', 1, 'x')
+            calls = (
+                lambda: store.get('k'),
+                lambda: store.list('k'),
+                lambda: store.txn([], [ports.Put('k', b'')]),
+                lambda: store.grant_lease(1.0),
+                lambda: store.keep_alive(1),
+                lambda: store.revoke_lease(1),
+                lambda: client.list_runs(life, ports.LeaseOrder(1, 0)),
+                lambda: client.start(life, start, 1, 1),
+                lambda: client.stop(life, run, 1),
+                lambda: client.pace(life, pace, 1),
+            )
+            for call in calls:
+                with contextlib.suppress(errors.CitronrailError):
+                    await call()
+            await store.aclose()
+            await client.aclose()
+            nursery.cancel_scope.cancel()
+
+    trio.run(call_all)
+
+
+@pytest.mark.parametrize(
+    'row',
+    [['t'], ['t', 1, '', 'half'], [7, 1, '', 50], ['t', 1, '', 50, 'x']],
+    ids=['short', 'percent', 'task', 'load'],
+)
+async def test_malformed_row_of_a_list_is_an_unknown_outcome(nursery, row):
+    """Guards against an agent that ends because of one row of a list."""
+    body = msgspec.json.encode({'clockMs': 1, 'running': [row], 'ended': []})
+    client = _worker.PlatformWorker(await _serve(nursery, _fixed_app(body)))
+    life = messages.WorkerLife('w', 1, 'p', 'dc', 'ready', 1, 1, 0)
+    with pytest.raises(errors.WorkerOutcomeUnknown):
+        await client.list_runs(life, ports.LeaseOrder(1, 0))
+    await client.aclose()
+
+
+async def test_malformed_item_hides_no_other_item(nursery):
+    """Guards against a listing that fails because of another writer's item."""
+    good = {'key': 'k/2', 'value': 'eA==', 'rev': 4, 'lease': 0}
+    body = msgspec.json.encode(
+        {'items': [{'key': 7}, good], 'hasMore': False, 'asOf': 9}
+    )
+    store = _store.PlatformStore(await _serve(nursery, _fixed_app(body)))
+    listing = await store.list('k/')
+    assert [item.key for item in listing.items] == ['k/2']
+    await store.aclose()
--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -248,13 +248,16 @@
                 return Reply(Verdict.UNKNOWN)
             return Reply(Verdict.DONE, record.status)
 
-        reply = await self._read(key, deadline, to_reply, Verdict.ABSENT)
-        if reply is Verdict.ABSENT:
-            reply = await self._exists(job_id, deadline)
-            if reply is Verdict.DONE:
-                queued = documents.JobStatus.QUEUED.value
-                return Reply(Verdict.DONE, queued)
-        return reply if isinstance(reply, Reply) else Reply(reply)
+        absent = Reply(Verdict.ABSENT)
+        reply = await self._read(key, deadline, to_reply, absent)
+        if isinstance(reply, Verdict):
+            return Reply(reply)
+        if reply is not absent:
+            return reply
+        outcome = await self._exists(job_id, deadline)
+        if outcome is not Verdict.DONE:
+            return Reply(outcome)
+        return Reply(Verdict.DONE, documents.JobStatus.QUEUED.value)
 
     async def _read(
         self,
