Give up the leadership if no agent is heard of for 10 s

Change: a term ends if no list of a worker has arrived for 10 s though workers or agents are known; the entry claims nothing for the next 3 s. All hosts that lose power together are back sooner, so a takeover after that is not delayed.

--- a/citronrail/errors.py
+++ b/citronrail/errors.py
@@ -90,6 +90,10 @@
     outcome = outcomes.Outcome.NOT_RUN
 
 
+class OutOfContact(CitronrailError):
+    """A leader reaches none of the processes that it leads."""
+
+
 class PeerUnreachable(CitronrailError):
     """The message was not queued on any socket."""
 
--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -26,6 +26,8 @@
 # Delay before an entry with a full core claims the leadership. Smaller entries
 # wait longer, so that the largest entry becomes the scheduler.
 CLAIM_DELAY_S = 0.05
+# Time for another entry to claim the leadership that this one gave up.
+GIVE_WAY_S = 3.0
 
 
 class LeaderView:
@@ -114,6 +116,7 @@
         )
         self._claim_delay_s = CLAIM_DELAY_S / max(0.1, processor_share)
         self._lease = coordination.StoreLease(store, LEASE_TTL_S)
+        self._no_claim_before = 0.0  # local time in seconds
         self._retiring = False
         self._stopping = False
         self._term_scope = trio.CancelScope()
@@ -157,7 +160,12 @@
         while True:
             changed = self._view.changed
             if self._view.leader is None and self._operators.config:
-                await trio.sleep(self._claim_delay_s)
+                await trio.sleep_until(
+                    max(
+                        self._no_claim_before,
+                        trio.current_time() + self._claim_delay_s,
+                    )
+                )
                 if self._view.leader is None:
                     return
                 continue
@@ -222,6 +230,9 @@
                 nursery.start_soon(self._renew)
                 nursery.start_soon(self._watch_successor, guard.revision)
                 await self.term.run()
+        except* errors.OutOfContact as group:
+            reason = str(group.exceptions[0])
+            self._no_claim_before = trio.current_time() + GIVE_WAY_S
         except* errors.CitronrailError as group:
             reason = str(group.exceptions[0])
         finally:
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -30,6 +30,9 @@
 COMMIT_INTERVAL_S = 0.03  # shortest time between two rounds
 MAX_PAUSE_S = 0.25
 LOAD_RETRY_S = 0.2
+# A leader that has heard of no worker for this long gives way; longer than
+# hosts that lost power together take to return.
+NO_CONTACT_S = 10.0
 
 
 class Term:
@@ -86,6 +89,8 @@
             bounds.max_lease_s,
         )
         self.loaded = False
+        self._has_stored_fleet = bool(shapes)
+        self._contact_lost_at = float('inf')  # unless a list arrives before
 
     def _queue_named(self, name: str) -> workflows.Queue | None:
         config = self._operators.config
@@ -150,6 +155,8 @@
         self, peer: ports.Peer, report: messages.WorkerReport
     ) -> None:
         """Apply an agent's report."""
+        if report.clock_ms:
+            self._contact_lost_at = trio.current_time() + NO_CONTACT_S
         self._reports.take(
             peer.node_id,
             report,
@@ -199,9 +206,31 @@
             await self._load(nursery)
             for peer in self._hub.peers('agent'):
                 self.on_agent_connected(peer)
+            self._contact_lost_at = trio.current_time() + NO_CONTACT_S
             while True:
+                self._check_contact()
                 await self._run_round()
 
+    def _check_contact(self) -> None:
+        """End the term if this entry reaches the store, but no agent.
+
+        Another entry may reach them. Where no worker was ever seen, there is
+        nothing to hand over.
+
+        :raises citronrail.errors.OutOfContact: if no list has arrived.
+        """
+        if trio.current_time() <= self._contact_lost_at:
+            return
+        has_fleet = (
+            self._has_stored_fleet
+            or self.scheduler_state.workers
+            or self._hub.peers('agent')
+        )
+        if has_fleet:
+            raise errors.OutOfContact(
+                'no list of a worker has arrived', step='workflow.term'
+            )
+
     async def _load(self, nursery: trio.Nursery) -> None:
         began_at = trio.current_time()
         self.scheduler_state.inherited_end_at = (
