Move what an agent knows of leases to a module of its own

Times, readings and the four decisions on leases are now AgentLease; the behaviour is as before, and the tests of workflow pass.

--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -1,7 +1,6 @@
 """Agent: carries out the scheduler's orders on the worker of this host."""
 
 import dataclasses
-import math
 
 import trio
 
@@ -11,7 +10,7 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
-from citronrail.workflow import _worker_view
+from citronrail.workflow import _agent_lease
 
 # Long-poll timeouts: how long a list call waits for a run to end.
 LIST_WAIT_MS = 500  # while tasks run
@@ -21,11 +20,7 @@
 # The worker refuses a start that arrives later than this, so that delayed
 # orders aren't carried out.
 START_VALIDITY_S = 1.5
-# A lease that the worker knows to end sooner is extended at once; a list call
-# under way is cancelled for that, which costs its connection.
-LEASE_FORWARD_MARGIN_MS = 3000
 MAX_CONCURRENT_STARTS = 6
-CLOCK_DRIFT_FACTOR = 1.0 / (1.0 - _worker_view.MAX_CLOCK_DRIFT_RATIO)
 
 
 @dataclasses.dataclass
@@ -68,19 +63,11 @@
         self._worker = worker
         self._hub = hub
         self._life: messages.WorkerLife | None = None
-        self._max_lease_s = max_lease_s
-        self._began_at = 0.0
-        self._last_lease_call_at = (
-            0.0  # last call that may have extended a lease
-        )
-        self._clock_ms = 0
-        self._clock_read_at = 0.0
+        self._lease = _agent_lease.AgentLease(max_lease_s)
         self._fencing = 0
         self._confirmed_token = 0  # token that the worker has confirmed
         self._scheduler: identifiers.NodeId | None = None
         self._acknowledged = 0
-        self._lease_until_ms = 0
-        self._lease_sent_ms = 0
         self._busy = False
         self._reported_end = 0
         self._pending = _Pending([], [])
@@ -147,11 +134,9 @@
         )
 
     def _reset_for_new_incarnation(self) -> None:
-        self._clock_ms = 0
+        self._lease.reset()
         self._confirmed_token = 0
         self._acknowledged = 0
-        self._lease_until_ms = 0
-        self._lease_sent_ms = 0
         self._reported_end = 0
         self._pending = _Pending([], [])
         self._list_scope.cancel()
@@ -164,7 +149,7 @@
         task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
     ) -> None:
         """List runs and report them until cancelled."""
-        self._began_at = trio.current_time()
+        self._lease.begin()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
             task_status.started()
@@ -183,7 +168,7 @@
         order = ports.LeaseOrder(
             fencing,
             self._acknowledged,
-            self._lease_until_ms,
+            self._lease.until_ms,
             LIST_WAIT_MS if self._busy else IDLE_WAIT_MS,
         )
         if (
@@ -196,7 +181,7 @@
             # A new incarnation may answer, whose clock and count of ends start
             # from zero.
             order = ports.LeaseOrder(fencing, acknowledged=0)
-        self._lease_sent_ms = order.lease_until_ms
+        self._lease.note_sent(order.lease_until_ms)
         self._record_lease_call(
             order
         )  # it may take effect at any time until it ends
@@ -225,8 +210,7 @@
                 )
             return
         self._confirmed_token = fencing
-        self._clock_ms = worker_list.clock_ms
-        self._clock_read_at = trio.current_time()
+        self._lease.read_clock(worker_list.clock_ms)
         self._busy = bool(worker_list.running)
         await self._report(worker_list, stopped)
         newest = max((end.number for end in worker_list.ended), default=0)
@@ -237,7 +221,7 @@
     def _record_lease_call(self, order: ports.LeaseOrder) -> None:
         """Record a call that may have extended a lease on the worker."""
         if order.lease_until_ms:
-            self._last_lease_call_at = trio.current_time()
+            self._lease.note_call()
 
     def _set_unreachable(
         self, life: messages.WorkerLife, exc: errors.CitronrailError
@@ -281,8 +265,8 @@
             refused=refused,
             stopped=stopped,
             token=self._fencing,
-            lease_until_ms=self._lease_until_ms,
-            lease_left_s=self._lease_left_s(),
+            lease_until_ms=self._lease.until_ms,
+            lease_left_s=self._lease.left_s(),
         )
         try:
             await self._hub.send(scheduler, report)
@@ -295,22 +279,6 @@
             item for item in self._pending.stopped if item not in stopped
         ]
 
-    def _lease_left_s(self) -> float:
-        """Return the time until all leases of the worker have expired.
-
-        Leases of the current incarnation expire by its clock. A call for an
-        earlier incarnation may have been carried out by the current one,
-        whose clock is behind. For that reason the longest possible lease is
-        also counted from the last call, or from the start of this process
-        for calls of an agent that ran before it.
-        """
-        now = trio.current_time()
-        left_ms = max(0, self._lease_until_ms - self._clock_ms)
-        ends_at = self._clock_read_at + left_ms / 1000 * CLOCK_DRIFT_FACTOR
-        longest_s = self._max_lease_s * CLOCK_DRIFT_FACTOR
-        touched_at = max(self._began_at, self._last_lease_call_at)
-        return max(0.0, ends_at - now, touched_at + longest_s - now)
-
     # Orders
 
     async def _on_orders(
@@ -335,7 +303,7 @@
             self._refuse_starts(orders, 'another life')
             return
         self._acknowledged = max(self._acknowledged, orders.acknowledged)
-        self._lease_until_ms = max(self._lease_until_ms, orders.lease_until_ms)
+        self._lease.extend(orders.lease_until_ms)
         for stop in orders.stops:
             self._nursery.start_soon(self._stop, stop)
         starting = {(item.task, item.run) for item in orders.starts}
@@ -362,18 +330,9 @@
                 ),
                 first_paces.get((start.task, start.run)),
             )
-        if self._lease_runs_out():
+        if self._lease.runs_out():
             self._list_scope.cancel()
 
-    def _lease_runs_out(self) -> bool:
-        """Whether the worker needs an extension before the next list call."""
-        elapsed_s = trio.current_time() - self._clock_read_at
-        clock_ms = self._clock_ms + elapsed_s * 1000 * CLOCK_DRIFT_FACTOR
-        return (
-            self._lease_until_ms > self._lease_sent_ms
-            and self._lease_sent_ms < clock_ms + LEASE_FORWARD_MARGIN_MS
-        )
-
     def _refuse_starts(
         self, orders: messages.WorkerOrders, reason: str
     ) -> None:
@@ -404,13 +363,14 @@
             if life is None or reason:
                 self._refuse_start(order, reason)
                 return
+            self._lease.note_call()
             result = await self._worker.start(
                 life,
                 order,
-                self._on_worker_clock(permission.start_until),
+                self._lease.start_until_ms(permission.start_until),
                 permission.fencing,
             )
-        self._last_lease_call_at = trio.current_time()
+        self._lease.note_call()
         match result.verdict:
             case ports.StartVerdict.REFUSED:
                 self._refuse_start(order, result.reason)
@@ -440,17 +400,6 @@
         )
         self._schedule_report()
 
-    def _on_worker_clock(self, start_until: float) -> int:
-        """Return the end of a start's validity on the worker's clock, in ms.
-
-        It is no later than the end of the lease that the scheduler granted.
-        """
-        self._last_lease_call_at = trio.current_time()
-        valid_until = self._clock_ms + math.ceil(
-            (start_until - self._clock_read_at) * 1000
-        )
-        return min(valid_until, self._lease_until_ms)
-
     async def _stop(self, run: messages.TaskRun) -> None:
         """Stop a run; if this fails, the scheduler repeats the order."""
         life = self._life
