--- a/citronrail/workflow/_commit_chain.py
+++ b/citronrail/workflow/_commit_chain.py
@@ -40,7 +40,7 @@
         self._store = store
         self._guard = guard
         self._prefix = prefix
-        self._record_request = 0
+        self._commit_count = 0
         self._revision = 0
 
     async def open(self) -> None:
@@ -63,8 +63,8 @@
     async def _commit_batch(
         self, writes: collections.abc.Sequence[Write]
     ) -> None:
-        self._record_request += 1
-        commit_id = f'{self._prefix}/{self._record_request}'.encode()
+        self._commit_count += 1
+        commit_id = f'{self._prefix}/{self._commit_count}'.encode()
         compares = [
             self._guard,
             ports.Compare(documents.COMMIT_KEY, self._revision),
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -249,7 +249,7 @@
     ) -> None:
         """Send a report to the scheduling entry.
 
-        :param found: the worker's list, None if it is unknown.
+        :param worker_list: the worker's list, None if it is unknown.
         :param stopped: stops that were confirmed before the list was made.
         """
         scheduler = self._scheduler
