Pause between rounds as before

Cause: let a round pause for as long as the last one took, which counts the wait for a slow store as well.

Change: the pause is 30 ms again.

--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -27,8 +27,7 @@
 from citronrail.workflow import _worker_view
 
 TICK_S = 0.25
-COMMIT_INTERVAL_S = 0.03  # shortest time between two rounds
-MAX_PAUSE_S = 0.25
+COMMIT_INTERVAL_S = 0.03
 LOAD_RETRY_S = 0.2
 # A leader that has heard of no worker for this long gives way; longer than
 # hosts that lost power together take to return.
@@ -301,11 +300,7 @@
         elif now > self._leadership.extend_until:
             raise errors.Fenced('the lease has ended', step='workflow.term')
         await self._sender.send()
-        # On a slow host, rounds without a pause would leave no time for the
-        # reports and the renewal of the lease.
-        await trio.sleep(
-            min(MAX_PAUSE_S, max(COMMIT_INTERVAL_S, trio.current_time() - now))
-        )
+        await trio.sleep(COMMIT_INTERVAL_S)
 
     def _place(self, now: float) -> None:
         policy = _round.Policy(
