Refuse starts, decode answers and list routes in one way each

The agent added refused starts to its report in two places; a malformed answer of the store and of the worker was turned into an error by two wrappers and a check of each row by hand; a function of the platform's HTTP applications only renamed starlette's class.

Now _refuse_starts serves both cases, decode() raises the error that its caller names, the rows of a list are typed for msgspec, and the function is gone. Tests are unchanged. A load written as text is malformed now; the protocol has a number there.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -65,13 +65,15 @@
         agent.leave(req.path_params['worker_id'])
         return _http_apps.json_response(200, {})
 
-    return _http_apps.application(
-        routing.Route(
-            '/Instances.Heartbeat/{worker_id}', heartbeat, methods=['POST']
-        ),
-        routing.Route(
-            '/Instances.Deregister/{worker_id}', leave, methods=['POST']
-        ),
+    return applications.Starlette(
+        routes=[
+            routing.Route(
+                '/Instances.Heartbeat/{worker_id}', heartbeat, methods=['POST']
+            ),
+            routing.Route(
+                '/Instances.Deregister/{worker_id}', leave, methods=['POST']
+            ),
+        ]
     )
 
 
--- a/citronrail/platform/_caller_app.py
+++ b/citronrail/platform/_caller_app.py
@@ -65,10 +65,9 @@
             await service.submit(queue, job_id, spec, deadline)
         )
 
-    return _http_apps.application(
-        routing.Route(
-            '/{path:path}', handle, methods=['GET', 'POST', 'DELETE']
-        )
+    methods = ['GET', 'POST', 'DELETE']
+    return applications.Starlette(
+        routes=[routing.Route('/{path:path}', handle, methods=methods)]
     )
 
 
@@ -93,7 +92,7 @@
     async def is_ready(_: requests.Request) -> responses.Response:
         return responses.Response(status_code=200 if ready() else 503)
 
-    return _http_apps.application(routing.Route('/ready', is_ready))
+    return applications.Starlette(routes=[routing.Route('/ready', is_ready)])
 
 
 def _deadline(header: str | None) -> float:
--- a/citronrail/platform/_http.py
+++ b/citronrail/platform/_http.py
@@ -112,19 +112,24 @@
         return res
 
 
-def decode(res: httpx.Response, kind: type[T], peer: str) -> T:
+def decode(
+    res: httpx.Response,
+    kind: type[T],
+    error: type[errors.CitronrailError],
+    peer: str,
+) -> T:
     """Decode the body of a response.
 
     :param res: the response.
     :param kind: expected type.
+    :param error: raised if the body is malformed, so that the result of the
+        call is unknown.
     :param peer: name of the server for the error.
     :returns: an instance of ``kind``.
-    :raises CallUnanswered: if the body is malformed, so that the result of
-        the call is unknown.
     """
     try:
         return msgspec.json.decode(res.content, type=kind)
     except msgspec.DecodeError as exc:
-        raise CallUnanswered(
+        raise error(
             f'unreadable answer: {exc}', step='decode', peer=peer
         ) from exc
--- a/citronrail/platform/_http_apps.py
+++ b/citronrail/platform/_http_apps.py
@@ -48,11 +48,6 @@
     )
 
 
-def application(*routes: routing.Route) -> applications.Starlette:
-    """Create an ASGI application from its routes."""
-    return applications.Starlette(routes=routes)
-
-
 def metrics_app() -> applications.Starlette:
     """Create the application that serves the metrics of this process.
 
@@ -65,4 +60,4 @@
             headers={'Content-Type': observability.CONTENT_TYPE},
         )
 
-    return application(routing.Route('/metrics', metrics))
+    return applications.Starlette(routes=[routing.Route('/metrics', metrics)])
--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -234,16 +234,7 @@
 
 
 def _decode(res: typing.Any, kind: type[T]) -> T:
-    """Decode a response.
-
-    :raises citronrail.errors.StoreOutcomeUnknown: if it is malformed.
-    """
-    try:
-        return _http.decode(res, kind, PEER)
-    except _http.CallUnanswered as exc:
-        raise errors.StoreOutcomeUnknown(
-            exc.message, step=exc.step, peer=PEER
-        ) from exc
+    return _http.decode(res, kind, errors.StoreOutcomeUnknown, PEER)
 
 
 def _decode_item(raw: msgspec.Raw) -> _Item | None:
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -17,10 +17,17 @@
 _REFUSAL_STATUSES = (400, 404, 409, 421, 429, 503)
 
 
+class _RunRow(msgspec.Struct, frozen=True, array_like=True):
+    task: str
+    run: int
+    checkpoint: str
+    percent: float
+    load: float = 0.0  # may be missing
+
+
 class _ListResponse(msgspec.Struct, frozen=True):
     clockMs: int  # noqa: N815 - name on the wire
-    # [task, run, checkpoint, percent, load]; the load may be missing
-    running: tuple[tuple[typing.Any, ...], ...] = ()
+    running: tuple[_RunRow, ...] = ()
     # [number, task, run, how, checkpoint]
     ended: tuple[tuple[int, str, int, str, str], ...] = ()
     born: int = 0
@@ -58,19 +65,13 @@
         res = await self._post(
             '/hold', life, body, CALL_TIMEOUT_S + order.wait_ms / 1000
         )
-        response = _http.decode(res, _ListResponse, PEER)
-        try:
-            running = tuple(_run_row(row) for row in response.running)
-        except (TypeError, ValueError) as exc:
-            raise errors.WorkerOutcomeUnknown(
-                f'malformed list: {exc}',
-                step='worker/hold',
-                peer=life.worker_id,
-            ) from exc
+        response = _http.decode(
+            res, _ListResponse, errors.WorkerOutcomeUnknown, life.worker_id
+        )
         return ports.WorkerList(
             response.born,
             response.clockMs,
-            running,
+            tuple(_run_row(row) for row in response.running),
             tuple(messages.EndRow(*row) for row in response.ended),
         )
 
@@ -171,17 +172,7 @@
     return response.reason or f'status {res.status_code}'
 
 
-def _run_row(row: tuple[typing.Any, ...]) -> messages.RunRow:
-    """Decode a row of the list of runs.
-
-    :raises TypeError, ValueError: if it is malformed.
-    """
-    task, run, checkpoint, percent = row[:4]
-    if not (
-        isinstance(task, str)
-        and isinstance(run, int)
-        and isinstance(checkpoint, str)
-    ):
-        raise TypeError(f'a field has another type: {row!r}'[:200])
-    load = float(row[4]) if len(row) > 4 else 0.0
-    return messages.RunRow(task, run, checkpoint, int(percent), load)
+def _run_row(row: _RunRow) -> messages.RunRow:
+    return messages.RunRow(
+        row.task, row.run, row.checkpoint, int(row.percent), row.load
+    )
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -300,7 +300,7 @@
             self._list_scope.cancel()
             self._schedule_report()
         if not self._is_current(orders.worker_id, orders.born_ms):
-            self._refuse_starts(orders, 'another life')
+            self._refuse_starts(orders.starts, 'another life')
             return
         self._acknowledged = max(self._acknowledged, orders.acknowledged)
         self._lease.extend(orders.lease_until_ms)
@@ -314,7 +314,7 @@
             else:
                 self._nursery.start_soon(self._set_pace, pace)
         if self._life and self._life.state != 'ready':
-            self._refuse_starts(orders, 'leaving')
+            self._refuse_starts(orders.starts, 'leaving')
             return
         start_until = trio.current_time() + START_VALIDITY_S
         for start in orders.starts:
@@ -334,13 +334,13 @@
             self._list_scope.cancel()
 
     def _refuse_starts(
-        self, orders: messages.WorkerOrders, reason: str
+        self, starts: tuple[messages.StartOrder, ...], reason: str
     ) -> None:
-        if not orders.starts:
+        if not starts:
             return
         self._pending.refused += [
             messages.RefusedStart(item.task, item.run, reason)
-            for item in orders.starts
+            for item in starts
         ]
         self._schedule_report()
 
@@ -361,7 +361,7 @@
             life = self._life
             reason = self._why_ended(permission)
             if life is None or reason:
-                self._refuse_start(order, reason)
+                self._refuse_starts((order,), reason)
                 return
             self._lease.note_call()
             result = await self._worker.start(
@@ -373,7 +373,7 @@
         self._lease.note_call()
         match result.verdict:
             case ports.StartVerdict.REFUSED:
-                self._refuse_start(order, result.reason)
+                self._refuse_starts((order,), result.reason)
             case ports.StartVerdict.UNKNOWN:
                 observability.emit(
                     events.START_UNANSWERED,
@@ -394,12 +394,6 @@
             return 'late'
         return ''
 
-    def _refuse_start(self, order: messages.StartOrder, reason: str) -> None:
-        self._pending.refused.append(
-            messages.RefusedStart(order.task, order.run, reason)
-        )
-        self._schedule_report()
-
     async def _stop(self, run: messages.TaskRun) -> None:
         """Stop a run; if this fails, the scheduler repeats the order."""
         life = self._life
