Rank the workers of a gang as those of any step

It uses StepRanking now, in the same module; the choices are the same. Its test fails before. Two tests of the callers' service share their set-up, assertions as before.

--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -302,7 +302,7 @@
     if any(task.attempts for task in stage.tasks):
         return []  # some members of the previous run have not ended
     name = stage.name
-    chosen = _placement.choose_workers_for_gang(
+    chosen = _step_ranking.choose_workers_for_gang(
         stage.spec, name, candidates, len(stage.tasks), factors
     )
     run = max(task.last_run for task in stage.tasks) + 1
--- a/citronrail/workflow/_step_ranking.py
+++ b/citronrail/workflow/_step_ranking.py
@@ -96,6 +96,53 @@
         return None if value is None else (-value, index)
 
 
+def choose_workers_for_gang(
+    step: workflows.StepSpec,
+    step_name: str,
+    candidates: collections.abc.Sequence[_placement.WorkerCapacity],
+    count: int,
+    factors: _interference.PairFactors,
+) -> list[_placement.WorkerCapacity]:
+    """Choose workers for all tasks of a gang.
+
+    Racks are tried one by one before the whole fleet if the step is
+    rack-local.
+
+    :param step: the gang's step.
+    :param step_name: identity of the step.
+    :param candidates: the usable workers; they are not changed.
+    :param count: number of tasks.
+    :param factors: learned interference factors.
+    :returns: one worker for each task, or nothing if not all fit.
+    """
+    groups: list[list[_placement.WorkerCapacity]] = [list(candidates)]
+    if step.rack_local:
+        by_rack: dict[str, list[_placement.WorkerCapacity]] = {}
+        for candidate in candidates:
+            by_rack.setdefault(candidate.rack, []).append(candidate)
+        groups = [*by_rack.values(), list(candidates)]
+    for group in groups:
+        copies = [
+            dataclasses.replace(
+                candidate,
+                tasks_per_step=dict(candidate.tasks_per_step),
+                best_effort=list(candidate.best_effort),
+            )
+            for candidate in group
+        ]
+        originals = {candidate.node: candidate for candidate in group}
+        ranking = StepRanking(step, step_name, copies, factors)
+        chosen = []
+        for _ in range(count):
+            choice = ranking.take()
+            if choice is None:
+                break
+            chosen.append(originals[choice.candidate.node])
+        if len(chosen) == count:
+            return chosen
+    return []
+
+
 @dataclasses.dataclass(frozen=True)
 class _Constraints:
     """What decides, beside the size of a task, which workers may take it."""
--- a/citronrail/workflow/tests/test_caller_service.py
+++ b/citronrail/workflow/tests/test_caller_service.py
@@ -115,7 +115,7 @@
     assert view.fresh
 
 
-async def _count_reads(cluster) -> list[str]:
+def _count_reads(cluster) -> list[str]:
     """Record the keys that are read from the store."""
     keys = []
     get = cluster.store.get
@@ -128,6 +128,19 @@
     return keys
 
 
+async def _start_with_silent_leader(nursery):
+    """Return a cluster in which JOB runs, and an entry that
+    reaches the store, but not the scheduling entry.
+    """
+    cluster = _cluster.SimulatedCluster()
+    await cluster.start(nursery)
+    await _submit(cluster, JOB, _cluster.one_step(1, long_running=True))
+    await cluster.until_state(JOB, 'running')
+    other = next(e for e in cluster.entries.values() if e != cluster.leader)
+    cluster.cut(cluster.leader.name)
+    return cluster, other
+
+
 async def test_state_takes_one_read_while_the_leader_is_silent(
     autojump_clock, nursery
 ):
@@ -136,13 +149,8 @@
     Load pattern: callers ask for their jobs, and the scheduling entry doesn't
     answer in time.
     """
-    cluster = _cluster.SimulatedCluster()
-    await cluster.start(nursery)
-    await _submit(cluster, JOB, _cluster.one_step(1, long_running=True))
-    await cluster.until_state(JOB, 'running')
-    other = next(e for e in cluster.entries.values() if e != cluster.leader)
-    cluster.cut(cluster.leader.name)
-    keys = await _count_reads(cluster)
+    cluster, other = await _start_with_silent_leader(nursery)
+    keys = _count_reads(cluster)
     reply = await other.service.state(JOB, trio.current_time() + 2.0)
     assert (reply.verdict, reply.state) == (workflow.Verdict.DONE, 'running')
     assert len([key for key in keys if JOB in key]) == 1
@@ -155,12 +163,7 @@
     """Guards against an error of the process, or a wrong state, from bytes
     of another writer.
     """
-    cluster = _cluster.SimulatedCluster()
-    await cluster.start(nursery)
-    await _submit(cluster, JOB, _cluster.one_step(1, long_running=True))
-    await cluster.until_state(JOB, 'running')
-    other = next(e for e in cluster.entries.values() if e != cluster.leader)
-    cluster.cut(cluster.leader.name)
+    cluster, other = await _start_with_silent_leader(nursery)
     key = documents.PROGRESS_PREFIX + JOB
     await cluster.store.txn([], [ports.Put(key, b'\xff\x00')])
     reply = await other.service.state(JOB, trio.current_time() + 2.0)
--- a/citronrail/workflow/tests/test_step_ranking.py
+++ b/citronrail/workflow/tests/test_step_ranking.py
@@ -124,6 +124,15 @@
     assert len(evaluations) <= WORKERS + WIDE_STEP.task_count
 
 
+def test_gang_evaluates_each_worker_once_and_once_a_member(evaluations):
+    """Guards against scoring the whole fleet for each member of a gang."""
+    fleet = _Fleet(WORKERS)
+    gang = dataclasses.replace(WIDE_STEP, gang=True)
+    fleet.submit('gang', workflows.WorkflowSpec('', (gang,)))
+    assert len(fleet.place()) == gang.task_count
+    assert len(evaluations) <= WORKERS + gang.task_count
+
+
 def test_full_fleet_is_searched_once_for_equal_steps(evaluations):
     """Guards against a full search for each waiting step of a full fleet.
 
