Log lost workers with the runs that they took along

CR1748 tells it, two counters add it up, and `citronrail explain` shows it beside a job. Agents say in their report that they can't reach their worker, so that the ages are those at the loss. No decision reads it yet.

--- a/citronrail/cli/_explain.py
+++ b/citronrail/cli/_explain.py
@@ -22,6 +22,7 @@
         'CR1712',
         'CR1742',
         'CR1743',
+        'CR1748',
     }
 )
 
--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -114,7 +114,8 @@
     list; ``clock_ms`` is the worker's clock at that moment, 0 without a list.
     ``token`` is the highest token that the agent has seen. If the worker
     stays unresponsive, its runs end within ``lease_left_s``, counting only
-    orders up to ``lease_until_ms``.
+    orders up to ``lease_until_ms``. ``unreachable`` is set if the last list
+    call failed.
     """
 
     fencing: int
@@ -127,6 +128,7 @@
     token: int = 0
     lease_until_ms: int = 0
     lease_left_s: float = 0.0
+    unreachable: bool = False
 
 
 @_registry.message
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -95,3 +95,9 @@
 DOCUMENT_UNREADABLE = _events.EventKind(
     1747, 'ERROR', 'stored item {key} is invalid: {reason}'
 )
+WORKER_LOST = _events.EventKind(
+    1748,
+    'WARNING',
+    'worker {worker} born {born} on {node} was lost with {runs} runs, '
+    'the newest first: {newest}',
+)
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -31,6 +31,14 @@
     'Runs that ended, by how they ended',
     ['how'],
 )
+WORKERS_LOST = prometheus_client.Counter(
+    'citronrail_workflow_workers_lost',
+    'Worker incarnations that were replaced without having drained',
+)
+RUNS_LOST = prometheus_client.Counter(
+    'citronrail_workflow_runs_lost',
+    'Runs that were lost with their worker',
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -12,6 +12,7 @@
 from citronrail.workflow import _worker_view
 
 TASK_RETRY_DELAY_S = 0.3  # after a refused or failed run
+MAX_LOGGED_RUNS = 8
 
 
 class Reports:
@@ -54,6 +55,8 @@
             return
         view.connected = True
         view.capacity = None
+        if report.unreachable and not view.unreachable_since:
+            view.unreachable_since = now
         for refused in report.refused:
             self._on_refused(view, refused, now)
         if not report.clock_ms:
@@ -91,6 +94,7 @@
         new_view.lease_ends_at = now + self._bounds.max_lease_s * 1.05
         self._scheduler_state.workers[node] = new_view
         if view is not None:
+            _log_loss(view, now)
             for attempt in list(view.attempts.values()):
                 self._resolve_stale_run(attempt, new_view, now)
         return new_view
@@ -304,6 +308,34 @@
             self._scheduler_state.end_job(job, unix_now, 'the job has failed')
 
 
+def _log_loss(view: _worker_view.WorkerView, now: float) -> None:
+    """Log that an incarnation is gone, with the runs that it took along.
+
+    A worker that has announced its stop isn't lost.
+    """
+    if view.draining:
+        return
+    lost_at = view.unreachable_since or now
+    runs = sorted(
+        (attempt for attempt in view.attempts.values() if attempt.ordered),
+        key=lambda attempt: -attempt.order_sent_at,
+    )
+    metrics.WORKERS_LOST.inc()
+    metrics.RUNS_LOST.inc(len(runs))
+    observability.emit(
+        events.WORKER_LOST,
+        worker=view.worker_id,
+        born=view.life.born_ms,
+        node=view.node,
+        runs=len(runs),
+        newest=', '.join(
+            f'{attempt.task.name}#{attempt.number} '
+            f'{lost_at - attempt.order_sent_at:.2f} s old'
+            for attempt in runs[:MAX_LOGGED_RUNS]
+        ),
+    )
+
+
 def _update_from_row(
     attempt: _job.Attempt, row: messages.RunRow, now: float
 ) -> None:
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -267,6 +267,7 @@
             token=self._fencing,
             lease_until_ms=self._lease.until_ms,
             lease_left_s=self._lease.left_s(),
+            unreachable=self._unreachable,
         )
         try:
             await self._hub.send(scheduler, report)
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -29,6 +29,8 @@
         self.clock_ms = 0
         self.clock_read_at = 0.0
         self.listed_at = 0.0
+        # When its agent first failed to reach it; 0 while it is reached.
+        self.unreachable_since = 0.0
         self.lease_ends_at = 0.0  # by then all runs have certainly ended
         # Orders for an earlier incarnation may still be carried out.
         self.may_hold_stale_orders = False
@@ -104,3 +106,4 @@
         self.clock_ms = clock_ms
         self.clock_read_at = now
         self.listed_at = now
+        self.unreachable_since = 0.0
