--- a/citronrail/workflow/tests/_cluster.py
+++ b/citronrail/workflow/tests/_cluster.py
@@ -132,7 +132,8 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self.agent.run)
                 while True:
-                    if not self.worker.faults.silent:
+                    faults = self.worker.faults
+                    if not (faults.silent or faults.down):
                         self.agent.announce(self.worker.life())
                     await trio.sleep(ANNOUNCE_S)
 
@@ -167,8 +168,10 @@
         ]
 
     def plan_of(self, task: str) -> task_worker.TaskPlan:
-        """Return the planned behaviour of a task of a job."""
-        return self.plans.get(task.partition('.')[0], self.default_plan)
+        """Return the planned behaviour of a task, or of all of its job."""
+        job_id = task.partition('.')[0]
+        plan = self.plans.get(task) or self.plans.get(job_id)
+        return plan or self.default_plan
 
     async def start(self, nursery: trio.Nursery) -> None:
         """Start all processes and wait for the first scheduler."""
--- a/standins/task_worker/_history.py
+++ b/standins/task_worker/_history.py
@@ -11,6 +11,7 @@
         default_factory=dict
     )
     starts: list[float] = dataclasses.field(default_factory=list)
+    crashes: list[float] = dataclasses.field(default_factory=list)
     done_at: float | None = None
     done_acknowledged: bool = False
     failures_acknowledged: int = 0
@@ -43,6 +44,11 @@
         record.active[worker, run] = now
         record.starts.append(now)
 
+    def crashed(self, worker: str, task: str, run: int, now: float) -> None:
+        """Record that a run was lost in a crash of its worker."""
+        self.record(task).crashes.append(now)
+        self.ended(worker, task, run, 'lost', now)
+
     def ended(
         self, worker: str, task: str, run: int, end_state: str, now: float
     ) -> None:
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -12,6 +12,7 @@
 from standins.task_worker import _history
 
 POLL_INTERVAL_S = 0.05
+CRASH_DELAY_S = 0.01  # from a start to the crash that it causes
 
 
 @dataclasses.dataclass(frozen=True)
@@ -23,6 +24,7 @@
     :param cpu_millis: CPU millicores, not counted if ``fills`` is set.
     :param memory_mb: memory in MB.
     :param lasts: whether it runs until it is stopped.
+    :param crashes: whether it crashes each worker that starts it.
     """
 
     work_s: float = 1.0
@@ -31,6 +33,7 @@
     memory_mb: int = 100
     lasts: bool = False
     fills: bool = False
+    crashes: bool = False
 
 
 @dataclasses.dataclass
@@ -42,6 +45,7 @@
     """
 
     silent: bool = False
+    down: bool = False  # no process, connections are refused
     refusing: bool = False
     late_share: float = 0.0
     lost_share: float = 0.0
@@ -70,6 +74,7 @@
     :param memory_mb: memory capacity in MB.
     :param max_lease_s: longest lease granted, in seconds.
     :param stop_s: time a stop takes, in seconds.
+    :param down_s: time from a crash to the next incarnation, in seconds.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         memory_mb: int = 8000,
         max_lease_s: float = 6.0,
         stop_s: float = 0.2,
+        down_s: float = 3.0,
     ) -> None:
         self.worker_id = worker_id
         self.faults = WorkerFaults()
@@ -94,6 +100,7 @@
         self._rng = rng
         self._max_lease_s = max_lease_s
         self._stop_s = stop_s
+        self._down_s = down_s
         self._nursery: trio.Nursery | None = None
         self._incarnation = 0
         self._reset_state()
@@ -118,6 +125,19 @@
             self._history.ended(self.worker_id, task, run, 'lost', now)
         self._reset_state()
 
+    async def crash(self) -> None:
+        """Lose all runs and be down until the next incarnation starts."""
+        if self.faults.down:
+            return
+        now = trio.current_time()
+        for task, run in list(self._runs):
+            self._history.crashed(self.worker_id, task, run, now)
+        self._runs.clear()
+        self.faults.down = True
+        await trio.sleep(self._down_s)
+        self._reset_state()
+        self.faults.down = False
+
     def _reset_state(self) -> None:
         self._incarnation += 1
         self._born_at = trio.current_time()
@@ -159,8 +179,12 @@
         self._extend_lease(order.lease_until_ms)
         self._acknowledge(order.acknowledged)
         with trio.move_on_after(order.wait_ms / 1000):
-            while not self._unacknowledged_ends:
+            while not self._unacknowledged_ends and not self.faults.down:
                 await trio.sleep(POLL_INTERVAL_S)
+        if self.faults.down:
+            raise errors.WorkerOutcomeUnknown(
+                'disconnected', step='worker', peer=self.worker_id
+            )
         if self.faults.silent:
             await self._time_out()
         self._advance()
@@ -226,7 +250,7 @@
     ) -> None:
         incarnation = self._incarnation
         await trio.sleep(self._rng.uniform(2.0, 6.0))
-        if incarnation != self._incarnation:
+        if incarnation != self._incarnation or self.faults.down:
             return  # the incarnation that received the order is gone
         try:
             action()
@@ -241,6 +265,8 @@
 
     async def _apply_faults(self, life: messages.WorkerLife) -> None:
         await trio.sleep(0.002)
+        if self.faults.down:
+            raise self._refusal('no connection')
         if self.faults.silent:
             await self._time_out()
         if self.faults.refusing:
@@ -276,6 +302,13 @@
         self._runs[key] = _Run(plan, plan.work_s, order.checkpoint, now)
         self._history.started(self.worker_id, order.task, order.run, now)
         self._check_capacity(now)
+        if plan.crashes:
+            assert self._nursery is not None
+            self._nursery.start_soon(self._crash_soon)
+
+    async def _crash_soon(self) -> None:
+        await trio.sleep(CRASH_DELAY_S)
+        await self.crash()
 
     def _check_capacity(self, now: float) -> None:
         plans = [run.plan for run in self._runs.values()]
