Start nothing on a worker that its agent can't reach

Hypothesis 4: the scheduling entry went on to use a worker for 2.5 s after its last list, though the agent had reported long before that it couldn't reach it, and a copy of a run was ordered again at once after a refusal.

A worker is used again after its next list, and copies wait as other runs do. test_nothing_is_started_on_an_unreachable_worker failed before.

--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -316,7 +316,7 @@
     """Whether a second run of a task may end before the present one."""
     if not task.stage.spec.speculative or task.done or task.suspected:
         return False
-    if len(task.attempts) != 1:
+    if len(task.attempts) != 1 or task.retry_at > now:
         return False
     attempt = task.attempts[0]
     view = scheduler_state.workers.get(attempt.node)
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -82,6 +82,7 @@
             self.connected
             and self.token_confirmed
             and not self.draining
+            and not self.unreachable_since
             and now - self.listed_at < MAX_LIST_AGE_S
         )
 
--- a/citronrail/workflow/tests/test_crashing_task.py
+++ b/citronrail/workflow/tests/test_crashing_task.py
@@ -184,6 +184,38 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_nothing_is_started_on_an_unreachable_worker(
+    autojump_clock, nursery
+):
+    """Guards against orders for a worker that its agent can't reach.
+
+    On the day of issue 26, 10,504 starts were refused for want of a
+    connection, copies of one run every 50 ms.
+    """
+    cluster = _cluster.SimulatedCluster(entries=1, workers=3)
+    cluster.default_plan = task_worker.TaskPlan(work_s=2.0)
+    recorder = observability.Recorder('e0')
+    observability.use_recorder(recorder)
+    await cluster.start(nursery)
+    await cluster.submit(JOBS[0], _cluster.one_step(6, speculative=True))
+    await trio.sleep(1.0)
+    nursery.start_soon(cluster.workers[0].crash)
+    nursery.start_soon(cluster.workers[1].crash)
+    await trio.sleep(0.2)  # for the agents to notice
+    known = len(recorder.records())
+    for job_id in JOBS[1:5]:
+        await cluster.submit(job_id, _cluster.one_step(6, speculative=True))
+    for job_id in JOBS[:5]:
+        await cluster.until_state(job_id, 'completed')
+    refused = [
+        record.text
+        for record in recorder.records()[known:]
+        if record.number == events.RUN_REFUSED.number
+    ]
+    assert refused == []
+    nursery.cancel_scope.cancel()
+
+
 async def test_lost_worker_is_logged_with_its_newest_runs(
     autojump_clock, nursery
 ):
