Park a task of a job after five workers in a row were lost with it

Losses are counted as long as the attempts were short. The first delays nothing, further ones double the delay, five park the task, which an operator can resume. Replicas wait alike, but are not parked. A task that runs for a minute or more before each loss is not affected.

Stored shards of earlier versions are read as without losses.

--- a/citronrail/scheduling/_attempt_changes.py
+++ b/citronrail/scheduling/_attempt_changes.py
@@ -22,6 +22,11 @@
 MAX_BACKOFF_S = 300.0
 PARK_AFTER_FAILED_WORKERS = 3  # healthy ones on which the same task failed
 MAX_TASK_FAILURES = 12  # then the task is parked, whatever the workers
+# Attempts in a row that were lost with their worker. A worker that a task
+# crashes lists no failure.
+PARK_AFTER_LOSSES = 5
+# An attempt that ran for so long shows that its task doesn't crash workers.
+LONG_RUN_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -124,6 +129,7 @@
             avoid=entry.avoid,
             replaces=entry.replaces,
             generation=item.generation,
+            losses=entry.losses,
         )
     return structs.replace(
         group,
@@ -232,6 +238,8 @@
         )
     elif end.state == 'failed':
         group = _fail_task(group, index, live, end, now)
+    elif end.state == 'lost':
+        group = _lose_task(group, index, live, end, now)
     else:
         group = _add_waiting(group, _retry_entry(index, live, end, now))
     return _job_changes.put_group(state, group)
@@ -267,6 +275,7 @@
         failures=live.failures,
         avoid=live.avoid,
         replaces=live.replaces,
+        losses=live.losses,
     )
 
 
@@ -324,19 +333,47 @@
     ) or entry.failures >= MAX_TASK_FAILURES
     if not retries_exhausted:
         return _add_waiting(group, entry)
-    return _park_task(group, entry, end)
+    return _park_task(
+        group, entry, end, f'failed on {len(entry.avoid)} workers'
+    )
+
+
+def _lose_task(
+    group: _shard_state.TaskGroup,
+    index: int,
+    live: _shard_state.LiveAttempt,
+    end: AttemptEnd,
+    now: float,
+) -> _shard_state.TaskGroup:
+    entry = _with_loss(_retry_entry(index, live, end, now), live, now)
+    if entry.losses < PARK_AFTER_LOSSES:
+        return _add_waiting(group, entry)
+    return _park_task(
+        group, entry, end, f'was lost with {entry.losses} workers in a row'
+    )
+
+
+def _with_loss(
+    entry: _shard_state.WaitingTask,
+    live: _shard_state.LiveAttempt,
+    now: float,
+) -> _shard_state.WaitingTask:
+    """Count a loss, and delay the next attempt after more than one."""
+    if now - live.since >= LONG_RUN_S:
+        return structs.replace(entry, losses=0)
+    losses = live.losses + 1
+    delay_s = backoff_s(losses - 1) if losses > 1 else 0.0
+    return structs.replace(entry, losses=losses, not_before=now + delay_s)
 
 
 def _park_task(
     group: _shard_state.TaskGroup,
     entry: _shard_state.WaitingTask,
     end: AttemptEnd,
+    what: str,
 ) -> _shard_state.TaskGroup:
     """Park a task, and its job if no task ever finished or none is left."""
-    reason = (
-        f'task {entry.index} failed on {len(entry.avoid)} workers: '
-        f'{end.reason or "no reason given"}'
-    )
+    reason = f'task {entry.index} {what}: {end.reason or "no reason given"}'
     group = structs.replace(
         group,
         parked=_index_intervals.add(group.parked, entry.index),
@@ -369,6 +406,8 @@
     if end.state in ('failed', 'finished'):
         entry = _with_backoff(entry, live.node, now)
         group = structs.replace(group, failures=group.failures + 1)
+    elif end.state == 'lost':
+        entry = _with_loss(entry, live, now)
     return _add_waiting(group, entry)
 
 
--- a/citronrail/scheduling/_shard_state.py
+++ b/citronrail/scheduling/_shard_state.py
@@ -53,7 +53,8 @@
     """A replica, or a task that had an attempt, waiting for the next one.
 
     ``number`` is the number of the last attempt. ``replaces`` is the index of
-    the replica that is stopped once this one runs, or -1.
+    the replica that is stopped once this one runs, or -1. ``losses`` counts
+    the last attempts in a row that were soon lost with their worker.
     """
 
     index: int
@@ -63,6 +64,7 @@
     failures: int = 0
     avoid: tuple[identifiers.NodeId, ...] = ()
     replaces: int = -1
+    losses: int = 0
 
 
 class LiveAttempt(msgspec.Struct, frozen=True, array_like=True):
@@ -84,6 +86,7 @@
     replaces: int = -1
     reason: str = ''
     generation: int = 0
+    losses: int = 0
 
 
 class TaskResult(msgspec.Struct, frozen=True, array_like=True):
