Refuse jobs with negative numbers or numbers that can't be stored

A step with negative demands added to the free capacity of its worker, so that later starts could exceed it (LIMIT), and a number of more than 64 bits failed when the job was encoded for the store, as an internal error. Found while looking for other ways in which one job can harm all workers.

--- a/citronrail/platform/_wire_jobs.py
+++ b/citronrail/platform/_wire_jobs.py
@@ -1,6 +1,7 @@
 """Decodes the jobs that callers submit."""
 
 import re
+import typing
 
 import msgspec
 
@@ -8,36 +9,40 @@
 
 MAX_SPEC_BYTES = 4000
 MAX_TASKS = 20_000
+MAX_NUMBER = 2**53  # of any field of a step; exact in every number format
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 
+_Int = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Float = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class _Step(msgspec.Struct, frozen=True):
-    count: int = 1
-    cpu: int = 0
-    memMb: int = 0  # noqa: N815 - name on the wire
-    gpu: int = 0
-    estimateMs: float = 0.0  # noqa: N815 - name on the wire
+    count: _Int = 1
+    cpu: _Int = 0
+    memMb: _Int = 0  # noqa: N815 - name on the wire
+    gpu: _Int = 0
+    estimateMs: _Float = 0.0  # noqa: N815 - name on the wire
     after: tuple[int, ...] = ()
     savesProgress: bool = False  # noqa: N815 - name on the wire
     gang: bool = False
     rackLocal: bool = False  # noqa: N815 - name on the wire
     constraints: str = ''  # label that the worker must have
     affinity: str = ''  # rack that holds the data
-    antiAffinity: int = 0  # noqa: N815 - max. tasks of the step per worker
+    antiAffinity: _Int = 0  # noqa: N815 - max. tasks of the step per worker
     speculative: bool = False
     longRunning: bool = False  # noqa: N815 - name on the wire
     image: str = ''
-    targetMs: int = 0  # noqa: N815 - name on the wire
+    targetMs: _Int = 0  # noqa: N815 - name on the wire
     fills: bool = False
-    mayMiss: int = 0  # noqa: N815 - max. tasks unavailable at a time
+    mayMiss: _Int = 0  # noqa: N815 - max. tasks unavailable at a time
 
 
 class _Job(msgspec.Struct, frozen=True):
     spec: str
     steps: tuple[_Step, ...]
-    times: int = 0
-    startAtMs: float = 0.0  # noqa: N815 - Unix time
-    periodMs: float = 0.0  # noqa: N815 - name on the wire
+    times: _Int = 0
+    startAtMs: _Float = 0.0  # noqa: N815 - Unix time
+    periodMs: _Float = 0.0  # noqa: N815 - name on the wire
 
 
 _DECODER = msgspec.json.Decoder(_Job, strict=False)
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -168,6 +168,19 @@
     assert found.estimate_s == pytest.approx(0.9)
 
 
+@pytest.mark.parametrize(
+    'field', ['cpu', 'memMb', 'gpu', 'estimateMs', 'antiAffinity', 'mayMiss']
+)
+@pytest.mark.parametrize('value', [-1, 10**30])
+def test_impossible_numbers_in_a_job_are_refused(field, value):
+    """Guards against negative demands, which would add to free capacity.
+
+    A number that can't be stored must not be accepted either.
+    """
+    with pytest.raises(ValueError):
+        _wire_jobs.decode_job(_body(steps=[STEP | {field: value}]))
+
+
 def test_configuration_is_decoded():
     """Guards the decoding of the operators' configuration."""
     config = _operator_documents.decode_config(
