Keep the newest announcement when one of an earlier incarnation is late

A late announcement of an earlier incarnation was refused, but made the agent forget the sequence number of the present one. An older announcement of the present incarnation was then accepted: with capacity that has shrunk since, or as ready although the worker is draining.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -55,10 +55,12 @@
                 worker_id, f'unknown state {worker_heartbeat.state!r}'
             )
         key = (worker_id, worker_heartbeat.born)
-        if worker_heartbeat.seq > last_seq.get(key, -1):
+        life = _worker_life(worker_id, worker_heartbeat)
+        if worker_heartbeat.seq > last_seq.get(key, -1) and agent.announce(
+            life
+        ):
             last_seq.clear()
             last_seq[key] = worker_heartbeat.seq
-            agent.announce(_worker_life(worker_id, worker_heartbeat))
         return _http_apps.json_response(200, {})
 
     async def leave(req: requests.Request) -> responses.Response:
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -203,6 +203,8 @@
         self.left = []
 
     def announce(self, life) -> bool:
+        if self.lives and life.born_ms < self.lives[-1].born_ms:
+            return False
         self.lives.append(life)
         return True
 
@@ -248,6 +250,22 @@
     assert (res.status_code, agent.left) == (200, ['i-1'])
 
 
+async def test_late_announcement_cannot_restore_capacity():
+    """Guards against starts on a worker whose capacity has shrunk (LIMIT).
+
+    A late announcement of an earlier incarnation made the agent forget the
+    newest sequence number, so that it accepted an older one of the present.
+    """
+    agent = _Agent()
+    client = _client(_announcement_app.announcement_app(agent))
+    small = {'cpu': 1000, 'memMb': 1000}
+    assert HEARTBEAT['capacity']['cpu'] > small['cpu']
+    await _send_heartbeat(client, seq=5, capacity=small)
+    await _send_heartbeat(client, seq=9, born=HEARTBEAT['born'] - 1000)
+    await _send_heartbeat(client, seq=4)
+    assert [life.cpu_millis for life in agent.lives] == [1000]
+
+
 @pytest.mark.parametrize(
     'changes',
     [{'state': 'asleep'}, {'capacity': 'large'}, {'seq': 'four'}],
