Check a worker's capacity again before a committed start is ordered

Placement uses the latest report, but a commit can take seconds while the store is slow or down, and the start was then ordered with the capacity of before. It is discarded now, and its task is placed again. The test failed before.

--- a/citronrail/workflow/_order_sender.py
+++ b/citronrail/workflow/_order_sender.py
@@ -10,6 +10,7 @@
 from citronrail.workflow import _leadership
 from citronrail.workflow import _operator_view
 from citronrail.workflow import _orders
+from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _worker_view
 
@@ -108,6 +109,8 @@
             and view.matches(attempt.worker_id, attempt.born_ms)
             and view.usable(now)
             and view.life.data_centre not in self._operators.evacuated
+            # The capacity may have shrunk while the commit took its time.
+            and not _round.remaining_capacity(view).overcommitted
         )
 
     def _discard_unordered(self, attempt: _job.Attempt, now: float) -> None:
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -70,6 +70,15 @@
     target_violated: bool = False  # a latency target is missed persistently
     tasks_per_step: dict[str, int] = dataclasses.field(default_factory=dict)
 
+    @property
+    def overcommitted(self) -> bool:
+        """Whether the runs there need more than the worker has."""
+        return (
+            self.free_cpu < 0
+            or self.free_memory < 0
+            or self.free_accelerators < 0
+        )
+
     def reserve(
         self, step: workflows.StepSpec, step_name: str, unmeasured: bool = True
     ) -> None:
--- a/citronrail/workflow/tests/test_order_sender.py
+++ b/citronrail/workflow/tests/test_order_sender.py
@@ -126,3 +126,16 @@
     await sender.send()
     assert not hub.starts()
     assert not attempt.task.attempts
+
+
+async def test_run_is_not_ordered_if_the_capacity_has_shrunk(autojump_clock):
+    """Guards against starts beyond a capacity that shrank during a commit.
+
+    A commit waits for seconds while the store is down, and the placement was
+    made with the capacity from before (LIMIT).
+    """
+    scheduler_state, attempt, sender, hub = _assigned()
+    _take(scheduler_state, _report(dataclasses.replace(LIFE, cpu_millis=50)))
+    await sender.send()
+    assert not hub.starts()
+    assert attempt.task.waiting
