Store only the largest worker shapes for the admission check

A worker's capacity may shrink and grow while it runs, and each new figure was added to the stored fleet for good and sent to all entries. A shape that another one covers decides nothing and is left out.

--- a/citronrail/workflow/_admission.py
+++ b/citronrail/workflow/_admission.py
@@ -25,6 +25,34 @@
     )
 
 
+def largest(
+    shapes: frozenset[documents.WorkerShape],
+) -> frozenset[documents.WorkerShape]:
+    """Leave out shapes for which another one can run everything.
+
+    :param shapes: worker shapes.
+    """
+    return frozenset(
+        shape
+        for shape in shapes
+        if not any(
+            other != shape and _covers(other, shape) for other in shapes
+        )
+    )
+
+
+def _covers(
+    shape: documents.WorkerShape, other: documents.WorkerShape
+) -> bool:
+    return (
+        shape.service == other.service
+        and shape.labels == other.labels
+        and shape.cpu_millis >= other.cpu_millis
+        and shape.memory_mb >= other.memory_mb
+        and shape.accelerators >= other.accelerators
+    )
+
+
 def unfit_step(
     spec: workflows.WorkflowSpec, service: str, shapes: Shapes
 ) -> int | None:
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -104,7 +104,10 @@
         }
         if seen <= self._shapes:
             return []
-        self._shapes |= seen
+        shapes = _admission.largest(self._shapes | seen)
+        if shapes == self._shapes:
+            return []
+        self._shapes = shapes
         record = documents.FleetRecord(
             tuple(sorted(self._shapes, key=msgspec.structs.astuple))
         )
