Let some tasks of the soak crash the workers that start them

One task in 250 crashes each worker that starts it; the worker refuses connections for 3 s and loses its runs. The soak checks that such a task is started at most twice more after three crashes, and that no job is shown as failed unless a task of it has crashed two workers. Restarts of workers count as crashes in the history, too.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -14,6 +14,11 @@
 CANCEL_PROBABILITY = 0.1
 REQUEST_TIMEOUT_S = 3.0
 RETRY_DELAY_S = 0.3
+# What the users allow a task that crashes its workers, and what they demand
+# before a job is given up for it.
+MAX_CRASHES = 3
+MAX_STARTS_AFTERWARDS = 2
+MIN_CRASHES_TO_GIVE_UP = 2
 FINAL_STATES = ('completed', 'failed', 'cancelled')
 
 
@@ -127,6 +132,8 @@
             self.violations.append(f'{job_id} is cancelled without a request')
         if state == 'completed':
             self._check_tasks_done(job_id)
+        if state == 'failed':
+            self._check_given_up(job_id)
         job.state = state
 
     def _check_tasks_done(self, job_id: str) -> None:
@@ -137,6 +144,16 @@
                     f'{job_id} is completed but has unfinished {task}'
                 )
 
+    def _check_given_up(self, job_id: str) -> None:
+        records = self._system.history.tasks
+        crashes = [
+            len(records[task].crashes)
+            for task in self.jobs[job_id].tasks(job_id)
+            if task in records
+        ]
+        if max(crashes, default=0) < MIN_CRASHES_TO_GIVE_UP:
+            self.violations.append(f'{job_id} has failed without a cause')
+
     def unfinished_jobs(self) -> list[str]:
         """Return the accepted jobs not yet seen in a final state."""
         return [
@@ -162,6 +179,11 @@
             return
         if not record.starts:
             return
+        if len(record.crashes) >= MAX_CRASHES:
+            last_counted_at = record.crashes[MAX_CRASHES - 1]
+            later = sum(at > last_counted_at for at in record.starts)
+            if later > MAX_STARTS_AFTERWARDS:
+                yield f'{name} was started {later} times after three crashes'
         records = self._system.history.tasks
         for index in range(job.widths[int(step) - 1] if int(step) else 0):
             predecessor = records.get(f'{job_id}.0.{int(step) - 1}.{index}')
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -170,6 +170,9 @@
         async with httpx.AsyncClient(trust_env=False, timeout=1.0) as client:
             sequence = 0
             while True:
+                if worker.faults.down:
+                    await trio.sleep(ANNOUNCE_INTERVAL_S)
+                    continue
                 sequence += 1
                 announced = worker.life()
                 body = {
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -12,6 +12,7 @@
 from standins import task_worker
 
 START_TIMEOUT_S = 20.0  # for the first job to be accepted
+CRASHING_TASK_PROBABILITY = 0.004  # one crashes all workers that start it
 FINISH_TIMEOUT_S = 60.0  # for all accepted jobs to end after the last fault
 
 
@@ -39,7 +40,9 @@
     def make_plan(task: str) -> task_worker.TaskPlan:
         draw = random.Random(f'{seed} {task}')
         return task_worker.TaskPlan(
-            work_s=draw.uniform(0.1, 1.5), fails=int(draw.random() < 0.05)
+            work_s=draw.uniform(0.1, 1.5),
+            fails=int(draw.random() < 0.05),
+            crashes=draw.random() < CRASHING_TASK_PROBABILITY,
         )
 
     system = _deployment.Deployment(directory, rng, make_plan)
--- a/standins/platform/_worker_app.py
+++ b/standins/platform/_worker_app.py
@@ -29,6 +29,10 @@
         target = quart.request.headers.get('Target-Instance')
         return target is not None and target != worker.worker_id
 
+    @app.errorhandler(errors.WorkerOutcomeUnknown)
+    async def outcome_unknown(_: errors.WorkerOutcomeUnknown) -> typing.Any:
+        return quart.Response('', 500)
+
     @app.post('/hold')
     async def hold() -> quart.Response:
         if wrong_incarnation():
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -122,7 +122,7 @@
         """Lose all runs and start a new incarnation under the same id."""
         now = trio.current_time()
         for task, run in list(self._runs):
-            self._history.ended(self.worker_id, task, run, 'lost', now)
+            self._history.crashed(self.worker_id, task, run, now)
         self._reset_state()
 
     async def crash(self) -> None:
