Let a suspected task return to a host that a crash pointed to after 1.5 s

A suspected task left out hosts that a crash had pointed to as long as the service had any other host, also if all of these were full or lacked its label, so that it could wait without end although there was room (LOST). It now leaves them out for 1.5 s. Best-effort tasks under suspicion also start at the pace that their neighbours bear, as others do, and no longer at full pace. Found by reading the change again.

--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -14,9 +14,12 @@
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _placement
+from citronrail.workflow import _step_ranking
 from citronrail.workflow import _worker_view
 
 HOLD_S = 2.0  # runs settle in less, unless their worker is in trouble
+# After this wait a task may return to a host that a crash pointed to.
+BLAMED_HOST_WAIT_S = 1.5
 # Share of a service's workers that are on probation or held at a time.
 MAX_RESERVED_RATIO = 0.5
 
@@ -62,7 +65,7 @@
     factors: _interference.PairFactors
     now: float
 
-    def take(self, task: _job.Task) -> _placement.WorkerCapacity | None:
+    def take(self, task: _job.Task) -> _step_ranking.Choice | None:
         """Choose a worker for a suspected task and reserve it for its job.
 
         A worker with few runs loses little if it crashes; that is often the
@@ -70,7 +73,7 @@
         host that is unstable.
 
         :param task: the task.
-        :returns: the worker, None if the task has to wait.
+        :returns: the choice, None if the task has to wait.
         """
         job = task.stage.job
         fitting = [
@@ -94,8 +97,10 @@
         view.probation_job = job
         view.held_until = 0.0
         chosen.reserved = True
-        chosen.reserve(task.stage.spec, task.stage.name)
-        return chosen
+        spec = task.stage.spec
+        pace = _placement.initial_pace(spec, chosen, self.factors)
+        chosen.reserve(spec, task.stage.name)
+        return _step_ranking.Choice(chosen, pace)
 
     def hold(self, tasks: collections.abc.Sequence[_job.Task]) -> None:
         """Hold a worker for each task that found none.
@@ -121,16 +126,18 @@
     def _fitting(self, task: _job.Task) -> list[_placement.WorkerCapacity]:
         """Return the workers that may start a task.
 
-        Hosts that a crash has pointed to are left out unless there is no
-        other host of the service.
+        Hosts that a crash has pointed to are left out at first; others may be
+        too small or full.
         """
         blamed = {crash.node for crash in task.crashes if crash.sole}
-        others = [c for c in self.candidates if c.node not in blamed]
+        if self.now - task.retry_at > BLAMED_HOST_WAIT_S:
+            blamed = set()
         spec = task.stage.spec
         return [
             candidate
-            for candidate in others or self.candidates
-            if _placement.evaluate(
+            for candidate in self.candidates
+            if candidate.node not in blamed
+            and _placement.evaluate(
                 spec,
                 task.stage.name,
                 candidate,
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -185,14 +185,11 @@
             now,
         )
         for task in _suspected_tasks(stages, now):
-            candidate = probation.take(task)
-            if candidate is None:
+            choice = probation.take(task)
+            if choice is None:
                 waiting.setdefault(service, []).append(task)
                 break
-            attempt = _assign(
-                scheduler_state, task, candidate, task.last_run + 1
-            )
-            placed.append(attempt)
+            placed.append(_assign_choice(scheduler_state, task, choice))
     for service, tasks in waiting.items():
         _probation.Probation(
             scheduler_state.workers,
@@ -298,13 +295,7 @@
         if choice is None:
             fleet.failures.add(fleet.service, spec, wait_for_low_impact)
             break
-        attempt = _assign(
-            scheduler_state, task, choice.candidate, task.last_run + 1
-        )
-        if spec.fills and choice.pace < THROTTLED_START_BELOW_PERCENT:
-            attempt.pace = choice.pace
-            attempt.pace_due = True
-        placed.append(attempt)
+        placed.append(_assign_choice(scheduler_state, task, choice))
     return placed
 
 
@@ -379,6 +370,20 @@
     return placed
 
 
+def _assign_choice(
+    scheduler_state: _scheduler_state.SchedulerState,
+    task: _job.Task,
+    choice: _step_ranking.Choice,
+) -> _job.Attempt:
+    attempt = _assign(
+        scheduler_state, task, choice.candidate, task.last_run + 1
+    )
+    if task.stage.spec.fills and choice.pace < THROTTLED_START_BELOW_PERCENT:
+        attempt.pace = choice.pace
+        attempt.pace_due = True
+    return attempt
+
+
 def _assign(
     scheduler_state: _scheduler_state.SchedulerState,
     task: _job.Task,
