Suspect only runs that a lost worker had not listed yet

A run counted as new on its worker for up to a second, and for 3 s if its task had lost two workers before; while a suspected one was new, nothing else started on its worker.

Only runs that were not listed yet, or were ordered less than 0.5 s before the loss, can have caused it: the tasks of the issue crash a worker within 10 ms. Listed runs are no longer recorded, which removes a second kind of record. A task that was lost once among others waits at most 1.5 s for a worker of its own. What a successor can't know is narrowed to 6 s before a worker came back.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -4,8 +4,8 @@
 along and lists no ends, so that a crash looks alike for the task that caused
 it and for those that merely ran there. These rules tell them apart:
 
-* A run is new on its worker until it has been seen there for a while. The
-  new runs of a crashed worker are suspected, the others hardly.
+* Only a run that is new on its worker can have caused a crash: one that the
+  worker has not listed yet, or that was ordered right before.
 * A suspected task starts only as the one new run of its worker (see
   :mod:`citronrail.workflow._probation`), so that a further crash points to
   its job alone.
@@ -26,18 +26,15 @@
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _worker_view
 
-# From the first to the latest list with a run, until it counts as settled.
-SETTLED_S = 0.4
-# The same for a task whose settled runs were lost LATE_CRASHES times: it may
-# crash its workers some time after the start.
-SETTLED_LATE_S = 3.0
-LATE_CRASHES = 2
 # A crash points to a run only if its worker was lost so soon after the order.
 NEAR_START_S = 0.5
-# A run that lasted this long shows that its task does not crash workers.
-CLEARED_S = 10.0
-# Crashes of new runs before a task is given up, and how many of them must
-# point to it alone.
+# A run that was listed for this long shows that its task crashes no workers.
+CLEARED_S = 3.0
+# Runs that a predecessor assigned so long before a worker came back were
+# cleared when it was lost; workers are back within some seconds.
+INHERITED_NEW_S = 6.0
+# Crashes before a task is given up, and how many of them must point to it
+# alone.
 MIN_CRASHES = 3
 MIN_SOLE_CRASHES = 2
 # One more must point to it if this share of the workers has crashed without
@@ -49,19 +46,9 @@
 MAX_LOGGED_RUNS = 8
 
 
-def is_settled(attempt: _job.Attempt, view: _worker_view.WorkerView) -> bool:
-    """Whether a run has been on its worker's lists for long enough.
-
-    :param attempt: the run.
-    :param view: its worker.
-    """
-    least_s = SETTLED_LATE_S if _may_crash_late(attempt.task) else SETTLED_S
-    return _listed_s(attempt, view) >= least_s
-
-
 def is_quiet(view: _worker_view.WorkerView) -> bool:
     """Whether a crash of the worker would point to none of its runs."""
-    return all(is_settled(item, view) for item in view.attempts.values())
+    return all(attempt.listed_at for attempt in view.attempts.values())
 
 
 def is_proved(
@@ -74,11 +61,10 @@
     :param unexplained_ratio: recent crashes without suspected tasks as a
         share of all workers.
     """
-    crash_count = sum(crash.new for crash in crashes)
     sole_count = sum(crash.sole for crash in crashes)
     needed = MIN_SOLE_CRASHES + int(unexplained_ratio / UNEXPLAINED_RATIO)
-    return crash_count >= MAX_CRASHES or (
-        crash_count >= MIN_CRASHES and sole_count >= needed
+    return len(crashes) >= MAX_CRASHES or (
+        len(crashes) >= MIN_CRASHES and sole_count >= needed
     )
 
 
@@ -86,15 +72,14 @@
 class _Loss:
     """The end of a worker incarnation that nobody had announced.
 
-    ``new`` are the runs that were new on it, ``old`` the others that are not
-    cleared. ``near_start`` tells whether the worker may have been lost right
-    after the start of a new one. ``at`` is the local time in seconds.
+    ``runs`` are those that were new on it. ``near_start`` tells whether it may
+    have been lost right after the start of one. ``at`` is the local time in
+    seconds.
     """
 
     node: str
     life: tuple[str, int]
-    new: tuple[_job.Attempt, ...]
-    old: tuple[_job.Attempt, ...]
+    runs: tuple[_job.Attempt, ...]
     near_start: bool
     at: float
 
@@ -127,20 +112,17 @@
         attempts = [attempt for attempt in attempts if attempt.ordered]
         view.presumed_lost = []
         _log_loss(view, attempts)
-        new, old = [], []
-        for attempt in attempts:
-            if attempt.stop_reason and not attempt.listed_at:
-                # Ordered from an earlier incarnation, whose crash counted.
-                continue
-            if not is_settled(attempt, view):
-                new.append(attempt)
-            elif _listed_s(attempt, view) < CLEARED_S:
-                old.append(attempt)
+        # Those ordered from an earlier incarnation counted with its crash.
+        new = [
+            attempt
+            for attempt in attempts
+            if _is_new(attempt, view)
+            and (attempt.listed_at or not attempt.stop_reason)
+        ]
         near_start = any(_is_near_start(attempt, view) for attempt in new)
         life = (view.worker_id, view.life.born_ms)
         self._attribute(
-            _Loss(view.node, life, tuple(new), tuple(old), near_start, now),
-            unix_now,
+            _Loss(view.node, life, tuple(new), near_start, now), unix_now
         )
 
     def on_inherited_runs_lost(
@@ -152,8 +134,7 @@
     ) -> None:
         """Attribute the loss of runs that an earlier scheduler assigned.
 
-        It isn't known when they were listed. Those that were assigned long
-        before the present incarnation started count as cleared.
+        It isn't known which of them had been listed.
 
         :param attempts: runs of earlier incarnations of one worker.
         :param born_ms: Unix time of the present one in milliseconds.
@@ -162,11 +143,11 @@
         """
         by_life: dict[tuple[str, int], list[_job.Attempt]] = {}
         for attempt in attempts:
-            if attempt.assigned_at > born_ms / 1000 - CLEARED_S:
+            if attempt.assigned_at > born_ms / 1000 - INHERITED_NEW_S:
                 by_life.setdefault(attempt.life, []).append(attempt)
-        for life, new in by_life.items():
+        for life, runs in by_life.items():
             self._attribute(
-                _Loss(new[0].node, life, tuple(new), (), True, now), unix_now
+                _Loss(runs[0].node, life, tuple(runs), True, now), unix_now
             )
 
     def on_leases_expired(self, view: _worker_view.WorkerView) -> None:
@@ -177,9 +158,9 @@
         if view.draining:
             return
         for attempt in view.attempts.values():
-            if attempt.ordered and not is_settled(attempt, view):
+            if attempt.ordered and not attempt.listed_at:
                 view.presumed_lost.append(attempt)
-                self._add(attempt, sole=False, new=True)
+                self._add(attempt, sole=False)
 
     def on_worker_back(self, view: _worker_view.WorkerView) -> None:
         """Withdraw the suspicion against runs of a worker that lives on."""
@@ -196,7 +177,11 @@
     ) -> None:
         """Clear a task whose run has lasted for long."""
         task = attempt.task
-        if task.crashes and _listed_s(attempt, view) >= CLEARED_S:
+        if (
+            task.crashes
+            and attempt.listed_at
+            and view.listed_at - attempt.listed_at >= CLEARED_S
+        ):
             task.crashes = ()
             self._scheduler_state.dirty.add(task.stage.job)
 
@@ -207,19 +192,16 @@
             for item in self._unexplained
             if item.at > loss.at - UNEXPLAINED_WINDOW_S
         ]
-        suspected = any(attempt.task.suspected for attempt in loss.new)
-        jobs = {attempt.task.stage.job for attempt in loss.new}
+        suspected = any(attempt.task.crashes for attempt in loss.runs)
+        jobs = {attempt.task.stage.job for attempt in loss.runs}
         sole = loss.near_start and len(jobs) == 1
-        for attempt in loss.new:
+        for attempt in loss.runs:
             others = self._unexplained_without(attempt.task)
             host_is_sound = all(loss.node != item.node for item in others)
-            self._add(attempt, sole=sole and host_is_sound, new=True)
-        if not (sole and suspected):
-            for attempt in loss.old:
-                self._add(attempt, sole=False, new=False)
+            self._add(attempt, sole=sole and host_is_sound)
         if not suspected:
             self._unexplained.append(loss)
-        for attempt in loss.new:
+        for attempt in loss.runs:
             self._give_up_if_proved(attempt.task, unix_now)
 
     def _unexplained_without(self, task: _job.Task) -> list[_Loss]:
@@ -229,7 +211,7 @@
             item for item in self._unexplained if item.life not in own_lives
         ]
 
-    def _add(self, attempt: _job.Attempt, *, sole: bool, new: bool) -> None:
+    def _add(self, attempt: _job.Attempt, *, sole: bool) -> None:
         """Record a crash for a task; a known one never loses its weight."""
         task = attempt.task
         if task.done:
@@ -241,13 +223,9 @@
             else:
                 others.append(known)
         worker_id, born_ms = attempt.life
-        crash = documents.CrashRecord(
-            worker_id, born_ms, attempt.node, sole, new
-        )
+        crash = documents.CrashRecord(worker_id, born_ms, attempt.node, sole)
         task.crashes = (*others, crash)
         self._scheduler_state.dirty.add(task.stage.job)
-        if not new:
-            return
         observability.emit(
             events.TASK_SUSPECTED,
             task=task.name,
@@ -275,27 +253,19 @@
         self._scheduler_state.end_job(job, unix_now, 'the job is given up')
 
 
-def _listed_s(attempt: _job.Attempt, view: _worker_view.WorkerView) -> float:
-    """Return for how long a run has been listed, -1 if it never was."""
+def _is_new(attempt: _job.Attempt, view: _worker_view.WorkerView) -> bool:
+    """Whether a run was new on a worker when that was lost."""
     if not attempt.listed_at:
-        return -1.0
-    return view.listed_at - attempt.listed_at
-
-
-def _may_crash_late(task: _job.Task) -> bool:
-    return sum(not crash.new for crash in task.crashes) >= LATE_CRASHES
+        return True
+    return bool(view.unreachable_since) and _is_near_start(attempt, view)
 
 
 def _is_near_start(
     attempt: _job.Attempt, view: _worker_view.WorkerView
 ) -> bool:
-    """Whether a worker was lost right after the order of a run.
-
-    :param attempt: a run that was new on the worker.
-    :param view: the worker.
-    """
-    if not view.unreachable_since or _may_crash_late(attempt.task):
-        return True  # the time of the loss is unknown or doesn't matter
+    """Whether a worker was lost right after the order of a run."""
+    if not view.unreachable_since:
+        return True  # the time of the loss is unknown
     return view.unreachable_since - attempt.order_sent_at < NEAR_START_S
 
 
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -60,13 +60,12 @@
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
-    """A worker incarnation that was lost while it ran a task."""
+    """A worker that was lost while a task's run was new on it."""
 
     worker_id: str
     born_ms: int
     node: str  # agent on the worker's host
-    sole: bool  # no other job had a run that was new on the worker
-    new: bool  # the task's run was new on the worker
+    sole: bool  # no other job had a new run there
 
     @property
     def life(self) -> tuple[str, int]:
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -131,7 +131,8 @@
         self.failures = 0
         self.failed_on = ''  # agent of the last failed run
         self.checkpoint = ''
-        # Workers that were lost while they ran it.
+        # Workers that were lost when a run of it was new there; not empty if
+        # the task is suspected to crash its workers.
         self.crashes: tuple[documents.CrashRecord, ...] = ()
         self.attempts: list[Attempt] = []
         self.retry_at = 0.0
@@ -141,11 +142,6 @@
         """Whether it needs a run and none exists."""
         return not self.done and not self.attempts
 
-    @property
-    def suspected(self) -> bool:
-        """Whether it may crash the workers that start it."""
-        return len(self.crashes) > 1 or any(c.new for c in self.crashes)
-
     def record(self) -> documents.TaskRecord:
         """Return the record to store."""
         return documents.TaskRecord(
--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -2,8 +2,8 @@
 
 Answers a task that crashes each worker that starts it, beside other tasks
 that start all the time: a suspected task starts on a worker without other new
-runs, and nothing else starts there until it has settled. Where all workers
-have new runs, some are held until theirs have settled.
+runs, and nothing else starts there until it is listed. Where all workers have
+new runs, some are held until theirs are listed.
 """
 
 import collections
@@ -17,30 +17,41 @@
 from citronrail.workflow import _step_ranking
 from citronrail.workflow import _worker_view
 
-HOLD_S = 2.0  # runs settle in less, unless their worker is in trouble
-# After this wait a task may return to a host that a crash pointed to.
-BLAMED_HOST_WAIT_S = 1.5
+HOLD_S = 2.0  # new runs are listed in less, or their worker is in trouble
+# After this wait a task may return to a host that a crash pointed to, and one
+# that was lost only once, among other new runs, starts like any other.
+MAX_WAIT_S = 1.5
 # Share of a service's workers that are on probation or held at a time.
 MAX_RESERVED_RATIO = 0.5
 
 Workers = collections.abc.Mapping[str, _worker_view.WorkerView]
 
 
-def end_settled(workers: Workers) -> None:
-    """End the probation of workers on which the suspected runs settled.
+def end_listed(workers: Workers) -> None:
+    """End the probation of workers that have listed the suspected runs.
 
     :param workers: all workers.
     """
     for view in workers.values():
         job = view.probation_job
         if job is not None and not any(
-            attempt.task.stage.job is job
-            and not _crashes.is_settled(attempt, view)
+            attempt.task.stage.job is job and not attempt.listed_at
             for attempt in view.attempts.values()
         ):
             view.probation_job = None
 
 
+def must_start_alone(task: _job.Task, now: float) -> bool:
+    """Whether a task may only start as the one new run of its worker.
+
+    :param task: a waiting task.
+    :param now: local time in seconds.
+    """
+    if len(task.crashes) == 1 and not task.crashes[0].sole:
+        return now - task.retry_at <= MAX_WAIT_S
+    return bool(task.crashes)
+
+
 def is_reserved(view: _worker_view.WorkerView, now: float) -> bool:
     """Whether only a suspected task may start on a worker.
 
@@ -130,7 +141,7 @@
         too small or full.
         """
         blamed = {crash.node for crash in task.crashes if crash.sole}
-        if self.now - task.retry_at > BLAMED_HOST_WAIT_S:
+        if self.now - task.retry_at > MAX_WAIT_S:
             blamed = set()
         spec = task.stage.spec
         return [
@@ -162,7 +173,4 @@
 
     def _new_run_count(self, candidate: _placement.WorkerCapacity) -> int:
         view = self.workers[candidate.node]
-        return sum(
-            not _crashes.is_settled(attempt, view)
-            for attempt in view.attempts.values()
-        )
+        return sum(not attempt.listed_at for attempt in view.attempts.values())
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -166,7 +166,7 @@
             if view.matches(attempt.worker_id, attempt.born_ms):
                 view.attempts[attempt.key] = attempt
                 attempt.order_sent_at = now
-                if attempt.task.suspected:
+                if attempt.task.crashes:
                     view.probation_job = attempt.task.stage.job
             else:
                 lost.append(attempt)
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -4,7 +4,6 @@
 import dataclasses
 
 from citronrail.model import workflows
-from citronrail.workflow import _crashes
 from citronrail.workflow import _health
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
@@ -133,7 +132,7 @@
     :param unix_now: Unix time in seconds.
     :returns: the new runs; they must be committed before they are ordered.
     """
-    _probation.end_settled(scheduler_state.workers)
+    _probation.end_listed(scheduler_state.workers)
     ordered = _ordered_stages(scheduler_state, policy, now, unix_now)
     if not ordered:
         return []
@@ -207,7 +206,11 @@
         if stage.spec.gang:
             continue
         for task in stage.tasks:
-            if task.suspected and task.waiting and task.retry_at <= now:
+            if (
+                task.waiting
+                and task.retry_at <= now
+                and _probation.must_start_alone(task, now)
+            ):
                 yield task
 
 
@@ -276,7 +279,9 @@
     waiting = [
         task
         for task in stage.tasks
-        if task.waiting and task.retry_at <= now and not task.suspected
+        if task.waiting
+        and task.retry_at <= now
+        and not _probation.must_start_alone(task, now)
     ]
     if not waiting or fleet.failures.cover(
         fleet.service, spec, wait_for_low_impact
@@ -305,7 +310,7 @@
     now: float,
 ) -> bool:
     """Whether a second run of a task may end before the present one."""
-    if not task.stage.spec.speculative or task.done or task.suspected:
+    if not task.stage.spec.speculative or task.done or task.crashes:
         return False
     if len(task.attempts) != 1 or task.retry_at > now:
         return False
@@ -313,7 +318,7 @@
     view = scheduler_state.workers.get(attempt.node)
     if view is None or not attempt.order_sent_at:
         return False
-    if not _crashes.is_settled(attempt, view):
+    if not attempt.listed_at:
         return False  # its worker may be silent because of this very task
     estimate_s = task.stage.spec.estimate_s
     elapsed_s = now - attempt.order_sent_at
