Explain a given up job, and test the decision by itself

`citronrail explain` named no cause for a job that was given up, as none of its runs ended as failed; the new test failed before. Tables for the decision whether crashes prove a task, the loss that falls between two schedulers, and progress records of earlier versions; these held when they were written.

--- a/citronrail/cli/_explain.py
+++ b/citronrail/cli/_explain.py
@@ -123,6 +123,8 @@
     status = ended.fields.get('status', '') if ended else 'open'
     if status == 'cancelled':
         return 'its caller cancelled it'
+    if status == 'failed' and 'CR1750' in by_event:
+        return by_event['CR1750'].message.removeprefix('CR1750 ')
     if status == 'failed':
         failed = [line for line in problems if line.event == 'CR1731']
         runs = ', '.join(
--- a/citronrail/cli/tests/test_explain.py
+++ b/citronrail/cli/tests/test_explain.py
@@ -84,6 +84,19 @@
     assert f'{JOB}.0.0.0#3' in text
 
 
+async def test_job_that_was_given_up(log, autojump_clock):
+    """Guards a job that failed without any run that ended as failed."""
+
+    async def body(cluster):
+        cluster.plans[f'{JOB}.0.0.0'] = task_worker.TaskPlan(crashes=True)
+        await cluster.submit(JOB, _cluster.one_step())
+        await cluster.until_state(JOB, 'failed')
+
+    await _run_world(body)
+    _, text = _explain_logs(log)
+    assert f'cause: task {JOB}.0.0.0 is given up' in text.splitlines()[-1]
+
+
 def test_unknown_id_and_unrelated_lines(log):
     """Guards against an explanation that isn't based on any line."""
     log.write('no json\n{"half": \n[1]\n{"event": 3}\n')
--- /dev/null
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -0,0 +1,112 @@
+"""Tests of the decision whether crashes show that a task causes them."""
+
+import pytest
+
+from citronrail.model import messages
+from citronrail.model import workflows
+from citronrail.workflow import _crashes
+from citronrail.workflow import _documents as documents
+from citronrail.workflow import _reports
+from citronrail.workflow import _scheduler_state
+from citronrail.workflow.tests import _cluster
+
+TOKEN = 9
+JOB = '00000000000000b1'
+BORN_MS = 1_700_000_000_000
+NOW = 100.0
+UNIX_NOW = BORN_MS / 1000 + 10.0
+
+
+def _crash(number, sole):
+    return documents.CrashRecord(f'w{number}', number, f'a{number}', sole)
+
+
+@pytest.mark.parametrize(
+    ('sole', 'unexplained_ratio', 'proved'),
+    [
+        ((True, True), 0.0, False),
+        ((False, True, True), 0.0, True),
+        ((False, False, True), 0.0, False),
+        ((False, True, True), 0.3, False),
+        ((True, True, True), 0.3, True),
+        ((False, False, False, False), 0.0, True),
+    ],
+    ids=[
+        'two crashes may be a coincidence',
+        'two of three point to it',
+        'one of three points to it',
+        'workers crash by themselves, too',
+        'more than those explain',
+        'no further start is allowed',
+    ],
+)
+def test_proof_needs_several_crashes(sole, unexplained_ratio, proved):
+    """Guards against giving up too early, or never."""
+    crashes = [_crash(number, item) for number, item in enumerate(sole)]
+    assert _crashes.is_proved(crashes, unexplained_ratio) is proved
+
+
+@pytest.mark.parametrize(
+    ('assigned_s_before', 'suspected'),
+    [(1.0, True), (60.0, False)],
+    ids=['just assigned', 'assigned long before'],
+)
+def test_successor_counts_crashes_that_it_did_not_see(
+    assigned_s_before, suspected
+):
+    """Guards against a crash that falls between two schedulers.
+
+    The worker is back under another ID before the successor hears of it.
+    """
+    state = _scheduler_state.SchedulerState(lambda name: _cluster.QUEUE)
+    attempt = documents.AttemptRecord(
+        1, 'a0', 'w0', 1, BORN_MS / 1000 - assigned_s_before
+    )
+    task = documents.TaskRecord(last_run=1, attempts=(attempt,))
+    state.progress[JOB] = documents.ProgressRecord(
+        'running', stages=((task,),)
+    )
+    record = documents.JobRecord(JOB, 'q', 'pool', 0.0, _cluster.one_step())
+    state.add_job(record, NOW, UNIX_NOW)
+    reports = _reports.Reports(state, workflows.Bounds(), TOKEN)
+    life = messages.WorkerLife(
+        'w1', BORN_MS, 'pool', 'dc', 'ready', 4000, 8000, 0
+    )
+    report = messages.WorkerReport(TOKEN, life, clock_ms=1000)
+    reports.take('a0', report, NOW, UNIX_NOW)
+    (task,) = state.jobs[JOB].stages[0].tasks
+    assert task.waiting
+    assert bool(task.crashes) is suspected
+    assert state.jobs[JOB] in state.dirty  # stored before the next start
+
+
+def test_crashes_are_stored_with_the_progress():
+    """Guards against a count that a restart of all entries forgets."""
+    task = documents.TaskRecord(crashes=(_crash(1, True),))
+    progress = documents.ProgressRecord('running', stages=((task,),))
+    data = documents.encode(progress)
+    assert documents.decode(data, documents.ProgressRecord) == progress
+
+
+def test_progress_of_earlier_versions_is_read():
+    """Guards against losing jobs that were stored before an update."""
+    old = (
+        'running',
+        0.0,
+        (
+            (
+                (
+                    False,
+                    1,
+                    0,
+                    '',
+                    (((1, 'a0', 'w0', 7),)),
+                ),
+            ),
+        ),
+    )
+    progress = documents.decode(
+        documents.encode(old), documents.ProgressRecord
+    )
+    (task,) = progress.stages[0]
+    assert (task.crashes, task.attempts[0].assigned_at) == ((), 0.0)
