Keep a worker that announced its stop out of use until its next life

An agent that was restarted accepts a late announcement from before the drain, as it knows no sequence number, and the scheduler took the worker for ready again: a server that had left came back after a restart (DRAIN). The announced stop now holds for the rest of the incarnation. The test failed before.

--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -1,5 +1,7 @@
 """Applies agents' reports to the scheduler's state."""
 
+import dataclasses
+
 from citronrail.model import messages
 from citronrail.model import workflows
 from citronrail import observability
@@ -98,6 +100,9 @@
         """
         view = self._scheduler_state.workers.get(node)
         if view is not None and view.matches(life.worker_id, life.born_ms):
+            if view.draining:
+                # A worker never takes its announced stop back.
+                life = dataclasses.replace(life, state=view.life.state)
             if life.state != view.life.state:
                 self._log_incarnation(node, life)
             view.drain_ends_at = now + life.drain_left_s
--- a/citronrail/workflow/tests/test_reports.py
+++ b/citronrail/workflow/tests/test_reports.py
@@ -58,3 +58,28 @@
     assert bool(task.attempts) is waits
     scheduler_state.expire_leases(NOW + MAX_LEASE_S + 0.1)
     assert not task.attempts
+
+
+def test_worker_that_leaves_is_not_used_again_after_a_late_announcement():
+    """Guards against starts on a worker that had announced its stop (DRAIN).
+
+    An agent that was restarted knows no sequence number, so that a late
+    announcement from before the drain looks new to it.
+    """
+    scheduler_state = _scheduler_state.SchedulerState(
+        lambda name: _cluster.QUEUE
+    )
+    reports = _reports.Reports(scheduler_state, workflows.Bounds(), TOKEN)
+    for state in ('ready', 'draining', 'ready'):
+        life = messages.WorkerLife('w0', 1, 'pool', 'dc', state, 4000, 8000, 0)
+        reports.take(
+            'a0', messages.WorkerReport(TOKEN, life, clock_ms=1000), NOW, 0.0
+        )
+    assert not scheduler_state.workers['a0'].usable(NOW)
+    next_life = messages.WorkerLife(
+        'w0', 2, 'pool', 'dc', 'ready', 4000, 8000, 0
+    )
+    reports.take(
+        'a0', messages.WorkerReport(TOKEN, next_life, clock_ms=1000), NOW, 0.0
+    )
+    assert scheduler_state.workers['a0'].usable(NOW)
