--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -112,7 +112,8 @@
         attempts = [attempt for attempt in attempts if attempt.ordered]
         view.presumed_lost = []
         _log_loss(view, attempts)
-        # Those ordered from an earlier incarnation counted with its crash.
+        # A run that was ordered from an earlier incarnation, and is only kept
+        # to be stopped, was recorded when that incarnation was lost.
         new = [
             attempt
             for attempt in attempts
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -173,16 +173,19 @@
     now: float,
 ) -> list[_job.Attempt]:
     """Assign waiting tasks that may crash the workers that start them."""
+    probations = {
+        service: _probation.Probation(
+            scheduler_state.workers, candidates, policy.factors, now
+        )
+        for service, candidates in by_service.items()
+    }
     placed: list[_job.Attempt] = []
     waiting: dict[str, list[_job.Task]] = {}  # one task of each job
     for job, stages in ordered:
         service = policy.service_of(job)
-        probation = _probation.Probation(
-            scheduler_state.workers,
-            by_service.get(service, []),
-            policy.factors,
-            now,
-        )
+        probation = probations.get(service)
+        if probation is None:
+            continue
         for task in _suspected_tasks(stages, now):
             choice = probation.take(task)
             if choice is None:
@@ -190,12 +193,7 @@
                 break
             placed.append(_assign_choice(scheduler_state, task, choice))
     for service, tasks in waiting.items():
-        _probation.Probation(
-            scheduler_state.workers,
-            by_service.get(service, []),
-            policy.factors,
-            now,
-        ).hold(tasks)
+        probations[service].hold(tasks)
     return placed
 
 
@@ -207,7 +205,8 @@
             continue
         for task in stage.tasks:
             if (
-                task.waiting
+                task.crashes
+                and task.waiting
                 and task.retry_at <= now
                 and _probation.must_start_alone(task, now)
             ):
