--- a/citronrail/workflow/_order_sender.py
+++ b/citronrail/workflow/_order_sender.py
@@ -109,8 +109,6 @@
             and view.matches(attempt.worker_id, attempt.born_ms)
             and view.usable(now)
             and view.life.data_centre not in self._operators.evacuated
-            # The capacity may have shrunk while the commit took its time.
-            and not _round.remaining_capacity(view).overcommitted
         )
 
     def _discard_unordered(self, attempt: _job.Attempt, now: float) -> None:
@@ -129,6 +127,8 @@
         startable = [
             item for item in starting if self._still_wanted(view, item, now)
         ]
+        if startable and _round.remaining_capacity(view).overcommitted:
+            startable = []  # its capacity has shrunk during the commit
         due = _orders.due_orders(
             view, startable, self._leadership.fencing, self._lease_s, now
         )
