--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -46,11 +46,6 @@
 MAX_LOGGED_RUNS = 8
 
 
-def is_quiet(view: _worker_view.WorkerView) -> bool:
-    """Whether a crash of the worker would point to none of its runs."""
-    return all(attempt.listed_at for attempt in view.attempts.values())
-
-
 def is_proved(
     crashes: collections.abc.Sequence[documents.CrashRecord],
     unexplained_ratio: float,
--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -10,7 +10,6 @@
 import collections.abc
 import dataclasses
 
-from citronrail.workflow import _crashes
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _placement
@@ -130,7 +129,9 @@
             ]
             if not fitting or self._at_limit():
                 continue
-            chosen = min(fitting, key=self._new_run_count)
+            chosen = min(
+                fitting, key=lambda item: self.workers[item.node].new_run_count
+            )
             chosen.reserved = True
             self.workers[chosen.node].held_until = self.now + HOLD_S
 
@@ -164,13 +165,9 @@
         view = self.workers[candidate.node]
         if view.probation_job is not None:
             return view.probation_job is job
-        return _crashes.is_quiet(view)
+        return not view.new_run_count
 
     def _at_limit(self) -> bool:
         reserved = sum(candidate.reserved for candidate in self.candidates)
         limit = max(1, int(MAX_RESERVED_RATIO * len(self.candidates)))
         return reserved >= limit
-
-    def _new_run_count(self, candidate: _placement.WorkerCapacity) -> int:
-        view = self.workers[candidate.node]
-        return sum(not attempt.listed_at for attempt in view.attempts.values())
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -86,6 +86,11 @@
             and now - self.listed_at < MAX_LIST_AGE_S
         )
 
+    @property
+    def new_run_count(self) -> int:
+        """Number of runs that the worker has not listed yet."""
+        return sum(not attempt.listed_at for attempt in self.attempts.values())
+
     def leases_expired(self, now: float) -> bool:
         """Whether there are runs, all of which have certainly ended."""
         return bool(self.attempts) and now > self.lease_ends_at
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -120,24 +120,25 @@
 
     def simulate_restart(self) -> None:
         """Lose all runs and start a new incarnation under the same id."""
-        now = trio.current_time()
-        for task, run in list(self._runs):
-            self._history.crashed(self.worker_id, task, run, now)
+        self._lose_runs()
         self._reset_state()
 
     async def crash(self) -> None:
         """Lose all runs and be down until the next incarnation starts."""
         if self.faults.down:
             return
-        now = trio.current_time()
-        for task, run in list(self._runs):
-            self._history.crashed(self.worker_id, task, run, now)
-        self._runs.clear()
+        self._lose_runs()
         self.faults.down = True
         await trio.sleep(self._down_s)
         self._reset_state()
         self.faults.down = False
 
+    def _lose_runs(self) -> None:
+        now = trio.current_time()
+        for task, run in self._runs:
+            self._history.crashed(self.worker_id, task, run, now)
+        self._runs.clear()
+
     def _reset_state(self) -> None:
         self._incarnation += 1
         self._born_at = trio.current_time()
