Tell stops of missing and unknown runs, and late reports, apart in logs

What callers saw: work that was accepted was stopped and started over. Cause of the gap: runs that are missing from lists and runs that the leader does not know are stopped without an event, and nothing shows how old the reports are that a decision is based on. Change: CR1735 and CR1736 name these stops, a counter has all stops by reason. Orders are numbered; a report says which orders its agent had received, and which it had carried out before the list was requested. Their age is a histogram, CR1737 warns above 1 s; a histogram has the time of a round. No decision uses the new fields yet.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -93,7 +93,8 @@
 
     ``worker_id`` and ``born_ms`` identify the worker incarnation; an
     empty id asks for a report only. ``lease_until_ms`` is on the worker's
-    clock, 0 for none.
+    clock, 0 for none. ``number`` counts the orders of one scheduler to that
+    incarnation.
     """
 
     fencing: int
@@ -104,6 +105,7 @@
     starts: tuple[StartOrder, ...] = ()
     stops: tuple[TaskRun, ...] = ()
     paces: tuple[PaceOrder, ...] = ()
+    number: int = 0
 
 
 @_registry.message
@@ -115,7 +117,9 @@
     ``token`` is the highest token that the agent has seen. If the worker
     stays unresponsive, its runs end within ``lease_left_s``, counting only
     orders up to ``lease_until_ms``. ``unreachable`` is set if the last list
-    call failed.
+    call failed. ``received`` is the highest number of the orders under
+    ``token`` that had arrived; those up to ``settled`` had been carried out
+    before the list was requested.
     """
 
     fencing: int
@@ -129,6 +133,8 @@
     lease_until_ms: int = 0
     lease_left_s: float = 0.0
     unreachable: bool = False
+    received: int = 0
+    settled: int = 0
 
 
 @_registry.message
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -91,6 +91,23 @@
 RUN_STOPPED = _events.EventKind(
     1734, 'INFO', 'stopping {task}#{run} on {worker}: {reason}'
 )
+MISSING_RUN_STOPPED = _events.EventKind(
+    1735,
+    'INFO',
+    'stopping {task}#{run} on {worker}: not listed {seconds} s after its '
+    'order {number}; reports reflect order {settled}',
+)
+UNKNOWN_RUN_STOPPED = _events.EventKind(
+    1736,
+    'INFO',
+    'stopping {task}#{run} on {worker}: this scheduler does not know the run',
+)
+REPORTS_LATE = _events.EventKind(
+    1737,
+    'WARNING',
+    'reports of {workers} workers are up to {seconds} s old when they are '
+    'applied',
+)
 WORKER_LIFE = _events.EventKind(
     1740, 'INFO', 'worker {worker} born {born} on {node} is {state}'
 )
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -29,6 +29,7 @@
         'moved_at',
         'node',
         'number',
+        'order_number',
         'order_sent_at',
         'ordered',
         'pace',
@@ -64,6 +65,8 @@
         self.assigned_at = assigned_at  # Unix time in seconds
         self.ordered = False  # whether the start order may have been sent
         self.order_sent_at = 0.0
+        # Number of the start order; 0 if another scheduler sent it.
+        self.order_number = 0
         self.listed_at = 0.0  # first time on the worker's list
         self.listed_percent = 0  # progress at that time
         self.missing_since = 0.0  # ordered, but not listed since then
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -31,6 +31,21 @@
     'Runs that ended, by how they ended',
     ['how'],
 )
+RUNS_STOPPED = prometheus_client.Counter(
+    'citronrail_workflow_runs_stopped',
+    'Runs that the scheduler ordered to stop, by reason',
+    ['reason'],
+)
+REPORT_AGE_SECONDS = prometheus_client.Histogram(
+    'citronrail_workflow_report_age_seconds',
+    'Age of the oldest order that an applied report does not reflect',
+    buckets=(0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10, 20),
+)
+ROUND_SECONDS = prometheus_client.Histogram(
+    'citronrail_workflow_round_seconds',
+    'Time of a scheduling round with its commit and the sending of orders',
+    buckets=(0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5, 10),
+)
 WORKERS_LOST = prometheus_client.Counter(
     'citronrail_workflow_workers_lost',
     'Worker incarnations that were replaced without having drained',
--- a/citronrail/workflow/_orders.py
+++ b/citronrail/workflow/_orders.py
@@ -3,7 +3,10 @@
 import dataclasses
 
 from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _job
+from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _worker_view
 
@@ -57,6 +60,7 @@
             starts=tuple(_start_order(attempt) for attempt in starting),
             stops=stops,
             paces=paces,
+            number=view.orders.add(now),
         ),
         tuple(starting),
     )
@@ -100,6 +104,8 @@
             continue
         if now - attempt.stop_sent_at < _scheduler_state.STOP_RETRY_S:
             continue
+        if missing and not attempt.stop_requested_at:
+            _log_missing(view, attempt, now)
         attempt.stop_sent_at = now
         attempt.stop_requested_at = attempt.stop_requested_at or now
         stops.append(messages.TaskRun(attempt.task.name, attempt.number))
@@ -110,6 +116,21 @@
     return tuple(stops)
 
 
+def _log_missing(
+    view: _worker_view.WorkerView, attempt: _job.Attempt, now: float
+) -> None:
+    metrics.RUNS_STOPPED.labels('missing').inc()
+    observability.emit(
+        events.MISSING_RUN_STOPPED,
+        task=attempt.task.name,
+        run=attempt.number,
+        worker=view.worker_id,
+        seconds=round(now - attempt.order_sent_at, 2),
+        number=attempt.order_number,
+        settled=view.settled_order,
+    )
+
+
 def _due_paces(
     view: _worker_view.WorkerView,
 ) -> tuple[messages.PaceOrder, ...]:
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -16,6 +16,8 @@
 from citronrail.workflow.overload import _run_times
 
 TASK_RETRY_DELAY_S = 0.3  # after a refused or failed run
+LATE_REPORT_S = 1.0  # a report that reflects no later orders is late
+LATE_LOG_INTERVAL_S = 1.0
 
 
 class Reports:
@@ -40,6 +42,8 @@
         self._fencing = fencing
         self._run_times = run_times
         self._crash_log = _crashes.CrashLog(scheduler_state)
+        self._late: dict[str, float] = {}  # oldest late report, by agent
+        self._late_logged_at = 0.0
 
     def expire_leases(self, now: float) -> None:
         """Discard runs whose leases have certainly expired.
@@ -72,6 +76,7 @@
             return
         view.connected = True
         view.capacity = None
+        self._record_age(view, report, now)
         if report.unreachable and not view.unreachable_since:
             view.unreachable_since = now
         for refused in report.refused:
@@ -84,6 +89,7 @@
             view.token_confirmed = True
             self._attach_inherited_runs(view, now, unix_now)
         view.record_list(report.clock_ms, now)
+        view.settled_order = report.settled
         self._crash_log.on_worker_back(view)
         for end in report.ended:
             if end.number > view.applied:
@@ -91,6 +97,29 @@
                 self._on_ended(view, end, now, unix_now)
         self._update_running(view, report, now)
 
+    def _record_age(
+        self,
+        view: _worker_view.WorkerView,
+        report: messages.WorkerReport,
+        now: float,
+    ) -> None:
+        """Record how late a report is applied."""
+        if report.token != self._fencing:
+            return
+        view.orders.confirm(report.received)
+        age_s = view.orders.report_age_s(now)
+        metrics.REPORT_AGE_SECONDS.observe(age_s)
+        if age_s >= LATE_REPORT_S:
+            self._late[view.node] = max(age_s, self._late.get(view.node, 0.0))
+        if self._late and now >= self._late_logged_at + LATE_LOG_INTERVAL_S:
+            self._late_logged_at = now
+            observability.emit(
+                events.REPORTS_LATE,
+                workers=len(self._late),
+                seconds=round(max(self._late.values()), 2),
+            )
+            self._late.clear()
+
     def _current_view(
         self,
         node: str,
@@ -219,7 +248,9 @@
             listed.add(key)
             attempt = view.attempts.get(key)
             if attempt is None:
-                view.unknown_run_stops.setdefault(key, 0.0)
+                if key not in view.unknown_run_stops:
+                    view.unknown_run_stops[key] = 0.0
+                    _log_unknown(view, row)
                 continue
             _update_from_row(attempt, row, now)
             self._crash_log.on_listed(attempt, view)
@@ -345,6 +376,16 @@
             self._scheduler_state.end_job(job, unix_now, 'the job has failed')
 
 
+def _log_unknown(view: _worker_view.WorkerView, row: messages.RunRow) -> None:
+    metrics.RUNS_STOPPED.labels('unknown').inc()
+    observability.emit(
+        events.UNKNOWN_RUN_STOPPED,
+        task=row.task,
+        run=row.run,
+        worker=view.worker_id,
+    )
+
+
 def _update_from_row(
     attempt: _job.Attempt, row: messages.RunRow, now: float
 ) -> None:
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -96,6 +96,7 @@
         """Request that a run be stopped."""
         if not attempt.stop_reason:
             attempt.stop_reason = reason
+            metrics.RUNS_STOPPED.labels(reason).inc()
             observability.emit(
                 events.RUN_STOPPED,
                 task=attempt.task.name,
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -423,6 +423,11 @@
             await self._wake.wait()
         self._wake = trio.Event()
         now = trio.current_time()
+        with metrics.ROUND_SECONDS.time():
+            await self._work(now)
+        await trio.sleep(COMMIT_INTERVAL_S)
+
+    async def _work(self, now: float) -> None:
         if self._leadership.valid:
             self._reports.expire_leases(now)
             self._run_supervisor.run(now)
@@ -435,7 +440,6 @@
             # This process was suspended, or its commit took too long.
             raise errors.Fenced('the lease has ended', step='workflow.term')
         await self._sender.send()
-        await trio.sleep(COMMIT_INTERVAL_S)
 
     def _place(self, now: float) -> None:
         policy = _round.Policy(
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -11,6 +11,7 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
 from citronrail.workflow import _agent_lease
+from citronrail.workflow import _order_numbers
 
 # Long-poll timeouts: how long a list call waits for a run to end.
 LIST_WAIT_MS = 500  # while tasks run
@@ -35,13 +36,16 @@
 class _Permission:
     """Permission of the scheduler to start a run on a worker.
 
-    ``start_until`` is the local time at which it ends.
+    ``start_until`` is the local time at which it ends. ``received`` keeps
+    track of the orders, ``number`` is that of the order with the start.
     """
 
     worker_id: str
     born_ms: int
     fencing: int
     start_until: float
+    received: _order_numbers.OrdersReceived
+    number: int
 
 
 class WorkerAgent:
@@ -65,6 +69,7 @@
         self._life: messages.WorkerLife | None = None
         self._lease = _agent_lease.AgentLease(max_lease_s)
         self._fencing = 0
+        self._received = _order_numbers.OrdersReceived()
         self._confirmed_token = 0  # token that the worker has confirmed
         self._scheduler: identifiers.NodeId | None = None
         self._acknowledged = 0
@@ -135,6 +140,7 @@
 
     def _reset_for_new_incarnation(self) -> None:
         self._lease.reset()
+        self._received = _order_numbers.OrdersReceived(self._fencing)
         self._confirmed_token = 0
         self._acknowledged = 0
         self._reported_end = 0
@@ -164,6 +170,7 @@
             self._wake = trio.Event()
             return
         fencing = self._fencing
+        settled = self._received.settled
         stopped = tuple(self._pending.stopped)
         order = ports.LeaseOrder(
             fencing,
@@ -212,7 +219,7 @@
         self._confirmed_token = fencing
         self._lease.read_clock(worker_list.clock_ms)
         self._busy = bool(worker_list.running)
-        await self._report(worker_list, stopped)
+        await self._report(worker_list, stopped, settled)
         newest = max((end.number for end in worker_list.ended), default=0)
         if worker_list.ended and newest <= self._reported_end:
             await trio.sleep(RELIST_PAUSE_S)
@@ -246,11 +253,13 @@
         self,
         worker_list: ports.WorkerList | None,
         stopped: tuple[messages.TaskRun, ...],
+        settled: int = 0,
     ) -> None:
         """Send a report to the scheduling entry.
 
         :param worker_list: the worker's list, None if it is unknown.
         :param stopped: stops that were confirmed before the list was made.
+        :param settled: number up to which orders were carried out before.
         """
         scheduler = self._scheduler
         if scheduler is None:
@@ -268,6 +277,8 @@
             lease_until_ms=self._lease.until_ms,
             lease_left_s=self._lease.left_s(),
             unreachable=self._unreachable,
+            received=self._received.last,
+            settled=settled,
         )
         try:
             await self._hub.send(scheduler, report)
@@ -295,6 +306,8 @@
             return
         assert self._nursery is not None
         if orders.fencing > self._fencing or peer.node_id != self._scheduler:
+            if orders.fencing > self._fencing:
+                self._received = _order_numbers.OrdersReceived(orders.fencing)
             self._fencing = orders.fencing
             self._scheduler = peer.node_id
             self._wake.set()
@@ -303,6 +316,10 @@
         if not self._is_current(orders.worker_id, orders.born_ms):
             self._refuse_starts(orders.starts, 'another life')
             return
+        leaving = self._life is not None and self._life.state != 'ready'
+        self._received.receive(
+            orders.number, 0 if leaving else len(orders.starts)
+        )
         self._acknowledged = max(self._acknowledged, orders.acknowledged)
         self._lease.extend(orders.lease_until_ms)
         for stop in orders.stops:
@@ -314,20 +331,22 @@
                 first_paces[pace.task, pace.run] = pace
             else:
                 self._nursery.start_soon(self._set_pace, pace)
-        if self._life and self._life.state != 'ready':
+        if leaving:
             self._refuse_starts(orders.starts, 'leaving')
             return
         start_until = trio.current_time() + START_VALIDITY_S
         for start in orders.starts:
             self._busy = True
             self._nursery.start_soon(
-                self._start,
+                self._carry_out_start,
                 start,
                 _Permission(
                     orders.worker_id,
                     orders.born_ms,
                     orders.fencing,
                     start_until,
+                    self._received,
+                    orders.number,
                 ),
                 first_paces.get((start.task, start.run)),
             )
@@ -345,25 +364,39 @@
         ]
         self._schedule_report()
 
-    async def _start(
+    async def _carry_out_start(
         self,
         order: messages.StartOrder,
         permission: _Permission,
         pace: messages.PaceOrder | None,
     ) -> None:
+        """Start a run and set its pace.
+
+        :param order: the run.
+        :param permission: permission to start it.
+        :param pace: first pace of the run, None for full pace.
+        """
+        started = await self._start(order, permission)
+        permission.received.finish_start(permission.number)
+        if pace is not None and started:
+            await self._set_pace(pace)
+
+    async def _start(
+        self, order: messages.StartOrder, permission: _Permission
+    ) -> bool:
         """Start a run, unless its permission has ended meanwhile.
 
         :param order: the run.
         :param permission: checked again right before the call, as the order
             may have waited here or this process may have been suspended.
-        :param pace: first pace of the run, None for full pace.
+        :returns: whether it may have been started.
         """
         async with self._limit:
             life = self._life
             reason = self._why_ended(permission)
             if life is None or reason:
                 self._refuse_starts((order,), reason)
-                return
+                return False
             self._lease.note_call()
             result = await self._worker.start(
                 life,
@@ -382,8 +415,7 @@
                     run=order.run,
                     reason=result.reason,
                 )
-        if pace is not None and result.verdict != ports.StartVerdict.REFUSED:
-            await self._set_pace(pace)
+        return result.verdict != ports.StartVerdict.REFUSED
 
     def _why_ended(self, permission: _Permission) -> str:
         """Return why a start is no longer permitted, '' if it still is."""
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -3,6 +3,7 @@
 from citronrail.model import messages
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _order_numbers
 from citronrail.workflow import _placement
 
 # By how much a worker's clock may be slower than the local one: 2% guaranteed
@@ -40,6 +41,8 @@
         self.acknowledged = 0  # ends up to this number are committed
         self.sent_acknowledged = 0
         self.drain_ends_at = 0.0
+        self.orders = _order_numbers.OrdersSent()
+        self.settled_order = 0  # the last list was made after this order
         self.attempts: dict[tuple[str, int], _job.Attempt] = {}
         # Listed runs that this scheduler doesn't know, with the time of the
         # last stop order.
