--- a/standins/memory_peers.py
+++ b/standins/memory_peers.py
@@ -17,10 +17,12 @@
 class LinkFaults:
     """Faults of one direction between two nodes.
 
-    ``delay_s`` bounds a random delay; shares lie between 0 and 1.
+    ``delay_s`` bounds a random delay, which may reorder messages; ``lag_s`` is
+    a delay of all messages alike. Shares lie between 0 and 1.
     """
 
     delay_s: float = 0.0
+    lag_s: float = 0.0
     drop_share: float = 0.0
     double_share: float = 0.0
     cut: bool = False
@@ -90,7 +92,7 @@
         for _ in range(copies):
             if faults.cut or self._rng.random() < faults.drop_share:
                 continue
-            delay_s = self._rng.uniform(0.0, faults.delay_s)
+            delay_s = faults.lag_s + self._rng.uniform(0.0, faults.delay_s)
             self._nursery.start_soon(
                 self._deliver, sender, hub, data, payload, delay_s
             )
