Take a run for missing only by a list that reflects its start order

What callers saw: accepted jobs whose tasks are stopped and started over, so that none of them completes (LOST). Cause: a run that no list had shown for 1.2 s after its order was stopped, by the scheduler's clock, although the lists that it had applied were made before the order was carried out. Stops and new starts made the scheduler busier, and its lists older: a loop that doesn't end by itself. Change: a run is missing if a list shows it not although its agent had carried out the start order before it requested that list; order numbers in the reports say so. It is then stopped at once. Runs that an earlier scheduler ordered have no number here and are stopped if lists lack them for 1.2 s on the worker's clock.

--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -25,7 +25,7 @@
         'listed_at',
         'listed_percent',
         'load',
-        'missing_since',
+        'missing_from_ms',
         'moved_at',
         'node',
         'number',
@@ -69,7 +69,9 @@
         self.order_number = 0
         self.listed_at = 0.0  # first time on the worker's list
         self.listed_percent = 0  # progress at that time
-        self.missing_since = 0.0  # ordered, but not listed since then
+        # Time on the worker's clock of the first list that reflects its start
+        # order and doesn't show it; None if there is none.
+        self.missing_from_ms: int | None = None
         self.moved_at = 0.0  # last change of the percentage
         self.checkpoint_at = 0.0  # last change of its checkpoint
         self.percent = -1
--- a/citronrail/workflow/_order_sender.py
+++ b/citronrail/workflow/_order_sender.py
@@ -142,7 +142,6 @@
             attempt.ordered = True
             attempt.order_sent_at = now
             attempt.order_number = due.orders.number
-            attempt.missing_since = now
         if await self._try_send(identifiers.NodeId(view.node), due.orders):
             return
         for attempt in due.starting:
--- a/citronrail/workflow/_orders.py
+++ b/citronrail/workflow/_orders.py
@@ -96,10 +96,7 @@
     for attempt in view.attempts.values():
         if not attempt.ordered:
             continue
-        missing = (
-            attempt.missing_since
-            and now - attempt.missing_since > _scheduler_state.MISSING_GRACE_S
-        )
+        missing = _is_missing(view, attempt)
         if not (attempt.stop_reason or missing):
             continue
         if now - attempt.stop_sent_at < _scheduler_state.STOP_RETRY_S:
@@ -116,6 +113,20 @@
     return tuple(stops)
 
 
+def _is_missing(view: _worker_view.WorkerView, attempt: _job.Attempt) -> bool:
+    """Whether the worker's lists show that a run has not been started.
+
+    Its order may be carried out later, so it still has to be stopped. The time
+    since the order is no evidence: orders and reports may be late.
+    """
+    if attempt.missing_from_ms is None:
+        return False
+    if attempt.order_number:
+        return True
+    missing_ms = view.clock_ms - attempt.missing_from_ms
+    return missing_ms >= _scheduler_state.INHERITED_GRACE_MS
+
+
 def _log_missing(
     view: _worker_view.WorkerView, attempt: _job.Attempt, now: float
 ) -> None:
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -230,7 +230,6 @@
             return
         view.may_hold_stale_orders = True
         attempt.born_ms = view.life.born_ms
-        attempt.missing_since = now
         view.attempts[attempt.key] = attempt
         self._scheduler_state.stop_run(
             attempt, 'ordered from an earlier incarnation'
@@ -266,8 +265,11 @@
                 self._scheduler_state.discard_run(
                     attempt, 'stopped before it started', now
                 )
-            elif not attempt.missing_since:
-                attempt.missing_since = now
+            elif (
+                attempt.missing_from_ms is None
+                and report.settled >= attempt.order_number
+            ):
+                attempt.missing_from_ms = report.clock_ms
 
     def _on_refused(
         self,
@@ -389,7 +391,7 @@
 def _update_from_row(
     attempt: _job.Attempt, row: messages.RunRow, now: float
 ) -> None:
-    attempt.missing_since = 0.0
+    attempt.missing_from_ms = None
     if not attempt.listed_at:
         attempt.task.stage.job.begun = True
         attempt.listed_at = now
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -13,8 +13,9 @@
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _worker_view
 
-# An ordered run that is missing from its worker's lists for longer is stopped.
-MISSING_GRACE_S = 1.2
+# A run that an earlier scheduler ordered is stopped if the lists of so long a
+# time, on the worker's clock, don't show it. Its start may be under way.
+INHERITED_GRACE_MS = 1200
 STOP_RETRY_S = 0.6  # interval at which a stop order is repeated
 
 QueueLookup = collections.abc.Callable[[str], workflows.Queue | None]
