Measure how late the event loop of a process runs

Cause of the gap: late reports (CR1737) may wait in the scheduler or in the agents; nothing told the two apart. No logic is changed.

--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -35,3 +35,9 @@
 SETTINGS_READ = _events.EventKind(
     1014, 'INFO', 'settings read again: {result}'
 )
+LOOP_LATE = _events.EventKind(
+    1015,
+    'WARNING',
+    'event loop of {node} was up to {seconds} s late; it is short of '
+    'processor time',
+)
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -77,6 +77,9 @@
             _http_apps.metrics_app(), f'{cfg.ip}:{METRICS_PORT}', 'metrics'
         )
         self.app.add('metrics port', metrics.run)
+        self.app.add(
+            'loop monitor', functools.partial(parts.monitor_loop, cfg.node_id)
+        )
         self.app.on_reload(self._check_settings)
 
     def _hello(self) -> messages.Hello:
