--- a/citronrail/daemon/_loop_monitor.py
+++ b/citronrail/daemon/_loop_monitor.py
@@ -1,8 +1,8 @@
 """Measures how late the event loop of this process runs its tasks."""
 
-import prometheus_client
 import trio
 
+from citronrail.daemon import _metrics as metrics
 from citronrail import observability
 from citronrail.observability.catalogue import daemon as events
 
@@ -10,12 +10,6 @@
 LATE_S = 0.5  # later wake-ups are logged
 LOG_INTERVAL_S = 2.0
 
-LOOP_LAG_SECONDS = prometheus_client.Histogram(
-    'citronrail_loop_lag_seconds',
-    'How late the event loop woke a task that slept',
-    buckets=(0.005, 0.02, 0.05, 0.1, 0.2, 0.5, 1, 2, 5),
-)
-
 
 async def monitor_loop(
     node: str,
@@ -37,7 +31,7 @@
         due_at = trio.current_time() + INTERVAL_S
         await trio.sleep_until(due_at)
         now = trio.current_time()
-        LOOP_LAG_SECONDS.observe(now - due_at)
+        metrics.LOOP_LAG_SECONDS.observe(now - due_at)
         worst_s = max(worst_s, now - due_at)
         if now - logged_at >= LOG_INTERVAL_S:
             if worst_s >= LATE_S:
