Read all waiting messages of peers in each pass of the event loop

Cause: the port of an entry read one message, from all its peers together, in each pass of the event loop, and each peer's task handled one in each pass. A pass with a scheduling round takes 25 ms and more on a tenth of a core, so that about 40 messages a second were read. Sixteen agents send more; the rest waited in the sockets' queues, longer and longer. Change: a pass reads and handles up to 64 waiting messages of a socket.

--- a/citronrail/adapters/_peer_connections.py
+++ b/citronrail/adapters/_peer_connections.py
@@ -146,12 +146,12 @@
         self, sock: _zmq_sockets.TrioSocket, link: _peer_links.Link
     ) -> None:
         while True:
-            frames = await sock.receive()
-            message = _peer_inbox.decode(frames, link.peer.node_id)
-            if isinstance(message, messages.UnknownMessage):
-                _peer_inbox.send_protocol_error(link, str(message))
-            else:
-                self._inbox.deliver(link, message, frames)
+            for frames in await sock.receive_batch():
+                message = _peer_inbox.decode(frames, link.peer.node_id)
+                if isinstance(message, messages.UnknownMessage):
+                    _peer_inbox.send_protocol_error(link, str(message))
+                else:
+                    self._inbox.deliver(link, message, frames)
 
 
 async def _close_when_broken(
--- a/citronrail/adapters/_peer_inbox.py
+++ b/citronrail/adapters/_peer_inbox.py
@@ -1,6 +1,7 @@
 """Decodes, checks and dispatches the messages of peers."""
 
 import collections
+import collections.abc
 
 import trio
 import zmq
@@ -164,9 +165,10 @@
         """Await the handlers of one peer's messages, in order."""
         try:
             with link.scope:
-                async for message, payload in link.received:
-                    for handler in self._handlers.get(type(message), ()):
-                        await self._call(handler, link, message, payload)
+                async for first in link.received:
+                    for message, payload in _with_waiting(first, link):
+                        for handler in self._handlers.get(type(message), ()):
+                            await self._call(handler, link, message, payload)
         finally:
             link.close('closed')
             self._table.remove(link)
@@ -201,3 +203,15 @@
         hello.capacity,
         hello.address,
     )
+
+
+def _with_waiting(
+    first: _peer_links.Inbound, link: _peer_links.Link
+) -> collections.abc.Iterator[_peer_links.Inbound]:
+    """Yield a message and those that wait behind it, up to a batch."""
+    yield first
+    for _ in range(_zmq_sockets.MAX_BATCH - 1):
+        try:
+            yield link.received.receive_nowait()
+        except (trio.WouldBlock, trio.EndOfChannel):
+            return
--- a/citronrail/adapters/_peer_port.py
+++ b/citronrail/adapters/_peer_port.py
@@ -46,18 +46,20 @@
     async def run(self) -> None:
         """Receive messages until cancelled."""
         while True:
-            routing_id, *frames = await self._sock.receive()
-            key = routing_id.bytes
-            message = _peer_inbox.decode(frames, key.decode(errors='replace'))
-            link = self._open_link(key)
-            if isinstance(message, messages.UnknownMessage):
-                self._send_protocol_error(key, str(message))
-            elif isinstance(message, messages.Hello):
-                self._accept_hello(key, message, frames[0])
-            elif link is None:
-                self._send_protocol_error(key, _peer_inbox.HELLO_EXPECTED)
-            else:
-                self._inbox.deliver(link, message, frames)
+            for routing_id, *frames in await self._sock.receive_batch():
+                self._take(routing_id.bytes, frames)
+
+    def _take(self, key: bytes, frames: list[zmq.Frame]) -> None:
+        message = _peer_inbox.decode(frames, key.decode(errors='replace'))
+        link = self._open_link(key)
+        if isinstance(message, messages.UnknownMessage):
+            self._send_protocol_error(key, str(message))
+        elif isinstance(message, messages.Hello):
+            self._accept_hello(key, message, frames[0])
+        elif link is None:
+            self._send_protocol_error(key, _peer_inbox.HELLO_EXPECTED)
+        else:
+            self._inbox.deliver(link, message, frames)
 
     def _open_link(self, key: bytes) -> _peer_links.Link | None:
         link = self._links.get(key)
--- a/citronrail/adapters/_zmq_sockets.py
+++ b/citronrail/adapters/_zmq_sockets.py
@@ -5,6 +5,9 @@
 import trio
 import zmq
 
+# Messages that are handled before other tasks of the process run again.
+MAX_BATCH = 64
+
 
 @dataclasses.dataclass(frozen=True)
 class PeerLimits:
@@ -67,6 +70,23 @@
                 await trio.lowlevel.wait_readable(self.zmq.FD)
             self._wait_scope = None
 
+    async def receive_batch(self) -> list[list[zmq.Frame]]:
+        """Wait for the next message and take those that wait behind it.
+
+        Otherwise a busy process would read one message in each pass of its
+        event loop.
+
+        :returns: the frames of 1 to :data:`MAX_BATCH` messages.
+        :raises zmq.ZMQError: if the socket is closed.
+        """
+        batch = [await self.receive()]
+        while len(batch) < MAX_BATCH:
+            try:
+                batch.append(self.zmq.recv_multipart(zmq.NOBLOCK, copy=False))
+            except zmq.Again:
+                break
+        return batch
+
     def send(self, frames: list[bytes]) -> bool:
         """Queue a message without waiting.
 
--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -1,7 +1,9 @@
 """Tests the connections between processes over real sockets."""
 
 import contextlib
+import dataclasses
 import socket
+import time
 
 import prometheus_client
 import pytest
@@ -359,3 +361,49 @@
     pace = _reconnect.pace(limits, 10.0, 10.0 + age_s)
     assert pace.longest_pause_s == pytest.approx(longest_s)
     assert pace.hello_wait_s == hello_wait_s
+
+
+PASS_S = 0.02
+MESSAGES = 150
+
+
+async def _keep_busy():
+    """Take processor time in each pass of the event loop."""
+    while True:
+        time.sleep(PASS_S)  # noqa: ASYNC251 - it has to block
+        await trio.lowlevel.checkpoint()
+
+
+@pytest.mark.parametrize('receiver', ['entry', 'agent'])
+async def test_busy_process_reads_all_waiting_messages(receiver):
+    """Guards against one message of a peer for each pass of the event loop.
+
+    On a scheduler short of processor time a pass took 25 ms and more, so that
+    the reports of all agents waited for up to 11 s (issue 34).
+    """
+    limits = dataclasses.replace(SHORT_LIMITS, queue_messages=2 * MESSAGES)
+    sender = agent(limits=limits)
+    entry = paths.hub(
+        'entry-1', 'entry', listen='tcp://127.0.0.1:0', limits=limits
+    )
+    target = entry
+    if receiver == 'agent':
+        sender, target = entry, sender
+    numbers = []
+
+    async def handle(peer, message, payload):
+        numbers.append(message.query_id)
+
+    target.subscribe(messages.JobStateQuery, handle)
+    async with hubs(*{sender, target} - {entry}, entry=entry):
+        await wait_until(lambda: sender.find_peer(target.node_id))
+        async with trio.open_nursery() as nursery:
+            for number in range(MESSAGES):
+                query = messages.JobStateQuery(number)
+                await sender.send(target.node_id, query)
+            began_at = trio.current_time()
+            nursery.start_soon(_keep_busy)
+            await wait_until(lambda: len(numbers) == MESSAGES)
+            nursery.cancel_scope.cancel()
+    assert numbers == list(range(MESSAGES))
+    assert trio.current_time() - began_at < MESSAGES * PASS_S / 4
