End a batch of messages also by time

Cause: up to 64 messages were read and handled in one pass, whatever they took. Change: no further message is taken once a batch has lasted for 20 ms.

--- a/citronrail/adapters/_peer_connections.py
+++ b/citronrail/adapters/_peer_connections.py
@@ -146,12 +146,16 @@
         self, sock: _zmq_sockets.TrioSocket, link: _peer_links.Link
     ) -> None:
         while True:
-            for frames in await sock.receive_batch():
-                message = _peer_inbox.decode(frames, link.peer.node_id)
-                if isinstance(message, messages.UnknownMessage):
-                    _peer_inbox.send_protocol_error(link, str(message))
-                else:
-                    self._inbox.deliver(link, message, frames)
+            self._take(await sock.receive(), link)
+            for frames in sock.waiting():
+                self._take(frames, link)
+
+    def _take(self, frames: list[zmq.Frame], link: _peer_links.Link) -> None:
+        message = _peer_inbox.decode(frames, link.peer.node_id)
+        if isinstance(message, messages.UnknownMessage):
+            _peer_inbox.send_protocol_error(link, str(message))
+        else:
+            self._inbox.deliver(link, message, frames)
 
 
 async def _close_when_broken(
--- a/citronrail/adapters/_peer_inbox.py
+++ b/citronrail/adapters/_peer_inbox.py
@@ -210,7 +210,7 @@
 ) -> collections.abc.Iterator[_peer_links.Inbound]:
     """Yield a message and those that wait behind it, up to a batch."""
     yield first
-    for _ in range(_zmq_sockets.MAX_BATCH - 1):
+    for _ in _zmq_sockets.batch():
         try:
             yield link.received.receive_nowait()
         except (trio.WouldBlock, trio.EndOfChannel):
--- a/citronrail/adapters/_peer_port.py
+++ b/citronrail/adapters/_peer_port.py
@@ -46,7 +46,9 @@
     async def run(self) -> None:
         """Receive messages until cancelled."""
         while True:
-            for routing_id, *frames in await self._sock.receive_batch():
+            routing_id, *frames = await self._sock.receive()
+            self._take(routing_id.bytes, frames)
+            for routing_id, *frames in self._sock.waiting():
                 self._take(routing_id.bytes, frames)
 
     def _take(self, key: bytes, frames: list[zmq.Frame]) -> None:
--- a/citronrail/adapters/_zmq_sockets.py
+++ b/citronrail/adapters/_zmq_sockets.py
@@ -1,12 +1,15 @@
 """zmq sockets for trio."""
 
+import collections.abc
 import dataclasses
 
 import trio
 import zmq
 
-# Messages that are handled before other tasks of the process run again.
+# Messages that are handled before other tasks run again, and the time after
+# which no further one is: a slow host must not delay its other tasks.
 MAX_BATCH = 64
+MAX_BATCH_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +36,15 @@
     fast_hello_wait_s: float = 0.7
 
 
+def batch() -> collections.abc.Iterator[int]:
+    """Count further messages to handle before other tasks run again."""
+    until = trio.current_time() + MAX_BATCH_S
+    for number in range(1, MAX_BATCH):
+        if trio.current_time() >= until:
+            return
+        yield number
+
+
 class TrioSocket:
     """Sends and receives multipart messages on one zmq socket.
 
@@ -70,22 +82,19 @@
                 await trio.lowlevel.wait_readable(self.zmq.FD)
             self._wait_scope = None
 
-    async def receive_batch(self) -> list[list[zmq.Frame]]:
-        """Wait for the next message and take those that wait behind it.
+    def waiting(self) -> collections.abc.Iterator[list[zmq.Frame]]:
+        """Yield messages that wait behind the one received last.
 
         Otherwise a busy process would read one message in each pass of its
-        event loop.
+        event loop. The time that the caller takes for each is counted.
 
-        :returns: the frames of 1 to :data:`MAX_BATCH` messages.
         :raises zmq.ZMQError: if the socket is closed.
         """
-        batch = [await self.receive()]
-        while len(batch) < MAX_BATCH:
+        for _ in batch():
             try:
-                batch.append(self.zmq.recv_multipart(zmq.NOBLOCK, copy=False))
+                yield self.zmq.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.Again:
-                break
-        return batch
+                return
 
     def send(self, frames: list[bytes]) -> bool:
         """Queue a message without waiting.
