Let an agent keep at most two reports unconfirmed

Cause: agents sent a report for each end and twice a second, however many the scheduler had not applied. All of them were read and applied in turn, each with all unacknowledged ends; nothing was left for the renewal of the lease, and each successor began with the same queue. Change: reports are numbered, orders confirm them. With two unconfirmed an agent waits for a confirmation, at most 1.5 s, before it lists the runs again; a later list says all that a skipped one would have said. Orders that are due anyway carry the confirmation; an order of its own follows two reports. Evidence: test_reports_wait_for_a_busy_scheduler fails without the change of the agent.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -94,7 +94,7 @@
     ``worker_id`` and ``born_ms`` identify the worker incarnation; an
     empty id asks for a report only. ``lease_until_ms`` is on the worker's
     clock, 0 for none. ``number`` counts the orders of one scheduler to that
-    incarnation.
+    incarnation; ``reports`` confirms the agent's reports up to that number.
     """
 
     fencing: int
@@ -106,6 +106,7 @@
     stops: tuple[TaskRun, ...] = ()
     paces: tuple[PaceOrder, ...] = ()
     number: int = 0
+    reports: int = 0
 
 
 @_registry.message
@@ -119,7 +120,8 @@
     orders up to ``lease_until_ms``. ``unreachable`` is set if the last list
     call failed. ``received`` is the highest number of the orders under
     ``token`` that had arrived; those up to ``settled`` had been carried out
-    before the list was requested.
+    before the list was requested. ``number`` counts the reports to one
+    scheduler.
     """
 
     fencing: int
@@ -135,6 +137,7 @@
     unreachable: bool = False
     received: int = 0
     settled: int = 0
+    number: int = 0
 
 
 @_registry.message
--- a/citronrail/workflow/_orders.py
+++ b/citronrail/workflow/_orders.py
@@ -7,6 +7,7 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
+from citronrail.workflow import _report_flow
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _worker_view
 
@@ -46,8 +47,13 @@
     paces = _due_paces(view)
     acknowledges = view.acknowledged > view.sent_acknowledged
     renews = _renewal_due(view, bool(starting), now)
-    if not (stops or paces or acknowledges or renews or starting):
+    confirms = (
+        view.reports_applied - view.reports_confirmed
+        >= _report_flow.MAX_UNCONFIRMED
+    )
+    if not (stops or paces or acknowledges or renews or starting or confirms):
         return None
+    view.reports_confirmed = view.reports_applied
     lease_until = view.extend_lease(now, lease_s) if renews else 0
     view.sent_acknowledged = view.acknowledged
     return DueOrders(
@@ -61,6 +67,7 @@
             stops=stops,
             paces=paces,
             number=view.orders.add(now),
+            reports=view.reports_applied,
         ),
         tuple(starting),
     )
--- /dev/null
+++ b/citronrail/workflow/_report_flow.py
@@ -0,0 +1,53 @@
+"""Flow control of an agent's reports.
+
+Without it, a scheduler that is short of processor time gets reports faster
+than it applies them: each end of a run makes an agent send one, so that they
+wait for longer and longer. An agent therefore keeps few reports unconfirmed.
+A later report says all that a skipped one would have said.
+"""
+
+import trio
+
+MAX_UNCONFIRMED = 2
+# Without a confirmation the next report follows after this time. It is below
+# the age at which a list is too old for new starts.
+CONFIRMATION_TIMEOUT_S = 1.5
+
+
+class ReportFlow:
+    """Counts the reports to one scheduler, and delays further ones."""
+
+    def __init__(self) -> None:
+        self._sent = 0
+        self._confirmed = 0
+        self._changed = trio.Event()
+
+    @property
+    def next_number(self) -> int:
+        """Number of the next report, from 1."""
+        return self._sent + 1
+
+    def note_sent(self) -> None:
+        """Note that the next report has been sent."""
+        self._sent += 1
+
+    def confirm(self, number: int) -> None:
+        """Note that the scheduler has applied the reports up to a number."""
+        if number > self._confirmed:
+            self._confirmed = number
+            self._notify()
+
+    def reset(self) -> None:
+        """Count anew, as the reports go to another scheduler."""
+        self._sent = self._confirmed = 0
+        self._notify()
+
+    async def wait(self) -> None:
+        """Wait until another report may be sent."""
+        with trio.move_on_after(CONFIRMATION_TIMEOUT_S):
+            while self._sent - self._confirmed >= MAX_UNCONFIRMED:
+                await self._changed.wait()
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -107,6 +107,7 @@
         if report.token != self._fencing:
             return
         view.orders.confirm(report.received)
+        view.reports_applied = max(view.reports_applied, report.number)
         age_s = view.orders.report_age_s(now)
         metrics.REPORT_AGE_SECONDS.observe(age_s)
         if age_s >= LATE_REPORT_S:
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -12,6 +12,7 @@
 from citronrail import ports
 from citronrail.workflow import _agent_lease
 from citronrail.workflow import _order_numbers
+from citronrail.workflow import _report_flow
 
 # Long-poll timeouts: how long a list call waits for a run to end.
 LIST_WAIT_MS = 500  # while tasks run
@@ -70,6 +71,7 @@
         self._lease = _agent_lease.AgentLease(max_lease_s)
         self._fencing = 0
         self._received = _order_numbers.OrdersReceived()
+        self._flow = _report_flow.ReportFlow()
         self._confirmed_token = 0  # token that the worker has confirmed
         self._scheduler: identifiers.NodeId | None = None
         self._acknowledged = 0
@@ -160,6 +162,7 @@
             self._nursery = nursery
             task_status.started()
             while True:
+                await self._flow.wait()
                 await self._list_once()
 
     async def _list_once(self) -> None:
@@ -279,11 +282,13 @@
             unreachable=self._unreachable,
             received=self._received.last,
             settled=settled,
+            number=self._flow.next_number,
         )
         try:
             await self._hub.send(scheduler, report)
         except errors.PeerUnreachable:
             return  # the next scheduling entry asks for a report
+        self._flow.note_sent()
         self._pending.refused = [
             item for item in self._pending.refused if item not in refused
         ]
@@ -308,11 +313,13 @@
         if orders.fencing > self._fencing or peer.node_id != self._scheduler:
             if orders.fencing > self._fencing:
                 self._received = _order_numbers.OrdersReceived(orders.fencing)
+                self._flow.reset()
             self._fencing = orders.fencing
             self._scheduler = peer.node_id
             self._wake.set()
             self._list_scope.cancel()
             self._schedule_report()
+        self._flow.confirm(orders.reports)
         if not self._is_current(orders.worker_id, orders.born_ms):
             self._refuse_starts(orders.starts, 'another life')
             return
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -42,6 +42,8 @@
         self.sent_acknowledged = 0
         self.drain_ends_at = 0.0
         self.orders = _order_numbers.OrdersSent()
+        self.reports_applied = 0  # number of the agent's last report
+        self.reports_confirmed = 0  # up to this number, in orders sent
         self.settled_order = 0  # the last list was made after this order
         self.attempts: dict[tuple[str, int], _job.Attempt] = {}
         # Listed runs that this scheduler doesn't know, with the time of the
--- a/citronrail/workflow/tests/test_worker_agent.py
+++ b/citronrail/workflow/tests/test_worker_agent.py
@@ -183,3 +183,45 @@
         await trio.sleep(0.2)
     assert len(hub.refused) == 4
     assert not cancelled
+
+
+class _EndingWorker(_SlowWorker):
+    """A worker on which a run has ended at each list call."""
+
+    def __init__(self) -> None:
+        super().__init__(0.0)
+        self.lists = 0
+
+    async def list_runs(self, life, order):
+        await trio.sleep(0.01)
+        self.lists += 1
+        end = messages.EndRow(self.lists, 't', self.lists, 'done', '')
+        return ports.WorkerList(life.born_ms, 1000 + self.lists, (), (end,))
+
+
+@pytest.mark.parametrize('confirms', [False, True])
+async def test_reports_wait_for_a_busy_scheduler(
+    confirms, autojump_clock, nursery
+):
+    """Guards against reports that queue up at a scheduler short of time.
+
+    An agent sent one for each end of a run, however many were not applied.
+    """
+    worker, hub = _EndingWorker(), _Hub()
+    numbers = []
+
+    async def send(peer, message, payload=None):
+        numbers.append(message.number)
+        if confirms:
+            await hub.on_orders(LEADER, _orders(reports=message.number), b'')
+
+    hub.send = send
+    agent = workflow.WorkerAgent(worker, hub, 8.0)
+    await nursery.start(agent.run)
+    agent.announce(LIFE)
+    await hub.on_orders(LEADER, _orders(), b'')
+    await trio.sleep(10.0)
+    # Without a confirmation one follows each 1.5 s.
+    assert len(numbers) > 500 if confirms else 2 <= len(numbers) <= 12
+    assert numbers == sorted(set(numbers))
+    nursery.cancel_scope.cancel()
