Skip a stored record that is nested too deeply

Callers saw entries and agents end again and again: one record with an extra field nested 100,000 deep under the prefix of the control keys, the jobs or the progress ended every process that read it, also after its restart.

Cause: msgspec raises RecursionError for such data, and each place that decodes caught msgspec.DecodeError only.

Callers in coordination and adapters that caught msgspec's error are adapted, so that they are covered as well.

--- a/citronrail/adapters/_http_worker.py
+++ b/citronrail/adapters/_http_worker.py
@@ -4,7 +4,6 @@
 import typing
 
 import httpx
-import msgspec
 
 from citronrail import errors
 from citronrail.model import codec
@@ -193,7 +192,7 @@
             )
         try:
             return codec.from_json(answer.content, body_type)
-        except msgspec.DecodeError as exc:
+        except errors.Undecodable as exc:
             raise errors.WorkerOutcomeUnknown(
                 f'the answer has a wrong form: {exc}',
                 step=step,
@@ -206,7 +205,7 @@
 ) -> errors.WorkerRefused:
     try:
         body = codec.from_json(answer.content, _Refused)
-    except msgspec.DecodeError:
+    except errors.Undecodable:
         body = _Refused(f'status {answer.status_code}')
     if body.checkpoint_unknown:
         return errors.CheckpointUnknown(body.refused, step=step, peer=peer)
--- a/citronrail/coordination/_fenced_claim.py
+++ b/citronrail/coordination/_fenced_claim.py
@@ -6,7 +6,6 @@
 
 import dataclasses
 
-import msgspec
 
 from citronrail.coordination import _store_calls
 from citronrail import errors
@@ -104,7 +103,7 @@
                     record=codec.decode(item.value, OwnerRecord),
                     record_revision=item.revision,
                 )
-    except msgspec.DecodeError as exc:
+    except errors.Undecodable as exc:
         raise errors.StoreError(str(exc), step='claim.decode') from exc
     return state
 
--- a/citronrail/coordination/_group_commit.py
+++ b/citronrail/coordination/_group_commit.py
@@ -5,7 +5,6 @@
 import random
 import typing
 
-import msgspec
 import trio
 
 from citronrail.coordination import _store_calls
@@ -405,7 +404,7 @@
 def _decode_envelope(item: ports.KeyValue) -> Envelope:
     try:
         return codec.decode(item.value, Envelope)
-    except msgspec.DecodeError as exc:
+    except errors.Undecodable as exc:
         raise errors.StoreError(
             f'{item.key} cannot be decoded: {exc}', step='shard.load'
         ) from exc
--- a/citronrail/coordination/_ownership_view.py
+++ b/citronrail/coordination/_ownership_view.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-import msgspec
 
 from citronrail.coordination import _fenced_claim as claims
 from citronrail.coordination import _store_calls
@@ -97,7 +96,7 @@
         entries = tuple(
             codec.decode(item.value, EntryMember) for item in listed.items
         )
-    except msgspec.DecodeError as exc:
+    except errors.Undecodable as exc:
         raise errors.StoreError(str(exc), step='ownership.entries') from exc
     ranges = await _store_calls.with_timeout(
         store.list(RANGES_PREFIX), 'ownership.ranges'
--- a/citronrail/coordination/_store_reservation.py
+++ b/citronrail/coordination/_store_reservation.py
@@ -11,7 +11,6 @@
 
 import dataclasses
 
-import msgspec
 import trio
 
 from citronrail import errors
@@ -173,7 +172,7 @@
             )
         try:
             stored = codec.decode(item.value, StoredReservation)
-        except msgspec.DecodeError as exc:
+        except errors.Undecodable as exc:
             raise errors.StoreError(
                 str(exc), step='reservation.decode'
             ) from exc
--- a/citronrail/errors.py
+++ b/citronrail/errors.py
@@ -30,6 +30,12 @@
     outcome = outcomes.Outcome.NOT_RUN
 
 
+class Undecodable(CitronrailError, ValueError):
+    """Data of another process is malformed or has values out of range."""
+
+    outcome = outcomes.Outcome.NOT_RUN
+
+
 class CommandRefused(CitronrailError):
     """A command was rejected; nothing changed."""
 
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -127,6 +127,7 @@
 def decode(data: bytes, kind: type[T]) -> T:
     """Decode a record from the store.
 
-    :raises msgspec.DecodeError: if the data isn't a record of this kind.
+    :raises citronrail.errors.Undecodable: if the data isn't a record of this
+        kind.
     """
     return codec.decode(data, kind)
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -2,8 +2,8 @@
 
 import collections.abc
 
-import msgspec
 
+from citronrail import errors
 from citronrail.model import workflows
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
@@ -194,6 +194,6 @@
     """Decode a stored item; log and return None if it is invalid."""
     try:
         return documents.decode(data, kind)
-    except msgspec.DecodeError as exc:
+    except errors.Undecodable as exc:
         observability.emit(events.DOCUMENT_UNREADABLE, key=key, reason=exc)
         return None
