Refuse announcements with values out of range

Callers saw a worker that got no more work, or an agent that ended, after one odd announcement.

Cause: the decoder of announcements accepted any integer and any ID. A time of birth or a sequence number that is too large makes all later announcements of the worker old, so that the agent stops following it. A capacity of 2^64 can't be encoded in the report to the scheduling entry (OverflowError), and a negative one frees capacity that isn't there. A worker ID outside of ASCII can't be sent in the header of a call (UnicodeEncodeError, which ends the agent). A deeply nested field raised RecursionError in the request handler.

Change: fields have the ranges of model/bounded.py, and an ID that no header can carry is refused. Refusals are counted in citronrail_platform_data_refused. A time of birth is limited to the year 2100 rather than to now, as clocks of hosts may be stepped.

Conclusion: one odd announcement is answered with 400 and changes nothing.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -1,5 +1,7 @@
 """HTTP application for the announcements of the worker on this host."""
 
+import typing
+
 import msgspec
 from starlette import applications
 from starlette import requests
@@ -7,33 +9,38 @@
 from starlette import routing
 import trio
 
+from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail.model import messages
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.platform import _http_apps
+from citronrail.platform import _transport_metrics as metrics
 from citronrail import workflow
 
 STATES = ('ready', 'draining')
+_Labels = typing.Annotated[
+    tuple[bounded.Name, ...], msgspec.Meta(max_length=256)
+]
 
 
 class _Capacity(msgspec.Struct, frozen=True):
-    cpu: int
-    memMb: int  # noqa: N815 - name on the wire
-    gpu: int = 0
+    cpu: bounded.Amount
+    memMb: bounded.Amount  # noqa: N815 - name on the wire
+    gpu: bounded.Amount = 0
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
-    service: str
-    zone: str
-    state: str
-    seq: int
+    service: bounded.Name
+    zone: bounded.Name
+    state: bounded.Name
+    # A greater one would make all later announcements old, like a time of
+    # birth in the far future.
+    seq: bounded.Amount
     capacity: _Capacity
-    labels: tuple[str, ...] = ()
-    born: int = 0
-    drainRemainingMs: float = 0.0  # noqa: N815 - name on the wire
-
-
-_DECODER = msgspec.json.Decoder(_Heartbeat)
+    labels: _Labels = ()
+    born: bounded.UnixMs = 0
+    drainRemainingMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
 
 
 def announcement_app(agent: workflow.WorkerAgent) -> applications.Starlette:
@@ -46,8 +53,12 @@
 
     async def heartbeat(req: requests.Request) -> responses.Response:
         worker_id = req.path_params['worker_id']
+        if not bounded.is_token(worker_id):
+            return _refuse(worker_id, 'the ID can be sent in no header')
         try:
-            worker_heartbeat = _DECODER.decode(await _http_apps.read_body(req))
+            worker_heartbeat = codec.from_json(
+                await _http_apps.read_body(req), _Heartbeat
+            )
         except (ValueError, trio.TooSlowError) as exc:
             return _refuse(worker_id, repr(exc))
         if worker_heartbeat.state not in STATES:
@@ -97,7 +108,8 @@
 
 
 def _refuse(worker_id: str, reason: str) -> responses.Response:
+    metrics.REFUSED.labels('announcement').inc()
     observability.emit(
-        events.ANNOUNCEMENT_REFUSED, reason=f'{worker_id[:40]}: {reason}'
+        events.ANNOUNCEMENT_REFUSED, reason=f'{worker_id[:40]!a}: {reason}'
     )
     return _http_apps.json_response(400, {})
--- a/citronrail/platform/_transport_metrics.py
+++ b/citronrail/platform/_transport_metrics.py
@@ -7,3 +7,8 @@
     'Calls to the platform by peer and result',
     ['peer', 'result'],
 )
+REFUSED = prometheus_client.Counter(
+    'citronrail_platform_data_refused',
+    'Data that was refused or skipped as malformed or out of range, by source',
+    ['source'],
+)
