List all keys of the store although a page has only odd items

Callers saw accepted jobs that a new leader didn't know, without an error.

Cause: PlatformStore.list ended at a page with no readable item, also if the store said that there is more, and hid all later keys. If only the last items of a page were odd, the next page started before them and showed them again; a store that repeated a page was asked for ever.

Evidence: test_listing_continues_after_a_page_of_odd_items printed "assert [] == ['k/2']"; test_listing_starts_after_the_last_key_of_a_page failed on the page that doesn't exist; test_listing_without_a_next_page_fails printed "DID NOT RAISE"; test_listing_that_repeats_a_page_fails ran until its time-out. Items with a revision below 0 or of 2^64 were listed.

Change: the next page starts after the last key of the page, of which nothing but the key has to be readable. Without such a key the listing fails with StoreOutcomeUnknown, which followers log and retry. Skipped items are counted in citronrail_platform_data_refused.

Conclusion: a listing is complete but for the odd items, or fails visibly.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -8,9 +8,12 @@
 import msgspec
 
 from citronrail import errors
+from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.platform import _http
+from citronrail.platform import _transport_metrics as metrics
 from citronrail import ports
 
 CALL_TIMEOUT_S = 1.0
@@ -22,17 +25,23 @@
 
 
 class _Item(msgspec.Struct, frozen=True):
-    key: str
+    key: bounded.Name
     value: str = ''
-    rev: int = 0
-    lease: int = 0
+    rev: bounded.Id = 0
+    lease: bounded.Id = 0
     removed: bool = False
 
 
+class _Key(msgspec.Struct, frozen=True):
+    """Item of which only the key can be read."""
+
+    key: bounded.Name
+
+
 class _RangeResponse(msgspec.Struct, frozen=True):
     items: tuple[msgspec.Raw, ...] = ()
     hasMore: bool = False  # noqa: N815 - name on the wire
-    asOf: int = 0  # noqa: N815 - name on the wire
+    asOf: bounded.Id = 0  # noqa: N815 - name on the wire
 
 
 class _WatchResponse(msgspec.Struct, frozen=True):
@@ -87,15 +96,10 @@
             _check_status(res, 'list')
             page = _decode(res, _RangeResponse)
             revision = revision or page.asOf
-            found = [
-                item
-                for raw in page.items
-                if (item := _decode_item(raw)) is not None
-            ]
-            items += [_key_value(item) for item in found]
-            if not page.hasMore or not found:
+            items += [_key_value(item) for item in _decode_items(page.items)]
+            if not page.hasMore:
                 return ports.Listing(tuple(items), revision)
-            after = found[-1].key
+            after = _next_start(page.items, prefix, after)
 
     async def txn(
         self,
@@ -237,15 +241,43 @@
     return _http.decode(res, kind, errors.StoreOutcomeUnknown, PEER)
 
 
-def _decode_item(raw: msgspec.Raw) -> _Item | None:
-    """Decode an item of a listing; log and return None if it is malformed."""
-    try:
-        return msgspec.json.decode(raw, type=_Item)
-    except msgspec.DecodeError as exc:
-        observability.emit(
-            events.DOCUMENT_UNREADABLE, key=bytes(raw)[:80], reason=exc
-        )
-        return None
+def _decode_items(
+    raws: collections.abc.Iterable[msgspec.Raw],
+) -> collections.abc.Iterator[_Item]:
+    """Decode items of a list; count, log and skip those that are malformed."""
+    for raw in raws:
+        try:
+            yield codec.from_json(raw, _Item)
+        except errors.Undecodable as exc:
+            metrics.REFUSED.labels('store item').inc()
+            observability.emit(
+                events.DOCUMENT_UNREADABLE, key=bytes(raw)[:80], reason=exc
+            )
+
+
+def _next_start(
+    raws: tuple[msgspec.Raw, ...], prefix: str, after: str
+) -> str:
+    """Return the key after which the next page of a listing starts.
+
+    :param raws: the items of a page, of which some may be malformed.
+    :param prefix: prefix of the listed keys.
+    :param after: the key after which that page started.
+    :raises citronrail.errors.StoreOutcomeUnknown: if the page has no later
+        key that can be read; to end there would hide all later items.
+    """
+    for raw in reversed(raws):
+        try:
+            key = codec.from_json(raw, _Key).key
+        except errors.Undecodable:
+            continue
+        if key.startswith(prefix) and key > after:
+            return key
+    raise errors.StoreOutcomeUnknown(
+        f'no next page of the listing after {after!r}',
+        step='store.list',
+        peer=PEER,
+    )
 
 
 def _decode_value(item: _Item) -> bytes:
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -7,9 +7,16 @@
 import httpx
 import msgspec
 import pytest
+from starlette import applications
+from starlette import requests
+from starlette import responses
+from starlette import routing
+import trio
 
+from citronrail import errors
 from citronrail.platform import _announcement_app
-
+from citronrail.platform import _store
+from citronrail.platform.tests import test_adapter
 DEEP = b'[' * 100_000 + b']' * 100_000
 HEARTBEAT = {
     'service': 'pool',
@@ -89,3 +96,82 @@
     body = msgspec.json.encode(HEARTBEAT)
     assert await _announce(agent, body, worker_id) == 400
     assert agent.lives == []
+
+
+def _item(key: str, revision: int = 4) -> bytes:
+    return msgspec.json.encode({'key': key, 'value': 'eA==', 'rev': revision})
+ODD_ITEMS = [
+    b'{"key":7}',
+    b'{"key":"k/2","rev":18446744073709551616}',
+    b'{"key":"k/2","rev":-1}',
+    b'{"key":"k/2","value":"\xff"}',
+    b'{"key":"k/2","rev":{}}',
+    b'[]',
+]
+ODD_IDS = ['key', 'revision', 'negative', 'bytes', 'type', 'list']
+
+
+def _page(items: list[bytes], **fields) -> bytes:
+    rest = msgspec.json.encode({'asOf': 9} | fields)[1:]
+    return b'{"items":[' + b','.join(items) + b'],' + rest
+
+
+def _paged_app(pages: dict[str, bytes]) -> applications.Starlette:
+    """Create an application that answers with a page by its start."""
+
+    async def answer(req: requests.Request) -> responses.Response:
+        return responses.Response(pages[req.query_params.get('after', '')])
+
+    return applications.Starlette(routes=[routing.Route('/kv-range', answer)])
+
+
+async def _keys(nursery, pages: dict[str, bytes]) -> list[str]:
+    address = await test_adapter._serve(nursery, _paged_app(pages))
+    store = _store.PlatformStore(address)
+    try:
+        with trio.fail_after(5):
+            return [item.key for item in (await store.list('k/')).items]
+    finally:
+        await store.aclose()
+
+
+@pytest.mark.parametrize('odd', ODD_ITEMS, ids=ODD_IDS)
+async def test_odd_item_of_a_listing_hides_no_other_item(nursery, odd):
+    """Guards against a listing that fails because of one item."""
+    pages = {'': _page([_item('k/1'), odd, _item('k/3')])}
+    assert await _keys(nursery, pages) == ['k/1', 'k/3']
+
+
+async def test_listing_continues_after_a_page_of_odd_items(nursery):
+    """Guards against a page of odd items that hides all later keys."""
+    pages = {
+        '': _page([b'{"key":"k/1","rev":"x"}'], hasMore=True),
+        'k/1': _page([_item('k/2')]),
+    }
+    assert await _keys(nursery, pages) == ['k/2']
+
+
+async def test_listing_starts_after_the_last_key_of_a_page(nursery):
+    """Guards against endless pages if the last item of a page is odd."""
+    pages = {
+        '': _page([_item('k/1'), b'{"key":"k/2","rev":-1}'], hasMore=True),
+        'k/2': _page([_item('k/3'), b'{"key":"z","rev":-1}'], hasMore=True),
+        'k/3': _page([_item('k/4')]),
+    }
+    assert await _keys(nursery, pages) == ['k/1', 'k/3', 'k/4']
+
+
+@pytest.mark.parametrize(
+    'items', [[], [b'{"key":7}']], ids=['empty', 'key']
+)
+async def test_listing_without_a_next_page_fails(nursery, items):
+    """Guards against a listing that ends early without an error."""
+    with pytest.raises(errors.StoreError):
+        await _keys(nursery, {'': _page(items, hasMore=True)})
+
+
+async def test_listing_that_repeats_a_page_fails(nursery):
+    """Guards against a listing that never ends."""
+    page = _page([_item('k/1')], hasMore=True)
+    with pytest.raises(errors.StoreError):
+        await _keys(nursery, {'': page, 'k/1': page})
