Treat a deeply nested answer as a failed call

Callers saw agents and entries that ended when the store or a worker gave an answer with one field nested very deeply.

Cause: the calls of the store and of the worker, and the reason of a worker's refusal, were decoded under "except msgspec.DecodeError", which a RecursionError passes by.

Evidence: both new tests failed with "RecursionError: maximum recursion depth exceeded while deserializing an object".

Change: both clients decode with model/codec.py; answers that can't be read are counted in citronrail_platform_data_refused.

Conclusion: get, list, txn, lease, the list of runs and a refusal end as the errors that their callers handle.

--- a/citronrail/platform/_http.py
+++ b/citronrail/platform/_http.py
@@ -5,17 +5,13 @@
 time, and none of the calls needs them.
 """
 
-import typing
-
 import httpx
-import msgspec
 
 from citronrail import errors
 from citronrail.platform import _transport_metrics as metrics
 
 KEEPALIVE_EXPIRY_S = 30.0
 MAX_CONNECTIONS = 64
-T = typing.TypeVar('T')
 
 # Errors that are raised before any part of a call was sent.
 _NOT_SENT_ERRORS = (
@@ -112,24 +108,20 @@
         return res
 
 
-def decode(
-    res: httpx.Response,
-    kind: type[T],
+def unreadable(
+    exc: errors.Undecodable,
     error: type[errors.CitronrailError],
+    source: str,
     peer: str,
-) -> T:
-    """Decode the body of a response.
+) -> errors.CitronrailError:
+    """Count an answer that can't be decoded and return the call's error.
 
-    :param res: the response.
-    :param kind: expected type.
-    :param error: raised if the body is malformed, so that the result of the
-        call is unknown.
+    :param exc: why it can't be decoded.
+    :param error: type of the error; the result of the call is unknown.
+    :param source: kind of the server for the metric.
     :param peer: name of the server for the error.
-    :returns: an instance of ``kind``.
     """
-    try:
-        return msgspec.json.decode(res.content, type=kind)
-    except msgspec.DecodeError as exc:
-        raise error(
-            f'unreadable answer: {exc}', step='decode', peer=peer
-        ) from exc
+    metrics.REFUSED.labels(f'{source} answer').inc()
+    return error(
+        f'unreadable answer: {exc.message}', step='decode', peer=peer
+    )
--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -238,7 +238,14 @@
 
 
 def _decode(res: typing.Any, kind: type[T]) -> T:
-    return _http.decode(res, kind, errors.StoreOutcomeUnknown, PEER)
+    try:
+        return codec.from_json(res.content, kind)
+    except errors.Undecodable as exc:
+        raise _unreadable(exc) from exc
+
+
+def _unreadable(exc: errors.Undecodable) -> errors.CitronrailError:
+    return _http.unreadable(exc, errors.StoreOutcomeUnknown, PEER, PEER)
 
 
 def _decode_items(
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronrail import errors
+from citronrail.model import codec
 from citronrail.model import messages
 from citronrail.platform import _http
 from citronrail import ports
@@ -65,9 +66,12 @@
         res = await self._post(
             '/hold', life, body, CALL_TIMEOUT_S + order.wait_ms / 1000
         )
-        response = _http.decode(
-            res, _ListResponse, errors.WorkerOutcomeUnknown, life.worker_id
-        )
+        try:
+            response = codec.from_json(res.content, _ListResponse)
+        except errors.Undecodable as exc:
+            raise _http.unreadable(
+                exc, errors.WorkerOutcomeUnknown, PEER, life.worker_id
+            ) from exc
         return ports.WorkerList(
             response.born,
             response.clockMs,
@@ -166,8 +170,8 @@
     if res.status_code == _MISDIRECTED_STATUS:
         return 'another life'
     try:
-        response = msgspec.json.decode(res.content, type=_RefusalResponse)
-    except msgspec.DecodeError:
+        response = codec.from_json(res.content, _RefusalResponse)
+    except errors.Undecodable:
         return f'status {res.status_code}'
     return response.reason or f'status {res.status_code}'
 
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -14,10 +14,14 @@
 import trio
 
 from citronrail import errors
+from citronrail.model import messages
 from citronrail.platform import _announcement_app
 from citronrail.platform import _store
+from citronrail.platform import _worker
 from citronrail.platform.tests import test_adapter
+from citronrail import ports
 DEEP = b'[' * 100_000 + b']' * 100_000
+LIFE = messages.WorkerLife('w', 1, 'p', 'dc', 'ready', 1, 1, 0)
 HEARTBEAT = {
     'service': 'pool',
     'zone': 'dc',
@@ -175,3 +179,38 @@
     page = _page([_item('k/1')], hasMore=True)
     with pytest.raises(errors.StoreError):
         await _keys(nursery, {'': page, 'k/1': page})
+
+
+async def test_deeply_nested_answers_are_errors_of_the_call(nursery):
+    """Guards against an answer that ends an agent or an entry."""
+    app = test_adapter._fixed_app(b'{"x":' + DEEP + b'}')
+    address = await test_adapter._serve(nursery, app)
+    store = _store.PlatformStore(address)
+    for call in (
+        lambda: store.get('k'),
+        lambda: store.list('k'),
+        lambda: store.txn([], [ports.Put('k', b'')]),
+        lambda: store.grant_lease(1.0),
+    ):
+        with pytest.raises(errors.StoreError):
+            await call()
+    await store.aclose()
+    client = _worker.PlatformWorker(address)
+    with pytest.raises(errors.WorkerOutcomeUnknown):
+        await client.list_runs(LIFE, ports.LeaseOrder(1, 0))
+    await client.aclose()
+
+
+async def test_deeply_nested_refusal_is_a_refusal(nursery):
+    """Guards against a worker's refusal that ends the agent."""
+
+    async def refuse(_: requests.Request) -> responses.Response:
+        return responses.Response(b'{"x":' + DEEP + b'}', 409)
+
+    app = applications.Starlette(
+        routes=[routing.Route('/{path:path}', refuse, methods=['POST'])]
+    )
+    client = _worker.PlatformWorker(await test_adapter._serve(nursery, app))
+    with pytest.raises(errors.WorkerRefused):
+        await client.stop(LIFE, messages.TaskRun('t', 1), 1)
+    await client.aclose()
