Read a listing of which one item is nested too deeply

Callers saw a follower that failed at every attempt, and with it a process that knew neither its leader nor its jobs.

Cause: an item of a page that is nested very deeply makes msgspec refuse the whole page, although items are only skipped over at that point.

Change: a page that is refused for its nesting is split into items without recursion, and only the item itself is skipped.

Conclusion: the other items of the page are read.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -13,6 +13,7 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.platform import _http
+from citronrail.platform import _json_lists
 from citronrail.platform import _transport_metrics as metrics
 from citronrail import ports
 
@@ -21,6 +22,7 @@
 WATCH_GRACE_S = 0.7  # added to the long-poll wait to get the timeout
 PEER = 'store'
 T = typing.TypeVar('T')
+_Listed = typing.TypeVar('_Listed', bound=msgspec.Struct)
 _BUSY_STATUSES = (429, 503)
 
 
@@ -94,7 +96,7 @@
                 query['after'] = after
             res = await self._call('GET', '/kv-range', query=query)
             _check_status(res, 'list')
-            page = _decode(res, _RangeResponse)
+            page = _decode_list(res, _RangeResponse, 'items')
             revision = revision or page.asOf
             items += [_key_value(item) for item in _decode_items(page.items)]
             if not page.hasMore:
@@ -248,6 +250,14 @@
     return _http.unreadable(exc, errors.StoreOutcomeUnknown, PEER, PEER)
 
 
+def _decode_list(res: typing.Any, kind: type[_Listed], field: str) -> _Listed:
+    """Decode an answer with a list; its items are decoded one by one."""
+    try:
+        return _json_lists.decode(res.content, kind, field)
+    except errors.Undecodable as exc:
+        raise _unreadable(exc) from exc
+
+
 def _decode_items(
     raws: collections.abc.Iterable[msgspec.Raw],
 ) -> collections.abc.Iterator[_Item]:
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -110,9 +110,10 @@
     b'{"key":"k/2","rev":-1}',
     b'{"key":"k/2","value":"\xff"}',
     b'{"key":"k/2","rev":{}}',
+    b'{"key":"k/2","odd":' + DEEP + b'}',
     b'[]',
 ]
-ODD_IDS = ['key', 'revision', 'negative', 'bytes', 'type', 'list']
+ODD_IDS = ['key', 'revision', 'negative', 'bytes', 'type', 'deep', 'list']
 
 
 def _page(items: list[bytes], **fields) -> bytes:
@@ -166,7 +167,7 @@
 
 
 @pytest.mark.parametrize(
-    'items', [[], [b'{"key":7}']], ids=['empty', 'key']
+    'items', [[], [b'{"key":7}'], [DEEP]], ids=['empty', 'key', 'deep']
 )
 async def test_listing_without_a_next_page_fails(nursery, items):
     """Guards against a listing that ends early without an error."""
