Keep a watch going after one odd event

Callers saw machines that stopped following the store: a follower failed at the same revision again and again, until the history was compacted.

Cause: the answer to a watch was decoded as a whole, so that one event with a key that is a number, a revision out of range or a deep nesting refused all of them, while a listing skips such items.

Evidence: all 7 cases of test_odd_event_of_a_watch_hides_no_other_event failed, for instance with "unreadable answer: Expected `object`, got `array` - at `$.events[1]`".

Change: events are decoded one by one like the items of a listing; odd ones are logged, counted and skipped, and the watch continues from asOf. An answer with events whose asOf doesn't advance is an error now, since the same call would be repeated without a pause.

Conclusion: the other events of the answer are delivered.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -47,12 +47,12 @@
 
 
 class _WatchResponse(msgspec.Struct, frozen=True):
-    events: tuple[_Item, ...] = ()
-    asOf: int = 0  # noqa: N815 - name on the wire
+    events: tuple[msgspec.Raw, ...] = ()
+    asOf: bounded.Id = 0  # noqa: N815 - name on the wire
 
 
 class _TxnResponse(msgspec.Struct, frozen=True):
-    rev: int = 0
+    rev: bounded.Id = 0
 
 
 class _LeaseResponse(msgspec.Struct, frozen=True):
@@ -198,9 +198,17 @@
                     peer=PEER,
                 )
             _check_status(res, 'watch')
-            response = _decode(res, _WatchResponse)
+            response = _decode_list(res, _WatchResponse, 'events')
+            if response.events and response.asOf <= after:
+                raise errors.StoreOutcomeUnknown(
+                    'the events of a watch are repeated',
+                    step='store.watch',
+                    peer=PEER,
+                )
             after = max(after, response.asOf)
-            yield tuple(_watch_event(item) for item in response.events)
+            yield tuple(
+                _watch_event(item) for item in _decode_items(response.events)
+            )
 
     async def _call(
         self,
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -182,6 +182,32 @@
         await _keys(nursery, {'': page, 'k/1': page})
 
 
+@pytest.mark.parametrize('odd', ODD_ITEMS, ids=ODD_IDS)
+async def test_odd_event_of_a_watch_hides_no_other_event(nursery, odd):
+    """Guards against a follower that fails at the same revision for ever."""
+    body = _page([_item('k/1'), odd, _item('k/3')])
+    body = body.replace(b'"items"', b'"events"', 1)
+    app = test_adapter._fixed_app(body)
+    store = _store.PlatformStore(await test_adapter._serve(nursery, app))
+    async with store.watch('k/', 1) as changes:
+        async for batch in changes:
+            assert [event.key for event in batch] == ['k/1', 'k/3']
+            break
+    await store.aclose()
+
+
+async def test_watch_that_does_not_advance_fails(nursery):
+    """Guards against calls without a pause if the revision is odd."""
+    body = b'{"events":[' + _item('k/1') + b']}'
+    app = test_adapter._fixed_app(body)
+    store = _store.PlatformStore(await test_adapter._serve(nursery, app))
+    with pytest.raises(errors.StoreError), trio.fail_after(5):
+        async with store.watch('k/', 1) as changes:
+            async for _ in changes:
+                pass
+    await store.aclose()
+
+
 async def test_deeply_nested_answers_are_errors_of_the_call(nursery):
     """Guards against an answer that ends an agent or an entry."""
     app = test_adapter._fixed_app(b'{"x":' + DEEP + b'}')
