Refuse worker lists and leases with numbers out of range

Callers saw an agent that ended when its worker's list had a number that is too large, and with it a worker without work.

Cause: a clock, run number or number of an end of 2^64 was decoded and raised OverflowError when the report was encoded for the scheduling entry; a progress of 1e300 became an integer of 300 digits. A lease missing from the store's answer counted as lease 0, and a leader key bound to it is never removed.

Evidence: 9 cases of test_worker_list_out_of_range_is_an_unknown_outcome failed with "OverflowError" or "DID NOT RAISE", 4 cases of test_lease_out_of_range_is_an_error_of_the_call with "DID NOT RAISE".

Change: the answers have the ranges of model/bounded.py. A list is refused as a whole, as before: a run that is missing from a list counts as lost and is started again, and an end that is skipped would be acknowledged. Progress and load are figures for estimates only and are limited to their range instead.

Conclusion: the call fails with an error that the agent reports and retries.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -56,8 +56,8 @@
 
 
 class _LeaseResponse(msgspec.Struct, frozen=True):
-    lease: int = 0
-    ttlMs: int = 0  # noqa: N815 - name on the wire
+    # A key that is bound to lease 0 is never removed.
+    lease: typing.Annotated[int, msgspec.Meta(ge=1, le=bounded.MAX_ID)]
 
 
 class PlatformStore:
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronrail import errors
+from citronrail.model import bounded
 from citronrail.model import codec
 from citronrail.model import messages
 from citronrail.platform import _http
@@ -19,23 +20,38 @@
 
 
 class _RunRow(msgspec.Struct, frozen=True, array_like=True):
-    task: str
-    run: int
-    checkpoint: str
-    percent: float
-    load: float = 0.0  # may be missing
+    task: bounded.Name
+    run: bounded.Count
+    checkpoint: bounded.Text
+    percent: bounded.SignedNumber
+    load: bounded.SignedNumber = 0.0  # may be missing
 
 
 class _ListResponse(msgspec.Struct, frozen=True):
-    clockMs: int  # noqa: N815 - name on the wire
+    """A list of runs, which is refused as a whole.
+
+    A run without a row counts as lost and is started elsewhere, and an end
+    without a row is acknowledged with the next one.
+    """
+
+    clockMs: bounded.Count  # noqa: N815 - name on the wire
     running: tuple[_RunRow, ...] = ()
     # [number, task, run, how, checkpoint]
-    ended: tuple[tuple[int, str, int, str, str], ...] = ()
-    born: int = 0
+    ended: tuple[
+        tuple[
+            bounded.Count,
+            bounded.Name,
+            bounded.Count,
+            bounded.Name,
+            bounded.Text,
+        ],
+        ...,
+    ] = ()
+    born: bounded.UnixMs = 0
 
 
 class _RefusalResponse(msgspec.Struct, frozen=True):
-    reason: str = ''
+    reason: bounded.Text = ''
 
 
 class PlatformWorker:
@@ -178,5 +194,9 @@
 
 def _run_row(row: _RunRow) -> messages.RunRow:
     return messages.RunRow(
-        row.task, row.run, row.checkpoint, int(row.percent), row.load
+        row.task,
+        row.run,
+        row.checkpoint,
+        int(min(max(0.0, row.percent), 100.0)),
+        max(0.0, row.load),
     )
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -14,6 +14,7 @@
 import trio
 
 from citronrail import errors
+from citronrail.model import codec
 from citronrail.model import messages
 from citronrail.platform import _announcement_app
 from citronrail.platform import _store
@@ -241,3 +242,60 @@
     with pytest.raises(errors.WorkerRefused):
         await client.stop(LIFE, messages.TaskRun('t', 1), 1)
     await client.aclose()
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {'clockMs': 2**64},
+        {'clockMs': -1},
+        {'born': 2**70},
+        {'running': [['t', 2**64, '', 50]]},
+        {'running': [['t', 1, '', 1e300]]},
+        {'running': [['t', 1, '', 50, 1e308]]},
+        {'ended': [[2**64, 't', 1, 'done', '']]},
+        {'ended': [[-1, 't', 1, 'done', '']]},
+        {'ended': [[1, 't', 1, 'done', 'x' * 100_000]]},
+    ],
+    ids=str,
+)
+async def test_worker_list_out_of_range_is_an_unknown_outcome(nursery, odd):
+    """Guards against a list that the agent can't encode for its report.
+
+    A list isn't read in part: a run that is missing from it counts as lost.
+    """
+    body = msgspec.json.encode({'clockMs': 1, 'born': 1} | odd)
+    app = test_adapter._fixed_app(body)
+    client = _worker.PlatformWorker(await test_adapter._serve(nursery, app))
+    with pytest.raises(errors.WorkerOutcomeUnknown):
+        found = await client.list_runs(LIFE, ports.LeaseOrder(1, 0))
+        codec.encode(found)
+    await client.aclose()
+
+
+async def test_figures_of_a_run_are_limited(nursery):
+    """Guards against estimates from a progress or load that can't be."""
+    rows = [['t', 1, '', -1, -7.0], ['t', 2, '', 101]]
+    body = msgspec.json.encode({'clockMs': 1, 'running': rows})
+    app = test_adapter._fixed_app(body)
+    client = _worker.PlatformWorker(await test_adapter._serve(nursery, app))
+    found = await client.list_runs(LIFE, ports.LeaseOrder(1, 0))
+    assert [(row.percent, row.load) for row in found.running] == [
+        (0, 0.0),
+        (100, 0.0),
+    ]
+    await client.aclose()
+
+
+@pytest.mark.parametrize(
+    'answer',
+    [{'lease': 2**64}, {'lease': -1}, {'lease': 0}, {}],
+    ids=str,
+)
+async def test_lease_out_of_range_is_an_error_of_the_call(nursery, answer):
+    """Guards against writes that are bound to no lease or an invalid one."""
+    app = test_adapter._fixed_app(msgspec.json.encode(answer))
+    store = _store.PlatformStore(await test_adapter._serve(nursery, app))
+    with pytest.raises(errors.StoreError):
+        await store.grant_lease(1.0)
+    await store.aclose()
