Keep following the store after an error of a listener

Callers saw a whole process end because of one item that a listener could not handle, again after each restart.

Cause: a listener runs in the task of the follower, which catches the package's own errors only, and re-listed for those.

Evidence: test_listener_that_raises_ends_no_follower ended with an ExceptionGroup of "ZeroDivisionError: odd item".

Change: an error of a listener is logged as CR1755 and counted in citronrail_workflow_listener_failures. The items or changes are then delivered one by one, and a listing once more without those that fail, so that a listener that waits for its listing gets it.

Conclusion: the follower continues, and the other items are handled.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -132,6 +132,9 @@
 TASK_GIVEN_UP = _events.EventKind(
     1750, 'ERROR', 'task {task} is given up, it crashed workers {workers}'
 )
+LISTENER_FAILED = _events.EventKind(
+    1755, 'ERROR', 'listener of {prefix} failed at {key}: {reason}'
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -55,6 +55,11 @@
     'citronrail_workflow_preemptions',
     'Runs stopped because a task of higher priority waits',
 )
+LISTENER_FAILURES = prometheus_client.Counter(
+    'citronrail_workflow_listener_failures',
+    'Errors of listeners of the store, which are skipped, by prefix',
+    ['prefix'],
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_prefix_follower.py
+++ b/citronrail/workflow/_prefix_follower.py
@@ -9,7 +9,9 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
+from citronrail.workflow import _metrics as metrics
 
+T = typing.TypeVar('T')
 RETRY_S = 0.1
 MAX_RETRY_S = 0.5
 # With fast takeover. 70 processes then make at most 470 calls a second while
@@ -51,13 +53,14 @@
     while True:
         try:
             listing = await store.list(prefix)
-            listener.on_listing(listing.items)
+            _deliver_listing(listener, prefix, listing.items)
             if lost:
                 observability.emit(events.WATCH_REGAINED, prefix=prefix)
             lost = False
             pause_s = RETRY_S
             async with store.watch(prefix, listing.revision + 1) as changes:
-                await _deliver(changes, listener)
+                async for batch in changes:
+                    _deliver_events(listener, prefix, batch)
         except errors.StoreCompacted:
             observability.emit(events.WATCH_COMPACTED, prefix=prefix)
             continue
@@ -71,9 +74,55 @@
         pause_s = min(2 * pause_s, max_retry_s)
 
 
-async def _deliver(
-    changes: collections.abc.AsyncIterator[tuple[ports.WatchEvent, ...]],
+def _deliver_listing(
+    listener: PrefixListener, prefix: str, items: tuple[ports.KeyValue, ...]
+) -> None:
+    """Deliver a listing, without the items that the listener can't handle."""
+    if _succeeds(listener.on_listing, items, prefix, 'all keys'):
+        return
+    handled = tuple(
+        item
+        for item in items
+        if _succeeds(
+            listener.on_events,
+            (ports.WatchEvent(item.key, item.value, item.revision),),
+            prefix,
+            item.key,
+        )
+    )
+    _succeeds(listener.on_listing, handled, prefix, 'the other keys')
+
+
+def _deliver_events(
     listener: PrefixListener,
+    prefix: str,
+    changes: tuple[ports.WatchEvent, ...],
 ) -> None:
-    async for batch in changes:
-        listener.on_events(batch)
+    """Deliver changes, one by one if the listener can't handle them all."""
+    if _succeeds(listener.on_events, changes, prefix, 'changes'):
+        return
+    for change in changes:
+        _succeeds(listener.on_events, (change,), prefix, change.key)
+
+
+def _succeeds(
+    handle: collections.abc.Callable[[T], None],
+    items: T,
+    prefix: str,
+    key: str,
+) -> bool:
+    """Call a listener; log and count its error, whatever it is.
+
+    An error in a listener must not end the follower, which serves the whole
+    process. Listeners skip what they can't decode, so that this is a fault
+    of theirs.
+    """
+    try:
+        handle(items)
+    except Exception as exc:  # noqa: BLE001
+        metrics.LISTENER_FAILURES.labels(prefix).inc()
+        observability.emit(
+            events.LISTENER_FAILED, prefix=prefix, key=key, reason=repr(exc)
+        )
+        return False
+    return True
