--- a/citronrail/platform/_http.py
+++ b/citronrail/platform/_http.py
@@ -122,6 +122,4 @@
     :param peer: name of the server for the error.
     """
     metrics.REFUSED.labels(f'{source} answer').inc()
-    return error(
-        f'unreadable answer: {exc.message}', step='decode', peer=peer
-    )
+    return error(f'unreadable answer: {exc.message}', step='decode', peer=peer)
--- a/citronrail/platform/_json_lists.py
+++ b/citronrail/platform/_json_lists.py
@@ -66,6 +66,4 @@
             if text == b']':
                 return start, token.start(), items
         depth += (text in _OPENING) - (text in _CLOSING)
-    raise errors.Undecodable(
-        f'no list of {field}', step='json_lists.decode'
-    )
+    raise errors.Undecodable(f'no list of {field}', step='json_lists.decode')
--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -280,9 +280,7 @@
             )
 
 
-def _next_start(
-    raws: tuple[msgspec.Raw, ...], prefix: str, after: str
-) -> str:
+def _next_start(raws: tuple[msgspec.Raw, ...], prefix: str, after: str) -> str:
     """Return the key after which the next page of a listing starts.
 
     :param raws: the items of a page, of which some may be malformed.
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -21,6 +21,7 @@
 from citronrail.platform import _worker
 from citronrail.platform.tests import test_adapter
 from citronrail import ports
+
 DEEP = b'[' * 100_000 + b']' * 100_000
 LIFE = messages.WorkerLife('w', 1, 'p', 'dc', 'ready', 1, 1, 0)
 HEARTBEAT = {
@@ -105,6 +106,8 @@
 
 def _item(key: str, revision: int = 4) -> bytes:
     return msgspec.json.encode({'key': key, 'value': 'eA==', 'rev': revision})
+
+
 ODD_ITEMS = [
     b'{"key":7}',
     b'{"key":"k/2","rev":18446744073709551616}',
