Skip stored jobs and progress that can't be carried out

Callers saw the scheduling entry end, and each of its successors, because of one record under the prefix of the jobs.

Cause: a stored job record was trusted to be one that an entry had checked at its submission, and a progress record to have a known status.

Change: the fields of jobs and records have the ranges of model/bounded.py, the check of a job at its submission is now that of its specification and is repeated for a stored record, and the record must belong to its key. Progress with more or fewer stages or tasks than its job was harmless before and is now covered by a test.

Conclusion: the other jobs are scheduled.

--- a/citronrail/model/workflows.py
+++ b/citronrail/model/workflows.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 
+from citronrail.model import bounded
 from citronrail.model import identifiers
 
+MAX_TASKS = 20_000  # of a job, in all its occurrences
+
 
 @dataclasses.dataclass(frozen=True)
 class StepSpec:
@@ -13,35 +16,52 @@
     ``estimate_s`` is declared by the caller and used only as a prior.
     """
 
-    task_count: int
-    cpu_millis: int = 0  # thousandths of a core for each task
-    memory_mb: int = 0
-    accelerators: int = 0
-    estimate_s: float = 0.0
-    after: tuple[int, ...] = ()
+    task_count: bounded.Count
+    cpu_millis: bounded.Count = 0  # thousandths of a core for each task
+    memory_mb: bounded.Count = 0
+    accelerators: bounded.Count = 0
+    estimate_s: bounded.Number = 0.0
+    after: tuple[bounded.Count, ...] = ()
     saves_progress: bool = False
     gang: bool = False  # all tasks run together or not at all
     rack_local: bool = False
-    required_label: str = ''
-    preferred_rack: str = ''  # label of the rack that holds the data
-    max_per_worker: int = 0  # 0: no limit
+    required_label: bounded.Text = ''
+    preferred_rack: bounded.Text = ''  # label of the rack that holds the data
+    max_per_worker: bounded.Count = 0  # 0: no limit
     speculative: bool = False  # copies of a task may run side by side
     long_running: bool = False  # restarted until the job is cancelled
-    image: str = ''
-    latency_target_ms: int = 0  # of a long-running task that serves users
+    image: bounded.Text = ''
+    latency_target_ms: bounded.Count = (
+        0  # of a long-running task that serves users
+    )
     fills: bool = False  # uses idle processors; not counted in capacity
-    max_unavailable: int = 0
+    max_unavailable: bounded.Count = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class WorkflowSpec:
     """A job of steps; ``occurrences`` 0 means that it runs once, at once."""
 
-    argument: str
+    argument: bounded.Text
     steps: tuple[StepSpec, ...]
-    occurrences: int = 0
-    first_due_at: float = 0.0  # Unix time in seconds
-    period_s: float = 0.0
+    occurrences: bounded.Count = 0
+    first_due_at: bounded.Number = 0.0  # Unix time in seconds
+    period_s: bounded.Number = 0.0
+
+    @property
+    def problem(self) -> str:
+        """Why the job can't be carried out, '' if it can."""
+        if not self.steps:
+            return 'a job needs a step'
+        tasks = sum(step.task_count for step in self.steps)
+        if not 0 < tasks * max(1, self.occurrences) <= MAX_TASKS:
+            return f'a job has 1 to {MAX_TASKS} tasks'
+        for number, step in enumerate(self.steps):
+            if step.task_count < 1:
+                return f'step {number} has no tasks'
+            if any(not 0 <= n < number for n in step.after):
+                return f'step {number} must come after earlier steps'
+        return ''
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/platform/_wire_jobs.py
+++ b/citronrail/platform/_wire_jobs.py
@@ -1,48 +1,44 @@
 """Decodes the jobs that callers submit."""
 
 import re
-import typing
 
 import msgspec
 
+from citronrail.model import bounded
 from citronrail.model import workflows
 
 MAX_SPEC_BYTES = 4000
-MAX_TASKS = 20_000
-MAX_NUMBER = 2**53  # of any field of a step; exact in every number format
 _JOB_ID = re.compile('[0-9a-fA-F]{16}')
 
-_Int = typing.Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-_Float = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
-
 
 class _Step(msgspec.Struct, frozen=True):
-    count: _Int = 1
-    cpu: _Int = 0
-    memMb: _Int = 0  # noqa: N815 - name on the wire
-    gpu: _Int = 0
-    estimateMs: _Float = 0.0  # noqa: N815 - name on the wire
+    count: bounded.Count = 1
+    cpu: bounded.Count = 0
+    memMb: bounded.Count = 0  # noqa: N815 - name on the wire
+    gpu: bounded.Count = 0
+    estimateMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
     after: tuple[int, ...] = ()
     savesProgress: bool = False  # noqa: N815 - name on the wire
     gang: bool = False
     rackLocal: bool = False  # noqa: N815 - name on the wire
-    constraints: str = ''  # label that the worker must have
-    affinity: str = ''  # rack that holds the data
-    antiAffinity: _Int = 0  # noqa: N815 - max. tasks of the step per worker
+    constraints: bounded.Text = ''  # label that the worker must have
+    affinity: bounded.Text = ''  # rack that holds the data
+    # Max. tasks of the step per worker.
+    antiAffinity: bounded.Count = 0  # noqa: N815 - name on the wire
     speculative: bool = False
     longRunning: bool = False  # noqa: N815 - name on the wire
-    image: str = ''
-    targetMs: _Int = 0  # noqa: N815 - name on the wire
+    image: bounded.Text = ''
+    targetMs: bounded.Count = 0  # noqa: N815 - name on the wire
     fills: bool = False
-    mayMiss: _Int = 0  # noqa: N815 - max. tasks unavailable at a time
+    mayMiss: bounded.Count = 0  # noqa: N815 - max. tasks unavailable at a time
 
 
 class _Job(msgspec.Struct, frozen=True):
     spec: str
     steps: tuple[_Step, ...]
-    times: _Int = 0
-    startAtMs: _Float = 0.0  # noqa: N815 - Unix time
-    periodMs: _Float = 0.0  # noqa: N815 - name on the wire
+    times: bounded.Count = 0
+    startAtMs: bounded.Number = 0.0  # noqa: N815 - Unix time
+    periodMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
 
 
 _DECODER = msgspec.json.Decoder(_Job, strict=False)
@@ -63,23 +59,16 @@
     job = _DECODER.decode(body)
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise ValueError(f'spec has more than {MAX_SPEC_BYTES} bytes')
-    if not job.steps:
-        raise ValueError('a job needs a step')
-    tasks = sum(step.count for step in job.steps) * max(1, job.times)
-    if not 0 < tasks <= MAX_TASKS:
-        raise ValueError(f'a job has 1 to {MAX_TASKS} tasks')
-    for number, step in enumerate(job.steps):
-        if step.count < 1:
-            raise ValueError(f'step {number} has no tasks')
-        if any(not 0 <= n < number for n in step.after):
-            raise ValueError(f'step {number} must come after earlier steps')
-    return workflows.WorkflowSpec(
+    spec = workflows.WorkflowSpec(
         argument=job.spec,
         steps=tuple(_step(step) for step in job.steps),
         occurrences=job.times,
         first_due_at=job.startAtMs / 1000,
         period_s=job.periodMs / 1000,
     )
+    if spec.problem:
+        raise ValueError(spec.problem)
+    return spec
 
 
 def _step(step: _Step) -> workflows.StepSpec:
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from citronrail import errors
+from citronrail.model import bounded
 from citronrail.model import codec
 from citronrail.model import workflows
 
@@ -42,29 +44,29 @@
 class JobRecord(msgspec.Struct, frozen=True):
     """An accepted job; written once, by the entry that accepted it."""
 
-    job_id: str
-    queue: str
-    service: str
-    accepted_at: float  # Unix time in seconds
+    job_id: bounded.Name
+    queue: bounded.Text
+    service: bounded.Text
+    accepted_at: bounded.Number  # Unix time in seconds
     spec: workflows.WorkflowSpec
 
 
 class AttemptRecord(msgspec.Struct, frozen=True, array_like=True):
     """A run that may exist on a worker."""
 
-    number: int
-    node: str  # agent on the worker's host
-    worker_id: str
-    born_ms: int
-    assigned_at: float = 0.0  # Unix time in seconds
+    number: bounded.Count
+    node: bounded.Name  # agent on the worker's host
+    worker_id: bounded.Name
+    born_ms: bounded.UnixMs
+    assigned_at: bounded.Number = 0.0  # Unix time in seconds
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
     """A worker that was lost while a task's run was new on it."""
 
-    worker_id: str
-    born_ms: int
-    node: str  # agent on the worker's host
+    worker_id: bounded.Name
+    born_ms: bounded.UnixMs
+    node: bounded.Name  # agent on the worker's host
     sole: bool  # no other job had a new run there
 
     @property
@@ -77,9 +79,9 @@
     """Progress of one task."""
 
     done: bool = False
-    last_run: int = 0
-    failures: int = 0
-    checkpoint: str = ''
+    last_run: bounded.Count = 0
+    failures: bounded.Count = 0
+    checkpoint: bounded.Text = ''
     attempts: tuple[AttemptRecord, ...] = ()
     crashes: tuple[CrashRecord, ...] = ()
 
@@ -87,27 +89,29 @@
 class ProgressRecord(msgspec.Struct, frozen=True, array_like=True):
     """Progress of a job; a stage that has not started is an empty tuple."""
 
-    status: str
-    ended_at: float = 0.0  # Unix time in seconds, 0 until it has ended
+    status: JobStatus
+    ended_at: bounded.Number = (
+        0.0  # Unix time in seconds, 0 until it has ended
+    )
     stages: tuple[tuple[TaskRecord, ...], ...] = ()
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
     """Identity and address of the scheduling entry (the leader)."""
 
-    node_id: str
-    boot_id: str
-    address: str  # tcp://IP:PORT of its peer port
+    node_id: bounded.Name
+    boot_id: bounded.Name
+    address: bounded.Name  # tcp://IP:PORT of its peer port
 
 
 class WorkerShape(msgspec.Struct, frozen=True, array_like=True):
     """Attributes of a worker that decide which tasks fit."""
 
-    service: str
-    cpu_millis: int
-    memory_mb: int
-    accelerators: int
-    labels: tuple[str, ...] = ()  # sorted
+    service: bounded.Text
+    cpu_millis: bounded.Amount
+    memory_mb: bounded.Amount
+    accelerators: bounded.Amount
+    labels: tuple[bounded.Name, ...] = ()  # sorted
 
 
 class FleetRecord(msgspec.Struct, frozen=True):
@@ -131,3 +135,19 @@
         kind.
     """
     return codec.decode(data, kind)
+
+
+def check(key: str, record: object) -> None:
+    """Check what the types of a record don't.
+
+    :param key: key of the record.
+    :param record: the decoded record.
+    :raises citronrail.errors.Undecodable: if the record can't be used.
+    """
+    if not isinstance(record, JobRecord):
+        return
+    problem = record.spec.problem
+    if key != JOB_PREFIX + record.job_id:
+        problem = f'it is the record of job {record.job_id}'
+    if problem:
+        raise errors.Undecodable(problem, step='documents.check')
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -336,14 +336,14 @@
     def progress(self) -> documents.ProgressRecord:
         """Return the progress record to store."""
         return documents.ProgressRecord(
-            self.status.value,
+            self.status,
             self.ended_at,
             tuple(_stage_record(stage) for stage in self.stages),
         )
 
     def restore(self, progress: documents.ProgressRecord) -> None:
         """Restore the state of a stored progress record."""
-        status = documents.JobStatus(progress.status)
+        status = progress.status
         self.committed_status = status
         self.failed = status is documents.JobStatus.FAILED
         self.cancelled = status is documents.JobStatus.CANCELLED
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -60,6 +60,11 @@
     'Errors of listeners of the store, which are skipped, by prefix',
     ['prefix'],
 )
+RECORDS_REFUSED = prometheus_client.Counter(
+    'citronrail_workflow_records_refused',
+    'Stored records that were skipped as malformed or out of range, by type',
+    ['kind'],
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -191,9 +191,12 @@
 def decode_item(
     key: str, data: bytes, kind: type[documents.T]
 ) -> documents.T | None:
-    """Decode a stored item; log and return None if it is invalid."""
+    """Decode a stored item; count, log and skip it if it is invalid."""
     try:
-        return documents.decode(data, kind)
+        record = documents.decode(data, kind)
+        documents.check(key, record)
+        return record
     except errors.Undecodable as exc:
+        metrics.RECORDS_REFUSED.labels(kind.__name__).inc()
         observability.emit(events.DOCUMENT_UNREADABLE, key=key, reason=exc)
         return None
--- a/citronrail/workflow/tests/test_odd_records.py
+++ b/citronrail/workflow/tests/test_odd_records.py
@@ -5,20 +5,39 @@
 """
 
 import contextlib
+import dataclasses
+import math
 
 import msgspec
 import pytest
 import trio
 
+from citronrail.model import workflows
 from citronrail import ports
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _prefix_follower
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.overload import _run_times
+from citronrail.workflow.tests import _cluster
 
 DEEP = b'\x91' * 100_000 + b'\xc0'  # arrays of one item in msgpack
 
 
+JOB = '5c0e7a21d94b36f8'
+KEY = documents.JOB_PREFIX + JOB
+STEP = workflows.StepSpec(2, 100, 100, estimate_s=1.0)
+SPEC = workflows.WorkflowSpec('argument', (STEP, STEP))
+RECORD = documents.JobRecord(JOB, 'queue', 'pool', 1.7e9, SPEC)
+
+
+def _spec(**changes) -> workflows.WorkflowSpec:
+    return dataclasses.replace(SPEC, **changes)
+
+
+def _step(**changes) -> workflows.WorkflowSpec:
+    return _spec(steps=(STEP, dataclasses.replace(STEP, **changes)))
+
+
 @pytest.mark.parametrize(
     'kind',
     [
@@ -35,6 +54,85 @@
     assert _scheduler_state.decode_item('key', data, kind) is None
 
 
+def _record(spec=SPEC, **changes) -> documents.JobRecord:
+    return msgspec.structs.replace(RECORD, spec=spec, **changes)
+
+
+ODD_JOBS = {
+    'no steps': _record(_spec(steps=())),
+    'after a later step': _record(_step(after=(1,))),
+    'after no step': _record(_step(after=(7,))),
+    'after a negative step': _record(_step(after=(-1,))),
+    'billions of tasks': _record(_step(task_count=4_000_000_000)),
+    'no tasks': _record(_step(task_count=0)),
+    'billions of occurrences': _record(_spec(occurrences=2_000_000_000)),
+    'negative occurrences': _record(_spec(occurrences=-1)),
+    'negative demand': _record(_step(cpu_millis=-100)),
+    'estimate': _record(_step(estimate_s=math.nan)),
+    'due time': _record(_spec(first_due_at=math.inf)),
+    'period': _record(_spec(occurrences=2, period_s=1e300)),
+    'acceptance': _record(accepted_at=math.nan),
+    'job of another key': _record(job_id='0' * 16),
+    'argument': _record(_spec(argument='x' * 100_000)),
+}
+
+
+@pytest.mark.parametrize('record', ODD_JOBS.values(), ids=ODD_JOBS)
+async def test_odd_job_record_is_skipped(record, autojump_clock):
+    """Guards against a scheduling entry that ends at one job's record."""
+    async with trio.open_nursery() as nursery:
+        cluster = _cluster.SimulatedCluster(entries=2, workers=2)
+        await cluster.start(nursery)
+        value = documents.encode(record)
+        await cluster.store.txn([], [ports.Put(KEY, value)])
+        await cluster.submit('1' * 16, _cluster.chain(1, 1))
+        with trio.fail_after(30):
+            await cluster.until_state('1' * 16, 'completed')
+        state = cluster.leader.election.term.scheduler_state
+        assert set(state.jobs) == {'1' * 16}
+        nursery.cancel_scope.cancel()
+
+
+TASK = documents.TaskRecord(
+    last_run=1, attempts=(documents.AttemptRecord(1, 'a0', 'w0', 1),)
+)
+ODD_PROGRESS = {
+    'status': documents.ProgressRecord('asleep'),
+    'end': documents.ProgressRecord('running', math.nan),
+    'run': documents.ProgressRecord(
+        'running', 0.0, ((documents.TaskRecord(last_run=-1),),)
+    ),
+    'run of 2^64': documents.ProgressRecord(
+        'running', 0.0, ((documents.TaskRecord(last_run=2**64 - 1),),)
+    ),
+}
+
+
+@pytest.mark.parametrize('progress', ODD_PROGRESS.values(), ids=ODD_PROGRESS)
+def test_odd_progress_record_is_skipped(progress):
+    """Guards against a new leader that ends while it loads the jobs."""
+    found = _scheduler_state.decode_item(
+        documents.PROGRESS_PREFIX + JOB,
+        documents.encode(progress),
+        documents.ProgressRecord,
+    )
+    assert found is None
+
+
+@pytest.mark.parametrize(
+    'stages',
+    [(), ((TASK,),), ((TASK,) * 9,), ((), (), (TASK,))],
+    ids=['fewer stages', 'fewer tasks', 'more tasks', 'more stages'],
+)
+def test_progress_of_another_shape_is_restored(stages):
+    """Guards against a leader that ends at progress unlike its job."""
+    state = _scheduler_state.SchedulerState(lambda _: None)
+    state.progress[JOB] = documents.ProgressRecord('running', 0.0, stages)
+    state.add_job(RECORD, 0.0, 1.7e9)
+    assert state.jobs[JOB].open
+    assert len(list(state.jobs[JOB].ready_stages(1.7e9))) == 2
+
+
 class _OneList:
     """A store with one listing and one batch of changes."""
 
