Refuse a job with a deeply nested field as a bad request

Callers saw a 500 for it, and the entry logged an unhandled error.

Cause: the decoder of submissions raised RecursionError, which is not among the errors that are answered with 400.

Evidence: test_odd_job_is_refused[extra field] failed with "RecursionError: maximum recursion depth exceeded while deserializing an object".

Change: the body is decoded by model/codec.py.

Conclusion: it is answered with 400 like other malformed jobs.

--- a/citronrail/platform/_wire_jobs.py
+++ b/citronrail/platform/_wire_jobs.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail.model import workflows
 
 MAX_SPEC_BYTES = 4000
@@ -41,9 +42,6 @@
     periodMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
 
 
-_DECODER = msgspec.json.Decoder(_Job, strict=False)
-
-
 def is_valid_job_id(job_id: str) -> bool:
     """Return whether a job id is valid."""
     return _JOB_ID.fullmatch(job_id) is not None
@@ -56,7 +54,7 @@
     :returns: the job.
     :raises ValueError: if it is malformed or exceeds a limit.
     """
-    job = _DECODER.decode(body)
+    job = codec.from_json(body, _Job, strict=False)
     if len(job.spec.encode()) > MAX_SPEC_BYTES:
         raise ValueError(f'spec has more than {MAX_SPEC_BYTES} bytes')
     spec = workflows.WorkflowSpec(
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -18,6 +18,7 @@
 from citronrail.model import messages
 from citronrail.platform import _announcement_app
 from citronrail.platform import _store
+from citronrail.platform import _wire_jobs
 from citronrail.platform import _worker
 from citronrail.platform.tests import test_adapter
 from citronrail import ports
@@ -302,3 +303,19 @@
     with pytest.raises(errors.StoreError):
         await store.grant_lease(1.0)
     await store.aclose()
+
+
+@pytest.mark.parametrize(
+    'body',
+    [
+        _with_deep_field({'spec': '', 'steps': [{}]}),
+        b'{"spec":"","steps":' + DEEP + b'}',
+        b'{"spec":"","steps":[{"after":[%d]}]}' % 10**400,
+        b'{"spec":"\\ud800","steps":[{}]}',
+    ],
+    ids=['extra field', 'steps', 'huge number', 'surrogate'],
+)
+def test_odd_job_is_refused(body):
+    """Guards against a submission that ends in an unhandled error."""
+    with pytest.raises(ValueError):
+        _wire_jobs.decode_job(body)
