Follow the operators' settings although one route is odd

Callers saw machines that stopped following the settings: a configuration with one route or service out of range was refused as a whole, or was accepted with numbers that nothing can compute with (a stretch of NaN, a priority of 2^70).

Change: routes and services are decoded one by one, in the ranges of model/bounded.py. Odd ones are logged as CR1705, counted in citronrail_platform_data_refused and skipped. A document whose version can't be read, or of which no route can be used, is refused as before, and the settings in force stay.

Conclusion: one odd item costs its own queue only.

--- a/citronrail/platform/_operator_documents.py
+++ b/citronrail/platform/_operator_documents.py
@@ -1,13 +1,19 @@
 """Decodes the documents that operators write to the store."""
 
+import collections.abc
 import dataclasses
 import typing
 
 import msgspec
 
 from citronrail import errors
+from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail.model import identifiers
 from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
+from citronrail.platform import _transport_metrics as metrics
 
 PREFIX = 'op/'
 CONFIG_KEY = 'op/config'
@@ -27,39 +33,51 @@
 WIRE_UNITS_PER_S = 1000  # of attributes that are times
 
 
+_Item = typing.TypeVar('_Item', bound=msgspec.Struct)
+
+
 class _Route(msgspec.Struct, frozen=True):
-    name: str
-    host: str
-    prefix: str
-    service: str
-    priority: int = 0
-    maxAttempts: int = 1  # noqa: N815 - name on the wire
-    stretch: float = 1.0
-    targetCompletionMs: float = 0.0  # noqa: N815 - name on the wire
-    timeoutMs: float = 0.0  # noqa: N815 - name on the wire
+    name: bounded.Text
+    host: bounded.Text
+    prefix: bounded.Text
+    service: bounded.Text
+    priority: bounded.Amount = 0
+    maxAttempts: bounded.Amount = 1  # noqa: N815 - name on the wire
+    stretch: bounded.Number = 1.0
+    targetCompletionMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
+    timeoutMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
 
 
 class _Service(msgspec.Struct, frozen=True):
-    name: str
+    name: bounded.Text
     rejectsOverload: bool = False  # noqa: N815 - name on the wire
     standby: bool = False
 
 
 class _Limits(msgspec.Struct, frozen=True):
-    maxBodyBytes: int = 262_144  # noqa: N815 - name on the wire
+    maxBodyBytes: bounded.Count = 262_144  # noqa: N815 - name on the wire
 
 
 class _Config(msgspec.Struct, frozen=True):
-    version: int
+    version: bounded.Count
     routes: tuple[_Route, ...] = ()
     services: tuple[_Service, ...] = ()
     limits: _Limits = _Limits()
 
 
+class _RawConfig(msgspec.Struct, frozen=True):
+    """Configuration of which the routes and services are still encoded."""
+
+    version: bounded.Count
+    routes: tuple[msgspec.Raw, ...] = ()
+    services: tuple[msgspec.Raw, ...] = ()
+    limits: _Limits = _Limits()
+
+
 class _CheckedLimits(_Limits, frozen=True):
     """Limits with those that no process uses."""
 
-    maxHeaderBytes: int = 0  # noqa: N815 - name on the wire
+    maxHeaderBytes: bounded.Count = 0  # noqa: N815 - name on the wire
 
 
 class CheckedDocument(_Config, frozen=True):
@@ -88,22 +106,47 @@
 def decode_config(value: bytes) -> workflows.OperatorConfig:
     """Decode the operators' configuration.
 
+    Routes and services that are malformed or out of range are logged, counted
+    and skipped; the others apply.
+
     :param value: the stored document.
     :returns: the configuration.
-    :raises citronrail.errors.ConfigError: if it is malformed.
+    :raises citronrail.errors.ConfigError: if it is malformed, or has routes
+        of which none can be used.
     """
     try:
-        document = msgspec.json.decode(value, type=_Config, strict=False)
-    except (msgspec.DecodeError, RecursionError) as exc:
-        raise errors.ConfigError(str(exc), step='operators.config') from exc
+        document = codec.from_json(value, _RawConfig, strict=False)
+    except errors.Undecodable as exc:
+        raise errors.ConfigError(exc.message, step='operators.config') from exc
+    routes = tuple(_readable(document.routes, _Route))
+    if document.routes and not routes:
+        raise errors.ConfigError(
+            'no route can be used', step='operators.config'
+        )
     return workflows.OperatorConfig(
         version=document.version,
-        queues=tuple(_queue(route) for route in document.routes),
-        pools=tuple(_pool(item) for item in document.services),
+        queues=tuple(_queue(route) for route in routes),
+        pools=tuple(
+            _pool(item) for item in _readable(document.services, _Service)
+        ),
         max_body_bytes=document.limits.maxBodyBytes,
     )
 
 
+def _readable(
+    raws: tuple[msgspec.Raw, ...], item_type: type[_Item]
+) -> collections.abc.Iterator[_Item]:
+    """Decode items; count, log and skip those that are malformed."""
+    for raw in raws:
+        try:
+            yield codec.from_json(raw, item_type, strict=False)
+        except errors.Undecodable as exc:
+            metrics.REFUSED.labels('config item').inc()
+            observability.emit(
+                events.CONFIG_UNREADABLE, reason=f'{bytes(raw)[:80]!r}: {exc}'
+            )
+
+
 def decode_partially(document: typing.Any) -> PartialConfig:
     """Decode as much as possible of a configuration.
 
@@ -137,9 +180,6 @@
     return key.removeprefix(EVACUATION_PREFIX)
 
 
-_Item = typing.TypeVar('_Item', bound=msgspec.Struct)
-
-
 def _valid_items(
     value: typing.Any, item_type: type[_Item]
 ) -> list[tuple[int, _Item]]:
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -17,6 +17,7 @@
 from citronrail.model import codec
 from citronrail.model import messages
 from citronrail.platform import _announcement_app
+from citronrail.platform import _operator_documents
 from citronrail.platform import _store
 from citronrail.platform import _wire_jobs
 from citronrail.platform import _worker
@@ -319,3 +320,43 @@
     """Guards against a submission that ends in an unhandled error."""
     with pytest.raises(ValueError):
         _wire_jobs.decode_job(body)
+
+
+ROUTE = {'name': 'q', 'host': 'h', 'prefix': '/', 'service': 's'}
+
+
+@pytest.mark.parametrize(
+    'odd',
+    [
+        {'priority': 2**70},
+        {'maxAttempts': -1},
+        {'stretch': 'nan'},
+        {'stretch': 1e308},
+        {'targetCompletionMs': 'inf'},
+        {'timeoutMs': -1},
+    ],
+    ids=str,
+)
+def test_odd_route_hides_no_other_route(odd):
+    """Guards against entries that stop following the operators' settings."""
+    odd_route = ROUTE | {'name': 'odd'} | odd
+    document = {'version': 1, 'routes': [ROUTE, odd_route], 'services': [7]}
+    config = _operator_documents.decode_config(msgspec.json.encode(document))
+    assert [queue.name for queue in config.queues] == ['q']
+    assert config.pools == ()
+
+
+@pytest.mark.parametrize(
+    'document',
+    [
+        b'{"version":1,"routes":[7]}',
+        b'{"version":%d}' % 2**64,
+        b'{"version":-1}',
+        b'{"version":1,"odd":' + DEEP + b'}',
+    ],
+    ids=['no route', 'version', 'negative version', 'deep'],
+)
+def test_unreadable_config_is_refused(document):
+    """Guards against replacing the settings in force by nothing."""
+    with pytest.raises(errors.ConfigError):
+        _operator_documents.decode_config(document)
