--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -8,9 +8,13 @@
 import msgspec
 
 from citronrail import errors
+from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.platform import _http
+from citronrail.platform import _json_lists
+from citronrail.platform import _transport_metrics as metrics
 from citronrail import ports
 
 CALL_TIMEOUT_S = 1.0
@@ -18,35 +22,42 @@
 WATCH_GRACE_S = 0.7  # added to the long-poll wait to get the timeout
 PEER = 'store'
 T = typing.TypeVar('T')
+_Listed = typing.TypeVar('_Listed', bound=msgspec.Struct)
 _BUSY_STATUSES = (429, 503)
 
 
 class _Item(msgspec.Struct, frozen=True):
-    key: str
+    key: bounded.Name
     value: str = ''
-    rev: int = 0
-    lease: int = 0
+    rev: bounded.Id = 0
+    lease: bounded.Id = 0
     removed: bool = False
 
 
+class _Key(msgspec.Struct, frozen=True):
+    """Item of which only the key can be read."""
+
+    key: bounded.Name
+
+
 class _RangeResponse(msgspec.Struct, frozen=True):
     items: tuple[msgspec.Raw, ...] = ()
     hasMore: bool = False  # noqa: N815 - name on the wire
-    asOf: int = 0  # noqa: N815 - name on the wire
+    asOf: bounded.Id = 0  # noqa: N815 - name on the wire
 
 
 class _WatchResponse(msgspec.Struct, frozen=True):
-    events: tuple[_Item, ...] = ()
-    asOf: int = 0  # noqa: N815 - name on the wire
+    events: tuple[msgspec.Raw, ...] = ()
+    asOf: bounded.Id = 0  # noqa: N815 - name on the wire
 
 
 class _TxnResponse(msgspec.Struct, frozen=True):
-    rev: int = 0
+    rev: bounded.Id = 0
 
 
 class _LeaseResponse(msgspec.Struct, frozen=True):
-    lease: int = 0
-    ttlMs: int = 0  # noqa: N815 - name on the wire
+    # A key that is bound to lease 0 is never removed.
+    lease: typing.Annotated[int, msgspec.Meta(ge=1, le=bounded.MAX_ID)]
 
 
 class PlatformStore:
@@ -85,17 +96,12 @@
                 query['after'] = after
             res = await self._call('GET', '/kv-range', query=query)
             _check_status(res, 'list')
-            page = _decode(res, _RangeResponse)
+            page = _decode_list(res, _RangeResponse, 'items')
             revision = revision or page.asOf
-            found = [
-                item
-                for raw in page.items
-                if (item := _decode_item(raw)) is not None
-            ]
-            items += [_key_value(item) for item in found]
-            if not page.hasMore or not found:
+            items += [_key_value(item) for item in _decode_items(page.items)]
+            if not page.hasMore:
                 return ports.Listing(tuple(items), revision)
-            after = found[-1].key
+            after = _next_start(page.items, prefix, after)
 
     async def txn(
         self,
@@ -192,9 +198,17 @@
                     peer=PEER,
                 )
             _check_status(res, 'watch')
-            response = _decode(res, _WatchResponse)
+            response = _decode_list(res, _WatchResponse, 'events')
+            if response.events and response.asOf <= after:
+                raise errors.StoreOutcomeUnknown(
+                    'the events of a watch are repeated',
+                    step='store.watch',
+                    peer=PEER,
+                )
             after = max(after, response.asOf)
-            yield tuple(_watch_event(item) for item in response.events)
+            yield tuple(
+                _watch_event(item) for item in _decode_items(response.events)
+            )
 
     async def _call(
         self,
@@ -234,18 +248,59 @@
 
 
 def _decode(res: typing.Any, kind: type[T]) -> T:
-    return _http.decode(res, kind, errors.StoreOutcomeUnknown, PEER)
+    try:
+        return codec.from_json(res.content, kind)
+    except errors.Undecodable as exc:
+        raise _unreadable(exc) from exc
+
+
+def _unreadable(exc: errors.Undecodable) -> errors.CitronrailError:
+    return _http.unreadable(exc, errors.StoreOutcomeUnknown, PEER, PEER)
 
 
-def _decode_item(raw: msgspec.Raw) -> _Item | None:
-    """Decode an item of a listing; log and return None if it is malformed."""
+def _decode_list(res: typing.Any, kind: type[_Listed], field: str) -> _Listed:
+    """Decode an answer with a list; its items are decoded one by one."""
     try:
-        return msgspec.json.decode(raw, type=_Item)
-    except msgspec.DecodeError as exc:
-        observability.emit(
-            events.DOCUMENT_UNREADABLE, key=bytes(raw)[:80], reason=exc
-        )
-        return None
+        return _json_lists.decode(res.content, kind, field)
+    except errors.Undecodable as exc:
+        raise _unreadable(exc) from exc
+
+
+def _decode_items(
+    raws: collections.abc.Iterable[msgspec.Raw],
+) -> collections.abc.Iterator[_Item]:
+    """Decode items of a list; count, log and skip those that are malformed."""
+    for raw in raws:
+        try:
+            yield codec.from_json(raw, _Item)
+        except errors.Undecodable as exc:
+            metrics.REFUSED.labels('store item').inc()
+            observability.emit(
+                events.DOCUMENT_UNREADABLE, key=bytes(raw)[:80], reason=exc
+            )
+
+
+def _next_start(raws: tuple[msgspec.Raw, ...], prefix: str, after: str) -> str:
+    """Return the key after which the next page of a listing starts.
+
+    :param raws: the items of a page, of which some may be malformed.
+    :param prefix: prefix of the listed keys.
+    :param after: the key after which that page started.
+    :raises citronrail.errors.StoreOutcomeUnknown: if the page has no later
+        key that can be read; to end there would hide all later items.
+    """
+    for raw in reversed(raws):
+        try:
+            key = codec.from_json(raw, _Key).key
+        except errors.Undecodable:
+            continue
+        if key.startswith(prefix) and key > after:
+            return key
+    raise errors.StoreOutcomeUnknown(
+        f'no next page of the listing after {after!r}',
+        step='store.list',
+        peer=PEER,
+    )
 
 
 def _decode_value(item: _Item) -> bytes:
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -5,6 +5,8 @@
 import msgspec
 
 from citronrail import errors
+from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail.model import messages
 from citronrail.platform import _http
 from citronrail import ports
@@ -18,23 +20,38 @@
 
 
 class _RunRow(msgspec.Struct, frozen=True, array_like=True):
-    task: str
-    run: int
-    checkpoint: str
-    percent: float
-    load: float = 0.0  # may be missing
+    task: bounded.Name
+    run: bounded.Count
+    checkpoint: bounded.Text
+    percent: bounded.SignedNumber
+    load: bounded.SignedNumber = 0.0  # may be missing
 
 
 class _ListResponse(msgspec.Struct, frozen=True):
-    clockMs: int  # noqa: N815 - name on the wire
+    """A list of runs, which is refused as a whole.
+
+    A run without a row counts as lost and is started elsewhere, and an end
+    without a row is acknowledged with the next one.
+    """
+
+    clockMs: bounded.Count  # noqa: N815 - name on the wire
     running: tuple[_RunRow, ...] = ()
     # [number, task, run, how, checkpoint]
-    ended: tuple[tuple[int, str, int, str, str], ...] = ()
-    born: int = 0
+    ended: tuple[
+        tuple[
+            bounded.Count,
+            bounded.Name,
+            bounded.Count,
+            bounded.Name,
+            bounded.Text,
+        ],
+        ...,
+    ] = ()
+    born: bounded.UnixMs = 0
 
 
 class _RefusalResponse(msgspec.Struct, frozen=True):
-    reason: str = ''
+    reason: bounded.Text = ''
 
 
 class PlatformWorker:
@@ -65,9 +82,12 @@
         res = await self._post(
             '/hold', life, body, CALL_TIMEOUT_S + order.wait_ms / 1000
         )
-        response = _http.decode(
-            res, _ListResponse, errors.WorkerOutcomeUnknown, life.worker_id
-        )
+        try:
+            response = codec.from_json(res.content, _ListResponse)
+        except errors.Undecodable as exc:
+            raise _http.unreadable(
+                exc, errors.WorkerOutcomeUnknown, PEER, life.worker_id
+            ) from exc
         return ports.WorkerList(
             response.born,
             response.clockMs,
@@ -166,13 +186,17 @@
     if res.status_code == _MISDIRECTED_STATUS:
         return 'another life'
     try:
-        response = msgspec.json.decode(res.content, type=_RefusalResponse)
-    except msgspec.DecodeError:
+        response = codec.from_json(res.content, _RefusalResponse)
+    except errors.Undecodable:
         return f'status {res.status_code}'
     return response.reason or f'status {res.status_code}'
 
 
 def _run_row(row: _RunRow) -> messages.RunRow:
     return messages.RunRow(
-        row.task, row.run, row.checkpoint, int(row.percent), row.load
+        row.task,
+        row.run,
+        row.checkpoint,
+        int(min(max(0.0, row.percent), 100.0)),
+        max(0.0, row.load),
     )
