Log and count why jobs wait although there is room

What callers saw: accepted jobs with nothing running for seconds while their service had room. No log line said which rule of placement held them back. Change: IdleJobs tracks since when a job, or a task that lasts, has had nothing running; every 0.25 s, not in each round. After 1.5 s with room for the task twice over, and at most every 2 s for each job, CR1770 names the rule, and citronrail_workflow_waits_with_room counts it. A pure function, _wait_reason.obstacle, names the rule for one worker; a property test holds it equal to placement. Of several workers, the one nearest to a start counts. The fleet of test_load_stops moves to its own module, unchanged but for the tracker and evacuations; its tests are as before.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -132,6 +132,12 @@
 TASK_GIVEN_UP = _events.EventKind(
     1750, 'ERROR', 'task {task} is given up, it crashed workers {workers}'
 )
+WAITS_WITH_ROOM = _events.EventKind(
+    1770,
+    'WARNING',
+    'job {job} has had nothing running for {seconds} s, {used}% of its '
+    'service are in use, and task {task} has room twice over: {reason}',
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -55,6 +55,12 @@
     'citronrail_workflow_preemptions',
     'Runs stopped because a task of higher priority waits',
 )
+WAITS_WITH_ROOM = prometheus_client.Counter(
+    'citronrail_workflow_waits_with_room',
+    'Times that a job with nothing running was logged although there is room, '
+    'by reason',
+    ['reason'],
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -78,7 +78,10 @@
         default_factory=list
     )
     speed: float = 1.0
+    total_memory: int = 0
+    total_accelerators: int = 0
     avoided: bool = False
+    has_unknown_runs: bool = False  # it is avoided for these
     reserved: bool = False  # only a suspected task may start there
     target_violated: bool = False  # a latency target is missed persistently
     # Whether serving tasks and the best-effort tasks that harm them are kept
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -5,6 +5,7 @@
 
 from citronrail.model import workflows
 from citronrail.workflow import _health
+from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _placement
@@ -38,6 +39,8 @@
         them are kept on different workers as far as there is room.
     :param job_order: order by cost of delay and backlog; None for the order
         by slack alone.
+    :param idle_jobs: since when jobs have had nothing running; None if that
+        is not tracked.
     """
 
     queue_named: _scheduler_state.QueueLookup
@@ -45,6 +48,7 @@
     factors: _interference.PairFactors
     fit_best_effort: bool = False
     job_order: _job_order.JobOrder | None = None
+    idle_jobs: _idle_jobs.IdleJobs | None = None
 
     def service_of(self, job: _job.Job) -> str:
         """Return the service whose workers run a job."""
@@ -89,8 +93,9 @@
             view.capacity = remaining_capacity(view)
         candidate = view.capacity
         candidate.speed = speeds.get(view.node, 1.0)
-        candidate.avoided = view.avoid_until > now or bool(
-            view.unknown_run_stops
+        candidate.has_unknown_runs = bool(view.unknown_run_stops)
+        candidate.avoided = (
+            candidate.has_unknown_runs or view.avoid_until > now
         )
         candidate.reserved = _probation.is_reserved(view, now)
         candidate.target_violated = view.target_violated
@@ -130,6 +135,8 @@
         free_accelerators=life.accelerators,
         idle_cpu=life.cpu_millis,
         serving=view.serving,
+        total_memory=life.memory_mb,
+        total_accelerators=life.accelerators,
     )
     for attempt in view.attempts.values():
         stage = attempt.task.stage
@@ -156,10 +163,14 @@
     """
     _probation.end_listed(scheduler_state.workers)
     ready = _ready_stages(scheduler_state, now, unix_now)
+    logs_idle = policy.idle_jobs is not None and policy.idle_jobs.update(
+        ready, scheduler_state.workers, now, unix_now
+    )
     if not ready:
         if policy.job_order is not None:
             policy.job_order.clear(now)
-        return []
+        if not logs_idle:
+            return []
     by_service = candidates_by_service(
         scheduler_state.workers.values(),
         policy.evacuated,
@@ -193,9 +204,34 @@
             break
     for attempt in placed:
         attempt.assigned_at = unix_now
+    if logs_idle:
+        _log_idle_jobs(scheduler_state, policy, by_service, now)
     return placed
 
 
+def _log_idle_jobs(
+    scheduler_state: _scheduler_state.SchedulerState,
+    policy: Policy,
+    by_service: dict[str, list[_placement.WorkerCapacity]],
+    now: float,
+) -> None:
+    """Log jobs that have nothing running although there is room."""
+
+    def state_of(service: str) -> _idle_jobs.ServiceState:
+        others = [
+            remaining_capacity(view)
+            for view in scheduler_state.workers.values()
+            if view.life.service == service
+            and not view.draining
+            and not view.usable(now)
+            and view.life.data_centre not in policy.evacuated
+        ]
+        return _idle_jobs.ServiceState(by_service.get(service, []), others)
+
+    if policy.idle_jobs is not None:
+        policy.idle_jobs.log(policy.service_of, state_of, policy.factors, now)
+
+
 def waiting_stages(
     scheduler_state: _scheduler_state.SchedulerState,
     policy: Policy,
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -16,6 +16,7 @@
 from citronrail.workflow import _admission
 from citronrail.workflow import _commit_chain
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
 from citronrail.workflow import _leadership
 from citronrail.workflow import _load_stops
@@ -103,6 +104,7 @@
             self.scheduler_state, bounds, leadership.fencing, self._run_times
         )
         self._factors = _interference.PairFactors()
+        self._idle_jobs = _idle_jobs.IdleJobs()
         self._run_supervisor = _run_supervisor.RunSupervisor(
             self.scheduler_state, self._factors, load=load, bounds=bounds
         )
@@ -444,6 +446,7 @@
             self._factors,
             self._load_settings.fit_best_effort,
             self._job_order,
+            self._idle_jobs,
         )
         placed = _round.place(
             self.scheduler_state, policy, now, self._unix_clock()
--- a/citronrail/workflow/tests/test_load_stops.py
+++ b/citronrail/workflow/tests/test_load_stops.py
@@ -5,159 +5,21 @@
 import pytest
 
 from citronrail.model import load_settings
-from citronrail.model import messages
 from citronrail.model import workflows
-from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
-from citronrail.workflow import _load_stops
 from citronrail.workflow import _placement
-from citronrail.workflow import _reports
 from citronrail.workflow import _round
-from citronrail.workflow import _run_supervisor
-from citronrail.workflow import _scheduler_state
-from citronrail.workflow.tests import _cluster
-
-TOKEN = 5
-TARGET_MS = 50
-FIT = load_settings.LoadSettings(fit_best_effort=True)
-BOUNDS = workflows.Bounds(stop_s=0.2, checkpoint_s=0.5, restore_s=0.1)
-REBUILD = workflows.StepSpec(
-    1,
-    cpu_millis=1800,
-    memory_mb=3200,
-    estimate_s=100.0,
-    fills=True,
-    image='heavy',
-    saves_progress=True,
-)
-SERVE = workflows.StepSpec(
-    1,
-    cpu_millis=3200,
-    memory_mb=3200,
-    long_running=True,
-    latency_target_ms=TARGET_MS,
-    image='shop',
-)
-
-
-class Fleet:
-    """Workers of 16 cores whose lists follow the scheduler's orders."""
-
-    def __init__(self, workers=1, load=FIT, memory_mb=62_500) -> None:
-        self.now = 100.0
-        self.load = load
-        self.state = _scheduler_state.SchedulerState(self.queue)
-        self.factors = _interference.PairFactors()
-        self.supervisor = _run_supervisor.RunSupervisor(
-            self.state, self.factors, load=load, bounds=BOUNDS
-        )
-        self.stops = _load_stops.LoadStops(self.state, load, BOUNDS)
-        self.reports = _reports.Reports(self.state, BOUNDS, TOKEN)
-        self.lives = [
-            messages.WorkerLife(
-                f'w{n}', 1, 'pool', 'dc', 'ready', 16_000, memory_mb, 0
-            )
-            for n in range(workers)
-        ]
-        self.tail_ms = 15.0
-        self.serving_percent = 100
-        self.answers_stops = True
-        self._ends = [0] * workers
-        self.list_all()
-
-    def queue(self, name):
-        """Queues are named by their priority."""
-        return dataclasses.replace(
-            _cluster.QUEUE, name=name, priority=int(name)
-        )
-
-    def submit(self, job_id, *steps, priority=2) -> None:
-        """Add a job."""
-        spec = workflows.WorkflowSpec('', steps)
-        record = documents.JobRecord(job_id, str(priority), 'pool', 0.0, spec)
-        self.state.add_job(record, self.now, 0.0)
-
-    def shrink(self, number, ratio) -> None:
-        """Announce a smaller capacity."""
-        life = self.lives[number]
-        self.lives[number] = dataclasses.replace(
-            life,
-            cpu_millis=int(life.cpu_millis * ratio),
-            memory_mb=int(life.memory_mb * ratio),
-        )
-
-    def list_all(self) -> None:
-        """Apply one list of each worker; stops end with a checkpoint."""
-        for number, life in enumerate(self.lives):
-            view = self.state.workers.get(f'a{number}')
-            rows, ended = [], []
-            for key, attempt in (view.attempts if view else {}).items():
-                spec = attempt.task.stage.spec
-                elapsed_s = self.now - attempt.order_sent_at
-                how = ''
-                if attempt.stop_reason and self.answers_stops:
-                    how = 'stopped'
-                elif not spec.long_running and elapsed_s >= spec.estimate_s:
-                    how = 'done'
-                if how:
-                    self._ends[number] += 1
-                    ended.append(
-                        messages.EndRow(self._ends[number], *key, how, 'saved')
-                    )
-                elif spec.latency_target_ms:
-                    rows.append(
-                        messages.RunRow(
-                            *key, '', self.serving_percent, self.tail_ms
-                        )
-                    )
-                else:
-                    percent = int(100 * elapsed_s / spec.estimate_s)
-                    rows.append(messages.RunRow(*key, 'c', percent, 1800.0))
-            report = messages.WorkerReport(
-                TOKEN, life, 1000, tuple(rows), tuple(ended)
-            )
-            self.reports.take(f'a{number}', report, self.now, 0.0)
-
-    def step(self, seconds=0.5) -> None:
-        """Advance the time, list, supervise and place."""
-        self.now += seconds
-        self.list_all()
-        self.supervisor.run(self.now)
-        self.stops.fit_shrunk_workers(self.now)
-        self.place()
-
-    def place(self):
-        """Run a round; all runs count as ordered."""
-        policy = _round.Policy(
-            self.queue, frozenset(), self.factors, self.load.fit_best_effort
-        )
-        placed = _round.place(self.state, policy, self.now, 0.0)
-        for attempt in placed:
-            attempt.ordered = True
-            attempt.order_sent_at = self.now
-        self.stops.preempt(policy, self.now, 0.0)
-        return placed
-
-    def stopping(self):
-        """Return the tasks whose runs are being stopped."""
-        return [
-            attempt.task.name
-            for view in self.state.workers.values()
-            for attempt in view.attempts.values()
-            if attempt.stop_reason
-        ]
+from citronrail.workflow.tests import _fleet
 
-    def running(self, job_id) -> int:
-        """Return the number of listed runs that are not being stopped."""
-        return sum(
-            bool(attempt.listed_at and not attempt.stop_reason)
-            for attempt in self.state.jobs[job_id].attempts()
-        )
+TARGET_MS = _fleet.TARGET_MS
+FIT = _fleet.FIT
+REBUILD = _fleet.REBUILD
+SERVE = _fleet.SERVE
 
 
-def _full_fleet(step=REBUILD, count=6, **fields) -> Fleet:
+def _full_fleet(step=REBUILD, count=6, **fields) -> _fleet.Fleet:
     """Return a worker with rebuild runs and a serving task beside."""
-    fleet = Fleet(**fields)
+    fleet = _fleet.Fleet(**fields)
     # The round before any serving task is there fills the worker.
     fleet.submit('rebuild', dataclasses.replace(step, task_count=count))
     fleet.step()
@@ -236,7 +98,7 @@
 def test_paces_allow_for_a_serving_task_that_starts():
     """Guards against a target missed with the first load of its users."""
     for load, expected in ((FIT, 29), (load_settings.OFF, 100)):
-        fleet = Fleet(load=load)
+        fleet = _fleet.Fleet(load=load)
         known = (('shop', 'heavy', 1.2, 0.001),)
         fleet.factors.restore(_interference.LearnedFactors(known), fleet.now)
         fleet.submit('rebuild', dataclasses.replace(REBUILD, task_count=6))
@@ -269,7 +131,7 @@
 
 def test_best_effort_task_does_not_join_a_serving_task_that_starts():
     """Guards against a start beside a serving task that is not measured."""
-    fleet = Fleet()
+    fleet = _fleet.Fleet()
     fleet.submit('serve', SERVE, priority=0)
     fleet.submit('rebuild', REBUILD)
     assert [a.task.name for a in fleet.place()] == ['serve.0.0.0']
@@ -283,7 +145,7 @@
 
 def test_harmful_images_stay_away_from_serving_tasks():
     """Guards against harmful pairs on one worker while others have room."""
-    fleet = Fleet(workers=3)
+    fleet = _fleet.Fleet(workers=3)
     known = tuple((image, 'heavy', 1.2, 0.01) for image in ('shop', 'bank'))
     fleet.factors.restore(_interference.LearnedFactors(known), fleet.now)
     bank = dataclasses.replace(SERVE, image='bank')
@@ -314,7 +176,7 @@
 
     :returns: the fleet, and after how many seconds all checks had a run.
     """
-    fleet = Fleet(workers=3, load=load, memory_mb=20_000)
+    fleet = _fleet.Fleet(workers=3, load=load, memory_mb=20_000)
     fleet.submit('batch', dataclasses.replace(BATCH, task_count=18))
     for _ in range(5):
         fleet.step()
@@ -358,7 +220,7 @@
     Until its end is listed the run counts against its worker's capacity.
     """
     preempting = load_settings.LoadSettings(preemption=True)
-    fleet = Fleet(workers=1, load=preempting, memory_mb=20_000)
+    fleet = _fleet.Fleet(workers=1, load=preempting, memory_mb=20_000)
     fleet.submit('batch', dataclasses.replace(BATCH, task_count=6))
     for _ in range(5):
         fleet.step()
@@ -379,7 +241,7 @@
 
 def test_shrunk_worker_stops_no_more_while_stops_are_unanswered():
     """Guards against stops of further runs for the same shortage."""
-    fleet = Fleet()
+    fleet = _fleet.Fleet()
     fleet.submit('batch', dataclasses.replace(BATCH, task_count=18))
     fleet.step()
     fleet.step()
@@ -396,7 +258,7 @@
 
 def test_best_effort_task_prefers_a_busier_worker_without_serving_tasks():
     """Guards against an unknown pair on one worker for idle processors."""
-    fleet = Fleet(workers=2)
+    fleet = _fleet.Fleet(workers=2)
     fleet.submit('serve', SERVE, priority=0)
     fleet.step()
     (attempt,) = fleet.state.jobs['serve'].attempts()
@@ -421,7 +283,7 @@
 
     Load pattern: a quarter of the workers shrinks to 0.55 during a burst.
     """
-    fleet = Fleet(workers=8)
+    fleet = _fleet.Fleet(workers=8)
     step = dataclasses.replace(BATCH, max_unavailable=max_unavailable)
     for number in range(8):
         job = dataclasses.replace(step, task_count=18)
