Bound the wait of jobs with nothing running for a worker with a high pace

What callers saw: an accepted job with nothing running for as long as no worker allowed half of its pace, or 90% in its first 25 s, however empty the service was. Cause: MIN_PACE_BESIDE_SERVING_PERCENT and LOW_IMPACT_WAIT_S have no bound by what the job has running. Evidence, the new tests before the change: FAILED test_low_pace_holds_a_job_back_for_a_bounded_time FAILED test_wait_for_nearly_full_pace_is_bounded assert inf < (3.0 - 1.0), where inf = _seconds_to_first_run(...) Change: where a job has had nothing running for 1.2 s, its capacity is free twice over and the service is under 60% in use, _overdue chooses a worker for one of its tasks, at the pace that the model allows, at least 10%. Tasks that last start so each and at any load. CR1771 and citronrail_workflow_overdue_starts name what kept them. Hard constraints are checked as before. Figures: 1.25 to 2 s to the first assignment in the tests instead of never.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -138,6 +138,12 @@
     'job {job} has had nothing running for {seconds} s, {used}% of its '
     'service are in use, and task {task} has room twice over: {reason}',
 )
+OVERDUE_START = _events.EventKind(
+    1771,
+    'INFO',
+    'run {task}#{run} starts on {worker} at pace {pace} since nothing ran for '
+    '{seconds} s; what kept it waiting: {reason}',
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
--- a/citronrail/workflow/_idle_jobs.py
+++ b/citronrail/workflow/_idle_jobs.py
@@ -39,11 +39,13 @@
     :param task: one waiting task of the job, or the one that lasts.
     :param since: since when nothing runs, local time in seconds.
     :param logged_at: when it was last logged, 0 for never.
+    :param tried_at: when no worker was found for it last, 0 for never.
     """
 
     task: _job.Task
     since: float
     logged_at: float = 0.0
+    tried_at: float = 0.0
 
     @property
     def lasts(self) -> bool:
@@ -85,7 +87,7 @@
         :param workers: all workers.
         :param now: local time in seconds.
         :param unix_now: Unix time in seconds.
-        :returns: whether :meth:`log` is due.
+        :returns: whether it was due.
         """
         if now < self._next_at:
             return False
@@ -108,7 +110,7 @@
         for name, wait in earlier.items():
             if name not in self._waits and _still_waits(wait, clock):
                 self._waits[name] = wait
-        return bool(self._due_logs(now))
+        return True
 
     def _keep(
         self, name: str, task: _job.Task, earlier: dict[str, Wait], now: float
@@ -185,6 +187,39 @@
     return found >= needed
 
 
+class FullSizes:
+    """Sizes of tasks that don't fit twice over, during one check.
+
+    Many jobs wait for the same label and size; each search visits all workers.
+    """
+
+    def __init__(self) -> None:
+        self._known: set[tuple[str, str, int, int, int]] = set()
+
+    def has_room(
+        self,
+        service: str,
+        task: _job.Task,
+        candidates: collections.abc.Iterable[_placement.WorkerCapacity],
+    ) -> bool:
+        """Whether the capacity that a task asks for is free twice over.
+
+        :param service: service of the workers.
+        :param task: the task.
+        :param candidates: remaining capacity of the workers.
+        """
+        spec = task.stage.spec
+        cpu = 0 if spec.fills else spec.cpu_millis
+        size = (cpu, spec.memory_mb, spec.accelerators)
+        key = (service, spec.required_label, *size)
+        if key in self._known:
+            return False
+        found = has_room(task, candidates)
+        if not found and not spec.max_per_worker and not spec.gang:
+            self._known.add(key)
+        return found
+
+
 def _log(
     wait: Wait,
     state: ServiceState,
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -61,6 +61,12 @@
     'by reason',
     ['reason'],
 )
+OVERDUE_STARTS = prometheus_client.Counter(
+    'citronrail_workflow_overdue_starts',
+    'Runs assigned because their job had nothing running for too long, by '
+    'what had kept them waiting',
+    ['reason'],
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -4,19 +4,28 @@
 import dataclasses
 
 from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _health
 from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _metrics as metrics
+from citronrail.workflow import _overdue
 from citronrail.workflow import _placement
 from citronrail.workflow import _probation
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _service_room
 from citronrail.workflow import _step_ranking
+from citronrail.workflow import _wait_reason
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _best_effort_limit
 from citronrail.workflow.overload import _job_order
 
 MAX_STARTS_PER_ROUND = 120  # the next round follows at once
+# Overdue tasks that are started, and those that find no worker, at a time.
+MAX_OVERDUE_STARTS = 40
+MAX_OVERDUE_FAILURES = 10
 # Runs with an admissible pace of at least this start at full pace.
 THROTTLED_START_BELOW_PERCENT = 90
 # A speculative run starts if the worker has sent no list for
@@ -163,13 +172,13 @@
     """
     _probation.end_listed(scheduler_state.workers)
     ready = _ready_stages(scheduler_state, now, unix_now)
-    logs_idle = policy.idle_jobs is not None and policy.idle_jobs.update(
+    checks_idle = policy.idle_jobs is not None and policy.idle_jobs.update(
         ready, scheduler_state.workers, now, unix_now
     )
     if not ready:
         if policy.job_order is not None:
             policy.job_order.clear(now)
-        if not logs_idle:
+        if not checks_idle:
             return []
     by_service = candidates_by_service(
         scheduler_state.workers.values(),
@@ -185,6 +194,8 @@
     placed = _place_suspected(
         scheduler_state, policy, ordered, by_service, now
     )
+    if checks_idle:
+        placed += _place_overdue(scheduler_state, policy, by_service, now)
     for job, stages in ordered:
         service = policy.service_of(job)
         candidates = by_service.get(service, [])
@@ -204,11 +215,101 @@
             break
     for attempt in placed:
         attempt.assigned_at = unix_now
-    if logs_idle:
+    if checks_idle:
         _log_idle_jobs(scheduler_state, policy, by_service, now)
     return placed
 
 
+def _place_overdue(
+    scheduler_state: _scheduler_state.SchedulerState,
+    policy: Policy,
+    by_service: dict[str, list[_placement.WorkerCapacity]],
+    now: float,
+) -> list[_job.Attempt]:
+    """Assign one task of each job that has had nothing running for too long.
+
+    Tasks that last are assigned each, and however full their service is.
+    """
+    if policy.idle_jobs is None:
+        return []
+    waits = policy.idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
+    waits.sort(key=lambda wait: wait.tried_at)
+    used: dict[str, float] = {}
+    full = _idle_jobs.FullSizes()
+    placed: list[_job.Attempt] = []
+    failures = 0
+    for wait in waits:
+        task = _startable(wait, now)
+        if task is None:
+            continue
+        service = policy.service_of(task.stage.job)
+        candidates = by_service.get(service, [])
+        if service not in used:
+            used[service] = _service_room.used_ratio(candidates)
+        if not wait.lasts and used[service] >= _idle_jobs.MAX_USED_RATIO:
+            continue
+        if not full.has_room(service, task, candidates):
+            continue
+        attempt = _start_overdue(
+            scheduler_state, task, candidates, policy.factors, wait, now
+        )
+        if attempt is None:
+            wait.tried_at = now
+            failures += 1
+        else:
+            placed.append(attempt)
+        if (
+            failures >= MAX_OVERDUE_FAILURES
+            or len(placed) >= MAX_OVERDUE_STARTS
+        ):
+            break
+    return placed
+
+
+def _startable(wait: _idle_jobs.Wait, now: float) -> _job.Task | None:
+    """Return the task to start for a wait, None if none may start now."""
+    stage = wait.task.stage
+    if stage.spec.gang or not stage.job.open:
+        return None
+    for task in (wait.task,) if wait.lasts else stage.tasks:
+        if (
+            task.waiting
+            and task.retry_at <= now
+            and not _probation.must_start_alone(task, now)
+        ):
+            return task
+    return None
+
+
+def _start_overdue(
+    scheduler_state: _scheduler_state.SchedulerState,
+    task: _job.Task,
+    candidates: list[_placement.WorkerCapacity],
+    factors: _interference.PairFactors,
+    wait: _idle_jobs.Wait,
+    now: float,
+) -> _job.Attempt | None:
+    stage = task.stage
+    reason = _wait_reason.of_task(task, candidates, factors, now)
+    choice = _overdue.choose(
+        stage.spec, stage.name, candidates, factors, task.failed_on
+    )
+    if choice is None:
+        return None
+    attempt = _assign_choice(scheduler_state, task, choice)
+    metrics.OVERDUE_STARTS.labels(reason.value).inc()
+    observability.emit(
+        events.OVERDUE_START,
+        task=task.name,
+        run=attempt.number,
+        worker=attempt.worker_id,
+        pace=attempt.pace,
+        seconds=round(now - wait.since, 2),
+        reason=reason.value,
+    )
+    return attempt
+
+
 def _log_idle_jobs(
     scheduler_state: _scheduler_state.SchedulerState,
     policy: Policy,
--- /dev/null
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -0,0 +1,64 @@
+"""Tests of the bound on the wait of jobs with nothing running."""
+
+import dataclasses
+
+
+from citronrail.model import load_settings
+from citronrail.workflow import _interference
+from citronrail.workflow.tests import _fleet
+
+LIMIT_S = 3.0
+STEP_S = 0.25
+KNOWN = (('shop', 'heavy', 1.2, 0.001),)
+
+
+def _serving_fleet(own_load, load=_fleet.FIT, workers=2) -> _fleet.Fleet:
+    """Return workers that each have a serving task with a load.
+
+    The mean tail of the task without load is 10 ms of 50 ms.
+    """
+    fleet = _fleet.Fleet(workers=workers, load=load)
+    step = dataclasses.replace(
+        _fleet.SERVE, task_count=workers, max_per_worker=1
+    )
+    fleet.submit('serve', step, priority=0)
+    fleet.tail_ms = 12.0
+    for _ in range(4):
+        fleet.step()
+    fleet.tail_ms = 10.0 / (1.0 - own_load)
+    for _ in range(10):
+        fleet.step()
+    fleet.factors.restore(_interference.LearnedFactors(KNOWN), fleet.now)
+    fleet.factors._baseline_ratios['shop'] = 0.2
+    return fleet
+
+
+def _seconds_to_first_run(fleet, job_id='fill') -> float:
+    """Return after how long the first run of a job is assigned."""
+    began_at = fleet.now
+    for _ in range(int(2 * LIMIT_S / STEP_S)):
+        fleet.place()
+        if any(True for _ in fleet.state.jobs[job_id].attempts()):
+            return fleet.now - began_at
+        fleet.step(STEP_S)
+    return float('inf')
+
+
+def test_low_pace_holds_a_job_back_for_a_bounded_time():
+    """Guards against a job without a run as no worker allows half of its pace.
+
+    LOST: nothing runs for 3 s while the service is mostly free.
+    """
+    fleet = _serving_fleet(own_load=0.65)
+    fleet.submit('fill', _fleet.REBUILD)
+    assert 1.0 < _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+    (attempt,) = fleet.state.jobs['fill'].attempts()
+    assert 10 <= attempt.pace < 50
+    assert attempt.pace_due
+
+
+def test_wait_for_nearly_full_pace_is_bounded():
+    """Guards against a wait of 25 s for a worker that allows 90%."""
+    fleet = _serving_fleet(own_load=0.65, load=load_settings.OFF)
+    fleet.submit('fill', _fleet.REBUILD)
+    assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
