Bound the wait for serving tasks that stay near their target

What callers saw: a job with nothing running while each worker had a serving task within 10% of its target, or a new one every second. Cause: best_effort_barred has no bound in time. Evidence, the new test before the change: FAILED test_serving_tasks_near_their_target_bar_a_job_for_a_bounded_time assert inf < (3.0 - 1.0), where inf = _seconds_to_first_run(...) Change: an overdue task may join such a worker, after all others, at 10% of its pace. Workers that miss a target are left out, by their measured tails as well: target_violated is only set where best-effort tasks run.

--- a/citronrail/workflow/_overdue.py
+++ b/citronrail/workflow/_overdue.py
@@ -79,11 +79,13 @@
         return None
     if not step.fills:
         return 0.0
-    if candidate.target_violated or candidate.best_effort_barred:
+    if candidate.target_violated or any(
+        task.misses_target for task in candidate.serving
+    ):
         return None
     if not _placement.has_idle_cpu(step, candidate):
         return None
-    penalty = 0.0
+    penalty = BROKEN_RULE_PENALTY * candidate.best_effort_barred
     if candidate.keeps_apart and (
         _placement.initial_pace(step, candidate, factors)
         < _placement.MIN_PACE_BESIDE_SERVING_PERCENT
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -62,3 +62,22 @@
     fleet = _serving_fleet(own_load=0.65, load=load_settings.OFF)
     fleet.submit('fill', _fleet.REBUILD)
     assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+
+
+def test_serving_tasks_near_their_target_bar_a_job_for_a_bounded_time():
+    """Guards against a job without a run while all tails are near a target.
+
+    At 45.5 of 50 ms the target is met; a start at a low pace keeps it so.
+    """
+    fleet = _serving_fleet(own_load=0.78)
+    fleet.submit('fill', _fleet.REBUILD)
+    assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+    (attempt,) = fleet.state.jobs['fill'].attempts()
+    assert attempt.pace == 10
+
+
+def test_missed_target_still_bars_best_effort_tasks():
+    """Guards against HARM: no start where a target is missed."""
+    fleet = _serving_fleet(own_load=0.82)
+    fleet.submit('fill', _fleet.REBUILD)
+    assert _seconds_to_first_run(fleet) == float('inf')
