Bound the wait for idle processors

What callers saw: a job with nothing running while memory for it was free and the tasks that run, throttled ones among them, asked for all processors. Cause: MIN_IDLE_CPU_RATIO is taken of what tasks ask for; best-effort tasks count at full pace, batch tasks with their whole reservation. Evidence, the new test before the change: FAILED test_processors_that_others_ask_for_but_free_are_used assert inf < (3.0 - 1.0), where inf = _seconds_to_first_run(...) Change: an overdue task may start there, after workers with idle processors and before those where it would disturb serving tasks.

--- a/citronrail/workflow/_overdue.py
+++ b/citronrail/workflow/_overdue.py
@@ -20,6 +20,8 @@
 MIN_PACE_PERCENT = 10
 # Score for each rule that a worker breaks; more than any two scores differ.
 BROKEN_RULE_PENALTY = 100.0
+# Less, since it slows down best-effort tasks only, and no serving task.
+NO_IDLE_CPU_PENALTY = 50.0
 
 
 def choose(
@@ -83,9 +85,9 @@
         task.misses_target for task in candidate.serving
     ):
         return None
-    if not _placement.has_idle_cpu(step, candidate):
-        return None
     penalty = BROKEN_RULE_PENALTY * candidate.best_effort_barred
+    if not _placement.has_idle_cpu(step, candidate):
+        penalty += NO_IDLE_CPU_PENALTY
     if candidate.keeps_apart and (
         _placement.initial_pace(step, candidate, factors)
         < _placement.MIN_PACE_BESIDE_SERVING_PERCENT
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -81,3 +81,17 @@
     fleet = _serving_fleet(own_load=0.82)
     fleet.submit('fill', _fleet.REBUILD)
     assert _seconds_to_first_run(fleet) == float('inf')
+
+
+def test_processors_that_others_ask_for_but_free_are_used():
+    """Guards against a job without a run beside throttled or idle tasks.
+
+    Best-effort tasks count with their whole demand, though they share what
+    is left; their memory alone is held.
+    """
+    fleet = _fleet.Fleet(workers=1)
+    step = dataclasses.replace(_fleet.REBUILD, cpu_millis=8000, task_count=2)
+    fleet.submit('others', step)
+    fleet.step()
+    fleet.submit('fill', _fleet.REBUILD)
+    assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
