Bound the wait for workers that are held for suspected tasks

What callers saw: a job, or a task that lasts, with nothing running while the workers with room were held for suspected tasks; a small service can be held as a whole, again and again. Cause: held_until reserves a worker like a suspected run that isn't listed. Evidence, the new tests before the change: FAILED test_workers_held_for_suspected_tasks_are_used[batch] FAILED test_workers_held_for_suspected_tasks_are_used[lasts] assert inf < (3.0 - 1.0), where inf = _seconds_to_first_run(...) FAILED test_nothing_joins_a_suspected_task_that_takes_its_held_worker (found while writing: a hold that ends in the same round) Change: an overdue task may start on a held worker, after all others. A worker with a suspected run that isn't listed stays reserved, so that a crash can be attributed as before.

--- a/citronrail/workflow/_overdue.py
+++ b/citronrail/workflow/_overdue.py
@@ -22,6 +22,8 @@
 BROKEN_RULE_PENALTY = 100.0
 # Less, since it slows down best-effort tasks only, and no serving task.
 NO_IDLE_CPU_PENALTY = 50.0
+# More than all others, since a suspected task has to wait again.
+HELD_PENALTY = 400.0
 
 
 def choose(
@@ -77,15 +79,18 @@
     """Return the penalty for broken rules, None if a task must not start."""
     if not _placement.fits(step, step_name, candidate):
         return None
-    if candidate.reserved or candidate.avoided:
+    if candidate.avoided:
         return None
+    if candidate.reserved and not candidate.held:
+        return None  # a crash could not be attributed to the suspected task
+    penalty = HELD_PENALTY * candidate.reserved
     if not step.fills:
-        return 0.0
+        return penalty
     if candidate.target_violated or any(
         task.misses_target for task in candidate.serving
     ):
         return None
-    penalty = BROKEN_RULE_PENALTY * candidate.best_effort_barred
+    penalty += BROKEN_RULE_PENALTY * candidate.best_effort_barred
     if not _placement.has_idle_cpu(step, candidate):
         penalty += NO_IDLE_CPU_PENALTY
     if candidate.keeps_apart and (
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -83,6 +83,7 @@
     avoided: bool = False
     has_unknown_runs: bool = False  # it is avoided for these
     reserved: bool = False  # only a suspected task may start there
+    held: bool = False  # it is reserved for one that has not started yet
     target_violated: bool = False  # a latency target is missed persistently
     # Whether serving tasks and the best-effort tasks that harm them are kept
     # on different workers as far as there is room.
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -107,6 +107,7 @@
             candidate.has_unknown_runs or view.avoid_until > now
         )
         candidate.reserved = _probation.is_reserved(view, now)
+        candidate.held = candidate.reserved and view.probation_job is None
         candidate.target_violated = view.target_violated
         candidate.keeps_apart = fit_best_effort
         candidate.best_effort_barred = fit_best_effort and not (
@@ -381,6 +382,7 @@
             if choice is None:
                 waiting.setdefault(service, []).append(task)
                 break
+            choice.candidate.held = False
             placed.append(_assign_choice(scheduler_state, task, choice))
     for service, tasks in waiting.items():
         probations[service].hold(tasks)
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -2,8 +2,11 @@
 
 import dataclasses
 
+import pytest
+
 
 from citronrail.model import load_settings
+from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 from citronrail.workflow.tests import _fleet
 
@@ -95,3 +98,47 @@
     fleet.step()
     fleet.submit('fill', _fleet.REBUILD)
     assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+
+
+BATCH = dataclasses.replace(_fleet.REBUILD, fills=False)
+
+
+@pytest.mark.parametrize('step', [BATCH, _fleet.SERVE], ids=['batch', 'lasts'])
+def test_workers_held_for_suspected_tasks_are_used(step):
+    """Guards against a job without a run on a service of few workers.
+
+    A held worker is held again as long as its suspected task finds no start.
+    """
+    fleet = _fleet.Fleet(workers=1)
+    fleet.state.workers['a0'].held_until = fleet.now + 60.0
+    fleet.submit('fill', step)
+    assert 1.0 < _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+
+
+def test_nothing_joins_a_suspected_task_before_it_is_listed():
+    """Guards against a crash that can't be attributed to its task."""
+    fleet = _fleet.Fleet(workers=1)
+    fleet.submit('suspected', BATCH)
+    view = fleet.state.workers['a0']
+    fleet.place()
+    view.probation_job = fleet.state.jobs['suspected']
+    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    fleet.submit('fill', BATCH)
+    assert _seconds_to_first_run(fleet) == float('inf')
+
+
+def test_nothing_joins_a_suspected_task_that_takes_its_held_worker():
+    """Guards against an overdue start in the round that ends the hold."""
+    fleet = _fleet.Fleet(workers=1)
+    fleet.state.workers['a0'].held_until = fleet.now + 60.0
+    fleet.submit('fill', BATCH)
+    for _ in range(4):
+        fleet.place()
+        fleet.step(STEP_S)
+    fleet.submit('suspected', BATCH)
+    (task,) = fleet.state.jobs['suspected'].stages[0].tasks
+    crash = documents.CrashRecord('w1', 1, 'a1', True)
+    task.crashes = (crash,)
+    fleet.step(STEP_S)
+    assert task.attempts
+    assert not fleet.state.jobs['fill'].started
