Bound the wait while all workers with room are avoided

What callers saw: a job, or a task that lasts, with nothing running for up to 6 s while the only workers with room were avoided for failed or stuck runs. Cause: avoid_until bars all starts for AVOID_S, twice the 3 s of LOST. Evidence, the new tests before the change: FAILED test_avoided_workers_are_better_than_none[batch] FAILED test_avoided_workers_are_better_than_none[lasts] FAILED test_lasting_task_starts_however_full_its_service_is assert (inf < (3.0 - 1.0)) is True, inf = _seconds_to_first_run(...) Change: an overdue task may start there, after all others; the last attempt of a task that ends may not. A worker that lists unknown runs stays barred for all, since what these hold isn't known (LIMIT).

--- a/citronrail/workflow/_overdue.py
+++ b/citronrail/workflow/_overdue.py
@@ -24,6 +24,7 @@
 NO_IDLE_CPU_PENALTY = 50.0
 # More than all others, since a suspected task has to wait again.
 HELD_PENALTY = 400.0
+AVOIDED_PENALTY = 800.0  # a run is likely to fail there
 
 
 def choose(
@@ -32,6 +33,8 @@
     candidates: collections.abc.Iterable[_placement.WorkerCapacity],
     factors: _interference.PairFactors,
     avoid_node: str = '',
+    *,
+    may_use_avoided: bool = False,
 ) -> _step_ranking.Choice | None:
     """Choose a worker for an overdue task and reserve its demand there.
 
@@ -40,13 +43,15 @@
     :param candidates: the usable workers of its service.
     :param factors: learned interference factors.
     :param avoid_node: agent whose worker is penalised, '' for none.
+    :param may_use_avoided: whether workers that seem faulty come into
+        question after all others.
     :returns: the choice, None if no worker has room.
     """
     best = None
     best_score = float('-inf')
     for candidate in candidates:
         penalty = _penalty(step, step_name, candidate, factors)
-        if penalty is None:
+        if penalty is None or (candidate.avoided and not may_use_avoided):
             continue
         pace = _pace(step, candidate, factors)
         value = _placement.score(step, candidate, factors, pace) - penalty
@@ -79,11 +84,13 @@
     """Return the penalty for broken rules, None if a task must not start."""
     if not _placement.fits(step, step_name, candidate):
         return None
-    if candidate.avoided:
-        return None
+    if candidate.has_unknown_runs:
+        return None  # what these hold isn't known
     if candidate.reserved and not candidate.held:
         return None  # a crash could not be attributed to the suspected task
-    penalty = HELD_PENALTY * candidate.reserved
+    penalty = (
+        HELD_PENALTY * candidate.reserved + AVOIDED_PENALTY * candidate.avoided
+    )
     if not step.fills:
         return penalty
     if candidate.target_violated or any(
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -252,7 +252,7 @@
         if not full.has_room(service, task, candidates):
             continue
         attempt = _start_overdue(
-            scheduler_state, task, candidates, policy.factors, wait, now
+            scheduler_state, policy, wait, task, candidates, now
         )
         if attempt is None:
             wait.tried_at = now
@@ -284,16 +284,26 @@
 
 def _start_overdue(
     scheduler_state: _scheduler_state.SchedulerState,
+    policy: Policy,
+    wait: _idle_jobs.Wait,
     task: _job.Task,
     candidates: list[_placement.WorkerCapacity],
-    factors: _interference.PairFactors,
-    wait: _idle_jobs.Wait,
     now: float,
 ) -> _job.Attempt | None:
     stage = task.stage
-    reason = _wait_reason.of_task(task, candidates, factors, now)
+    queue = policy.queue_named(stage.job.record.queue)
+    reason = _wait_reason.of_task(task, candidates, policy.factors, now)
     choice = _overdue.choose(
-        stage.spec, stage.name, candidates, factors, task.failed_on
+        stage.spec,
+        stage.name,
+        candidates,
+        policy.factors,
+        task.failed_on,
+        may_use_avoided=(
+            wait.lasts
+            or queue is None
+            or task.failures + 1 < queue.max_attempts
+        ),
     )
     if choice is None:
         return None
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -142,3 +142,46 @@
     fleet.step(STEP_S)
     assert task.attempts
     assert not fleet.state.jobs['fill'].started
+
+
+@pytest.mark.parametrize(
+    ('step', 'failures', 'starts'),
+    [(BATCH, 0, True), (BATCH, 2, False), (_fleet.SERVE, 2, True)],
+    ids=['batch', 'last attempt', 'lasts'],
+)
+def test_avoided_workers_are_better_than_none(step, failures, starts):
+    """Guards against work that waits while all workers are avoided for 6 s.
+
+    The last attempt of a task (max_attempts is 3) isn't risked there.
+    """
+    fleet = _fleet.Fleet(workers=1)
+    view = fleet.state.workers['a0']
+    fleet.state.avoid_worker(view, 'its runs fail', fleet.now)
+    fleet.submit('fill', step)
+    fleet.state.jobs['fill'].stages[0].tasks[0].failures = failures
+    assert (_seconds_to_first_run(fleet) < LIMIT_S - 1.0) is starts
+
+
+def test_unknown_runs_still_bar_all_starts():
+    """Guards against a worker over its capacity by runs not counted."""
+    fleet = _fleet.Fleet(workers=1)
+    view = fleet.state.workers['a0']
+    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    view.unknown_run_stops[('unknown', 1)] = 0.0
+    fleet.submit('fill', BATCH)
+    assert _seconds_to_first_run(fleet) == float('inf')
+
+
+def test_lasting_task_starts_however_full_its_service_is():
+    """Guards against a limit by load, which holds for tasks that end only."""
+    fleet = _fleet.Fleet(workers=2)
+    fleet.submit('batch', dataclasses.replace(BATCH, task_count=26))
+    for _ in range(3):
+        fleet.step()
+    for view in fleet.state.workers.values():
+        fleet.state.avoid_worker(view, 'its runs fail', fleet.now)
+    # 26 of 38 tasks fit, so that 68% of the memory is in use.
+    fleet.submit('fill', dataclasses.replace(_fleet.SERVE, cpu_millis=100))
+    fleet.submit('ends', dataclasses.replace(BATCH, cpu_millis=100))
+    assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+    assert not fleet.state.jobs['ends'].started
