Keep the last run of a job where a stop would leave it waiting

What callers saw: a best-effort job whose only run was stopped for the serving tasks beside it and that had nothing running then, since no other worker took it; started again, it was stopped again. Cause: the best-effort limit looks at the work of one worker, not at what the job has running, nor whether anything else needs the memory. A run that stays is examined again after 1 s, since the other workers are visited. citronrail_workflow_last_runs_kept counts it.

--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -67,6 +67,11 @@
     'what had kept them waiting',
     ['reason'],
 )
+LAST_RUNS_KEPT = prometheus_client.Counter(
+    'citronrail_workflow_last_runs_kept',
+    'Times that a run was not stopped beside serving tasks, as its job would '
+    'have had nothing running although there is room',
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -8,12 +8,14 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _health
+from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _placement
 from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _service_room
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _best_effort_limit
 
@@ -27,6 +29,9 @@
 VIOLATION_GRACE_S = 0.7
 STOP_ALL_AFTER_S = 1.5  # then all best-effort tasks on the worker are stopped
 MOVE_MIN_PACE_PERCENT = 80
+# A run that stays as the only one of its job is examined again after this
+# time, as the examination visits all workers.
+STAY_CHECK_INTERVAL_S = 1.0
 DEFAULT_BOUNDS = workflows.Bounds()
 
 
@@ -54,6 +59,11 @@
         self._restart_s = bounds.stop_s + bounds.restore_s
         # By agent: whether its worker has more best-effort runs than it bears.
         self._limits: dict[str, _best_effort_limit.LimitState] = {}
+        # By run: until when it stays as the only run of its job.
+        self._stay_until: dict[tuple[str, int], float] = {}
+        # Remaining capacity of the usable workers, at this local time.
+        self._candidates_at = 0.0
+        self._by_service: dict[str, list[_placement.WorkerCapacity]] = {}
         self._next_health_check_at = 0.0
         self._paced_at: dict[str, float] = {}
 
@@ -68,6 +78,11 @@
                 self._stop_before_drain_end(view, now)
         if now >= self._next_health_check_at:
             self._next_health_check_at = now + HEALTH_INTERVAL_S
+            self._stay_until = {
+                key: until
+                for key, until in self._stay_until.items()
+                if until > now
+            }
             self._check_speeds(now)
             for view in self._scheduler_state.workers.values():
                 if view.usable(now):
@@ -156,14 +171,27 @@
         held_at_zero: collections.abc.Collection[tuple[str, int]] = ()
         if view.target_violated:
             held_at_zero = {a.key for _, a in best_effort if a.pace == 0}
-        decision = _best_effort_limit.decide(
-            self._limits.get(view.node, _best_effort_limit.LimitState()),
-            view.serving,
-            runs,
-            self._factors,
-            now,
-            held_at_zero=held_at_zero,
-        )
+        state = self._limits.get(view.node, _best_effort_limit.LimitState())
+        while True:
+            decision = _best_effort_limit.decide(
+                state,
+                view.serving,
+                runs,
+                self._factors,
+                now,
+                held_at_zero=held_at_zero,
+            )
+            chosen = decision.stop
+            if chosen is None or not self._must_stay(
+                view.attempts[chosen], now
+            ):
+                break
+            runs = tuple(
+                dataclasses.replace(run, stoppable=False)
+                if run.key == chosen
+                else run
+                for run in runs
+            )
         self._limits[view.node] = decision.state
         if decision.stop is None:
             self._move_slowest(view, best_effort, now)
@@ -234,6 +262,56 @@
             )
             self._scheduler_state.stop_run(attempt, 'throttled for too long')
 
+    def _must_stay(self, attempt: _job.Attempt, now: float) -> bool:
+        """Whether a stop would leave a job with nothing running for long.
+
+        That is so if no other worker would start the task at once, although
+        the service has room, so that its memory serves nobody else.
+        """
+        if self._stay_until.get(attempt.key, 0.0) > now:
+            return True
+        stage = attempt.task.stage
+        if any(
+            other.listed_at and not other.stop_reason
+            for other in stage.job.attempts()
+            if other is not attempt
+        ):
+            return False
+        service = self._scheduler_state.workers[attempt.node].life.service
+        candidates = self._candidates(service, now)
+        if _service_room.used_ratio(candidates) >= _idle_jobs.MAX_USED_RATIO:
+            return False
+        if any(
+            _placement.evaluate(
+                stage.spec,
+                stage.name,
+                candidate,
+                self._factors,
+                _placement.MIN_PACE_BESIDE_SERVING_PERCENT,
+            )
+            is not None
+            for candidate in candidates
+            if candidate.node != attempt.node
+        ):
+            return False
+        self._stay_until[attempt.key] = now + STAY_CHECK_INTERVAL_S
+        metrics.LAST_RUNS_KEPT.inc()
+        return True
+
+    def _candidates(
+        self, service: str, now: float
+    ) -> list[_placement.WorkerCapacity]:
+        """Return the remaining capacity of a service's usable workers."""
+        if self._candidates_at != now:
+            self._candidates_at = now
+            self._by_service = _round.candidates_by_service(
+                self._scheduler_state.workers.values(),
+                frozenset(),
+                now,
+                fit_best_effort=self._fit_best_effort,
+            )
+        return self._by_service.get(service, [])
+
     def _may_stop(self, attempt: _job.Attempt, now: float) -> bool:
         """Whether a run may be stopped for the sake of serving tasks."""
         stage = attempt.task.stage
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -185,3 +185,46 @@
     fleet.submit('ends', dataclasses.replace(BATCH, cpu_millis=100))
     assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
     assert not fleet.state.jobs['ends'].started
+
+
+def _squeezed_fleet(**fields) -> _fleet.Fleet:
+    """Return a worker whose serving task leaves no headroom for a fill."""
+    fleet = _fleet.Fleet(workers=1)
+    step = dataclasses.replace(_fleet.REBUILD, **fields)
+    fleet.submit('fill', step)
+    fleet.step()
+    fleet.submit('serve', _fleet.SERVE, priority=0)
+    fleet.tail_ms = 12.0
+    for _ in range(4):
+        fleet.step()
+    fleet.factors.restore(_interference.LearnedFactors(KNOWN), fleet.now)
+    fleet.factors._baseline_ratios['shop'] = 0.2
+    return fleet
+
+
+@pytest.mark.parametrize(
+    ('count', 'memory_mb', 'running'),
+    [(1, 62_500, 1), (3, 62_500, 1), (1, 10_000, 0)],
+    ids=['only run', 'last of three', 'service is full'],
+)
+def test_last_run_of_a_job_is_not_stopped_while_there_is_room(
+    count, memory_mb, running
+):
+    """Guards against a stop that leaves a job with nothing running.
+
+    The run would start again after a while, beside the same serving task. In
+    a full service its memory is better left to others.
+    """
+    fleet = _squeezed_fleet(task_count=count)
+    fleet.lives[0] = dataclasses.replace(fleet.lives[0], memory_mb=memory_mb)
+    fewest = count
+    for _ in range(16):
+        best_effort = sum(
+            1.2 * 1800 / 16_000 * a.pace / 100
+            for a in fleet.state.jobs['fill'].attempts()
+            if a.listed_at
+        )
+        fleet.tail_ms = 10.0 / (1.0 - min(0.95, 0.7 + best_effort))
+        fleet.step()
+        fewest = min(fewest, fleet.running('fill'))
+    assert fewest == running
