Don't stop two runs for a move to the same room

What callers saw: best-effort runs that were stopped as 'throttled for too long' and then waited, as the room was taken by another run that moved. Cause: each move looked at the other workers as if no other were under way. Evidence, the new test before the change: FAILED test_slow_runs_move_one_at_a_time_to_the_same_room assert 2 == 1 Change: the demand of a run that moves is kept free on its worker for 2 s when further moves are decided. Placement doesn't know of it. The remaining capacity of all workers is determined once a pass instead of once for each move.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -32,6 +32,9 @@
 # A run that stays as the only one of its job is examined again after this
 # time, as the examination visits all workers.
 STAY_CHECK_INTERVAL_S = 1.0
+# From the decision to move a run to its start on another worker: its stop, two
+# lists and a commit.
+MOVE_EXPECTED_S = 2.0
 DEFAULT_BOUNDS = workflows.Bounds()
 
 
@@ -61,6 +64,9 @@
         self._limits: dict[str, _best_effort_limit.LimitState] = {}
         # By run: until when it stays as the only run of its job.
         self._stay_until: dict[tuple[str, int], float] = {}
+        # By agent: steps of the runs that move to its worker, each with the
+        # local time until which it is expected.
+        self._promised: dict[str, list[tuple[float, _job.Stage]]] = {}
         # Remaining capacity of the usable workers, at this local time.
         self._candidates_at = 0.0
         self._by_service: dict[str, list[_placement.WorkerCapacity]] = {}
@@ -238,30 +244,60 @@
         if not slow:
             return
         attempt = min(slow, key=lambda item: (item.pace, item.key))
-        stage = attempt.task.stage
-        candidates = _round.candidates_by_service(
-            self._scheduler_state.workers.values(),
-            frozenset(),
-            now,
-            fit_best_effort=True,
-        ).get(view.life.service, [])
-        if any(
-            _placement.evaluate(
-                stage.spec,
-                stage.name,
-                candidate,
-                self._factors,
-                MOVE_MIN_PACE_PERCENT,
-            )
-            is not None
-            for candidate in candidates
-            if candidate.node != view.node
-        ):
+        node = self._node_for_move(attempt, now)
+        if node:
+            promised = self._promised.setdefault(node, [])
+            promised.append((now + MOVE_EXPECTED_S, attempt.task.stage))
             self._limits[view.node] = dataclasses.replace(
                 state, stopped_at=now
             )
             self._scheduler_state.stop_run(attempt, 'throttled for too long')
 
+    def _node_for_move(self, attempt: _job.Attempt, now: float) -> str:
+        """Return the agent of a worker for a slow run, '' if there is none.
+
+        The room for one move serves no other until its run has come.
+        """
+        stage = attempt.task.stage
+        service = self._scheduler_state.workers[attempt.node].life.service
+        for candidate in self._candidates(service, now):
+            if candidate.node == attempt.node:
+                continue
+            left = self._without_promised(candidate, now)
+            if (
+                _placement.evaluate(
+                    stage.spec,
+                    stage.name,
+                    left,
+                    self._factors,
+                    MOVE_MIN_PACE_PERCENT,
+                )
+                is not None
+            ):
+                return candidate.node
+        return ''
+
+    def _without_promised(
+        self, candidate: _placement.WorkerCapacity, now: float
+    ) -> _placement.WorkerCapacity:
+        """Return what runs that move to a worker leave of its capacity."""
+        promised = [
+            item
+            for item in self._promised.pop(candidate.node, ())
+            if item[0] > now
+        ]
+        if not promised:
+            return candidate
+        self._promised[candidate.node] = promised
+        left = dataclasses.replace(
+            candidate,
+            tasks_per_step=dict(candidate.tasks_per_step),
+            best_effort=list(candidate.best_effort),
+        )
+        for _, stage in promised:
+            left.reserve(stage.spec, stage.name)
+        return left
+
     def _must_stay(self, attempt: _job.Attempt, now: float) -> bool:
         """Whether a stop would leave a job with nothing running for long.
 
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -228,3 +228,48 @@
         fleet.step()
         fewest = min(fewest, fleet.running('fill'))
     assert fewest == running
+
+
+def _slow_runs_beside_room(memory_mb, data_centre='dc') -> _fleet.Fleet:
+    """Return two workers whose fills settle at 45%, and a third with room."""
+    fleet = _fleet.Fleet(workers=2)
+    for number in range(2):
+        step = dataclasses.replace(_fleet.REBUILD, memory_mb=40_000)
+        fleet.submit(f'fill{number}', step)
+    fleet.step()
+    serve = dataclasses.replace(_fleet.SERVE, task_count=2, max_per_worker=1)
+    fleet.submit('serve', serve, priority=0)
+    fleet.tail_ms = 12.0
+    fleet.step()
+    fleet.factors.restore(_interference.LearnedFactors(KNOWN), fleet.now)
+    fleet.lives.append(
+        dataclasses.replace(
+            fleet.lives[0],
+            worker_id='w2',
+            data_centre=data_centre,
+            memory_mb=memory_mb,
+        )
+    )
+    fleet._ends.append(0)
+    return fleet
+
+
+def _stopped_at_once(fleet) -> int:
+    """Let the tails follow the paces; return the most runs in a stop."""
+    most = 0
+    for _ in range(12):
+        pace = max(
+            a.measured_pace(fleet.now + 0.5)
+            for n in (0, 1)
+            for a in fleet.state.jobs[f'fill{n}'].attempts()
+        )
+        own_load, added = 0.63, 1.2 * 1800 / 16_000 * pace / 100
+        fleet.tail_ms = 10.0 / (1.0 - own_load - added)
+        fleet.step()
+        most = max(most, len(fleet.stopping()))
+    return most
+
+
+def test_slow_runs_move_one_at_a_time_to_the_same_room():
+    """Guards against two stops for room that holds one; one would wait."""
+    assert _stopped_at_once(_slow_runs_beside_room(70_000)) == 1
