Don't stop runs for a move to an evacuated data centre

What callers saw: a best-effort run stopped as 'throttled for too long', and nothing in its place: the room that counted was in an evacuated data centre. Cause: the supervisor examined all workers; only placement knew of evacuations. Evidence, the new test before the change: FAILED test_slow_run_does_not_move_to_an_evacuated_data_centre assert 1 == 0 Change: the supervisor asks for the evacuated data centres when it determines the remaining capacity.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -37,6 +37,8 @@
 MOVE_EXPECTED_S = 2.0
 DEFAULT_BOUNDS = workflows.Bounds()
 
+Evacuated = collections.abc.Callable[[], frozenset[str]]
+
 
 class RunSupervisor:
     """Periodically checks all workers and adjusts what they run.
@@ -45,6 +47,7 @@
     :param factors: learned interference factors.
     :param load: parts for hard load that are on.
     :param bounds: limits of the deployment.
+    :param evacuated: returns the data centres in which nothing may start.
     """
 
     def __init__(
@@ -54,9 +57,11 @@
         *,
         load: load_settings.LoadSettings = load_settings.OFF,
         bounds: workflows.Bounds = DEFAULT_BOUNDS,
+        evacuated: Evacuated = frozenset,
     ) -> None:
         self._scheduler_state = scheduler_state
         self._factors = factors
+        self._evacuated = evacuated
         self._fit_best_effort = load.fit_best_effort
         self._detect_long_tasks = load.detect_long_tasks
         self._restart_s = bounds.stop_s + bounds.restore_s
@@ -342,7 +347,7 @@
             self._candidates_at = now
             self._by_service = _round.candidates_by_service(
                 self._scheduler_state.workers.values(),
-                frozenset(),
+                self._evacuated(),
                 now,
                 fit_best_effort=self._fit_best_effort,
             )
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -106,7 +106,11 @@
         self._factors = _interference.PairFactors()
         self._idle_jobs = _idle_jobs.IdleJobs()
         self._run_supervisor = _run_supervisor.RunSupervisor(
-            self.scheduler_state, self._factors, load=load, bounds=bounds
+            self.scheduler_state,
+            self._factors,
+            load=load,
+            bounds=bounds,
+            evacuated=lambda: operators.evacuated,
         )
         self._load_stops = _load_stops.LoadStops(
             self.scheduler_state, load, bounds
--- a/citronrail/workflow/tests/_fleet.py
+++ b/citronrail/workflow/tests/_fleet.py
@@ -47,7 +47,11 @@
         self.state = _scheduler_state.SchedulerState(self.queue)
         self.factors = _interference.PairFactors()
         self.supervisor = _run_supervisor.RunSupervisor(
-            self.state, self.factors, load=load, bounds=BOUNDS
+            self.state,
+            self.factors,
+            load=load,
+            bounds=BOUNDS,
+            evacuated=lambda: self.evacuated,
         )
         self.stops = _load_stops.LoadStops(self.state, load, BOUNDS)
         self.idle_jobs = _idle_jobs.IdleJobs()
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -273,3 +273,10 @@
 def test_slow_runs_move_one_at_a_time_to_the_same_room():
     """Guards against two stops for room that holds one; one would wait."""
     assert _stopped_at_once(_slow_runs_beside_room(70_000)) == 1
+
+
+def test_slow_run_does_not_move_to_an_evacuated_data_centre():
+    """Guards against a stop for room in which nothing may start."""
+    fleet = _slow_runs_beside_room(70_000, data_centre='other')
+    fleet.evacuated = frozenset({'other'})
+    assert _stopped_at_once(fleet) == 0
