Stop throttled runs only for a worker that can start them

What callers saw, on deployments without the best-effort limit: a run that was paced down for 2 s was stopped as 'throttled for too long' and waited then. Cause: _can_run_elsewhere looked at the pace alone: not at memory, labels, accelerators, limits per worker or the service of the other worker. Evidence, the new test before the change: FAILED test_throttled_run_moves_only_to_a_worker_that_can_start_it[no memory] FAILED ...[other service] assert True is False Change: it asks placement, as moves with the best-effort limit do, and keeps the room for the run when further moves are decided.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -251,8 +251,7 @@
         attempt = min(slow, key=lambda item: (item.pace, item.key))
         node = self._node_for_move(attempt, now)
         if node:
-            promised = self._promised.setdefault(node, [])
-            promised.append((now + MOVE_EXPECTED_S, attempt.task.stage))
+            self._promise(node, attempt, now)
             self._limits[view.node] = dataclasses.replace(
                 state, stopped_at=now
             )
@@ -282,6 +281,11 @@
                 return candidate.node
         return ''
 
+    def _promise(self, node: str, attempt: _job.Attempt, now: float) -> None:
+        """Keep room for a run that moves when further moves are decided."""
+        promised = self._promised.setdefault(node, [])
+        promised.append((now + MOVE_EXPECTED_S, attempt.task.stage))
+
     def _without_promised(
         self, candidate: _placement.WorkerCapacity, now: float
     ) -> _placement.WorkerCapacity:
@@ -429,27 +433,15 @@
             attempt.starved_since = now
         elif (
             now - attempt.starved_since > STARVED_S
-            and self._can_run_elsewhere(attempt, now)
+            and attempt.task.stage.spec.saves_progress
+            and not attempt.stop_reason
         ):
-            self._scheduler_state.stop_run(attempt, 'throttled for too long')
-
-    def _can_run_elsewhere(self, attempt: _job.Attempt, now: float) -> bool:
-        """Whether another worker would allow a run a high pace now."""
-        spec = attempt.task.stage.spec
-        if not spec.saves_progress or attempt.stop_reason:
-            return False
-        for view in self._scheduler_state.workers.values():
-            if view.node == attempt.node or not view.usable(now):
-                continue
-            pace = _interference.admissible_pace(
-                view.serving,
-                tuple(item for item, _ in _best_effort_tasks(view, now)),
-                _interference.best_effort_task(spec, view.life.cpu_millis),
-                self._factors,
-            )
-            if pace >= MOVE_MIN_PACE_PERCENT:
-                return True
-        return False
+            node = self._node_for_move(attempt, now)
+            if node:
+                self._promise(node, attempt, now)
+                self._scheduler_state.stop_run(
+                    attempt, 'throttled for too long'
+                )
 
     def _stop_before_drain_end(
         self, view: _worker_view.WorkerView, now: float
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -280,3 +280,36 @@
     fleet = _slow_runs_beside_room(70_000, data_centre='other')
     fleet.evacuated = frozenset({'other'})
     assert _stopped_at_once(fleet) == 0
+
+
+@pytest.mark.parametrize(
+    ('fields', 'moves'),
+    [
+        ({}, True),
+        ({'memory_mb': 3000}, False),
+        ({'service': 'other'}, False),
+        ({'state': 'draining'}, False),
+    ],
+    ids=['room', 'no memory', 'other service', 'draining'],
+)
+def test_throttled_run_moves_only_to_a_worker_that_can_start_it(fields, moves):
+    """Guards against a stop for a worker without memory for the run.
+
+    This is where the deployment has not asked for the best-effort limit.
+    """
+    fleet = _fleet.Fleet(load=load_settings.OFF)
+    fleet.submit('fill', _fleet.REBUILD)
+    fleet.step()
+    fleet.submit('serve', _fleet.SERVE, priority=0)
+    fleet.tail_ms = 12.0
+    fleet.step()
+    fleet.factors.restore(_interference.LearnedFactors(KNOWN), fleet.now)
+    life = dataclasses.replace(fleet.lives[0], worker_id='w1', **fields)
+    fleet.lives.append(life)
+    fleet._ends.append(0)
+    fleet.tail_ms = 10.0 / (1.0 - 0.78)
+    moved = False
+    for _ in range(8):
+        fleet.step()
+        moved = moved or bool(fleet.stopping())
+    assert moved is moves
