Determine the use of a service anew after each overdue start

Cause: all overdue jobs of a check started although the first of them had brought the service over the share up to which the bound holds. Evidence, the new test before the change: FAILED test_overdue_starts_stay_within_the_capacity: assert 40 < 40 Change: the share is determined again after each start. Tests guard the capacity under many overdue starts, the order of jobs at the limit of starts a round, and a throttled job that keeps its run.

--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -259,6 +259,7 @@
             failures += 1
         else:
             placed.append(attempt)
+            del used[service]  # it is determined anew
         if (
             failures >= MAX_OVERDUE_FAILURES
             or len(placed) >= MAX_OVERDUE_STARTS
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -8,6 +8,7 @@
 from citronrail.model import load_settings
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
+from citronrail.workflow import _round
 from citronrail.workflow.tests import _fleet
 
 LIMIT_S = 3.0
@@ -313,3 +314,43 @@
         fleet.step()
         moved = moved or bool(fleet.stopping())
     assert moved is moves
+
+
+def test_stream_of_urgent_tasks_does_not_hold_a_job_back(monkeypatch):
+    """Guards against a job that each round ends before, at its limit."""
+    monkeypatch.setattr(_round, 'MAX_STARTS_PER_ROUND', 4)
+    fleet = _fleet.Fleet(workers=1)
+    fleet.submit('fill', BATCH, priority=2)
+    urgent = dataclasses.replace(
+        BATCH, task_count=4, cpu_millis=10, memory_mb=10, estimate_s=0.1
+    )
+    for number in range(12):
+        fleet.submit(f'urgent{number}', urgent, priority=0)
+        fleet.step(STEP_S)
+        if fleet.state.jobs['fill'].started:
+            break
+    assert number * STEP_S < LIMIT_S - 1.0
+
+
+def test_overdue_starts_stay_within_the_capacity():
+    """Guards against LIMIT: each start finds its memory free."""
+    fleet = _serving_fleet(own_load=0.65, workers=3)
+    for number in range(40):
+        fleet.submit(f'fill{number}', _fleet.REBUILD)
+    for _ in range(24):
+        fleet.step(STEP_S)
+        for view in fleet.state.workers.values():
+            assert not _round.remaining_capacity(view).overcommitted
+    started = sum(fleet.state.jobs[f'fill{n}'].started for n in range(40))
+    assert 20 <= started < 40
+
+
+def test_throttled_job_of_an_empty_service_keeps_a_run():
+    """Guards against a run that is started and stopped again in turns."""
+    fleet = _serving_fleet(own_load=0.65)
+    fleet.submit('fill', _fleet.REBUILD)
+    assert _seconds_to_first_run(fleet) < LIMIT_S - 1.0
+    for _ in range(20):
+        fleet.step()
+    assert fleet.state.jobs['fill'].stages[0].tasks[0].last_run == 1
+    assert fleet.running('fill') == 1
