--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -152,6 +152,18 @@
 LISTENER_FAILED = _events.EventKind(
     1755, 'ERROR', 'listener of {prefix} failed at {key}: {reason}'
 )
+WAITS_WITH_ROOM = _events.EventKind(
+    1770,
+    'WARNING',
+    'job {job} has had nothing running for {seconds} s, {used}% of its '
+    'service are in use, and task {task} has room twice over: {reason}',
+)
+OVERDUE_START = _events.EventKind(
+    1771,
+    'INFO',
+    'run {task}#{run} starts on {worker} at pace {pace} since nothing ran for '
+    '{seconds} s; what kept it waiting: {reason}',
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -80,6 +80,23 @@
     'Stored records that were skipped as malformed or out of range, by type',
     ['kind'],
 )
+WAITS_WITH_ROOM = prometheus_client.Counter(
+    'citronrail_workflow_waits_with_room',
+    'Times that a job with nothing running was logged although there is room, '
+    'by reason',
+    ['reason'],
+)
+OVERDUE_STARTS = prometheus_client.Counter(
+    'citronrail_workflow_overdue_starts',
+    'Runs assigned because their job had nothing running for too long, by '
+    'what had kept them waiting',
+    ['reason'],
+)
+LAST_RUNS_KEPT = prometheus_client.Counter(
+    'citronrail_workflow_last_runs_kept',
+    'Times that a run was not stopped beside serving tasks, as its job would '
+    'have had nothing running although there is room',
+)
 COMMIT_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_commit_seconds',
     'Time that a commit of the scheduling entry took',
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -78,8 +78,12 @@
         default_factory=list
     )
     speed: float = 1.0
+    total_memory: int = 0
+    total_accelerators: int = 0
     avoided: bool = False
+    has_unknown_runs: bool = False  # it is avoided for these
     reserved: bool = False  # only a suspected task may start there
+    held: bool = False  # it is reserved for one that has not started yet
     target_violated: bool = False  # a latency target is missed persistently
     # Whether serving tasks and the best-effort tasks that harm them are kept
     # on different workers as far as there is room.
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -4,18 +4,28 @@
 import dataclasses
 
 from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _health
+from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _metrics as metrics
+from citronrail.workflow import _overdue
 from citronrail.workflow import _placement
 from citronrail.workflow import _probation
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _service_room
 from citronrail.workflow import _step_ranking
+from citronrail.workflow import _wait_reason
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _best_effort_limit
 from citronrail.workflow.overload import _job_order
 
 MAX_STARTS_PER_ROUND = 120  # the next round follows at once
+# Overdue tasks that are started, and those that find no worker, at a time.
+MAX_OVERDUE_STARTS = 40
+MAX_OVERDUE_FAILURES = 4
 # Runs with an admissible pace of at least this start at full pace.
 THROTTLED_START_BELOW_PERCENT = 90
 # A speculative run starts if the worker has sent no list for
@@ -38,6 +48,8 @@
         them are kept on different workers as far as there is room.
     :param job_order: order by cost of delay and backlog; None for the order
         by slack alone.
+    :param idle_jobs: since when jobs have had nothing running; None if that
+        is not tracked.
     """
 
     queue_named: _scheduler_state.QueueLookup
@@ -45,6 +57,7 @@
     factors: _interference.PairFactors
     fit_best_effort: bool = False
     job_order: _job_order.JobOrder | None = None
+    idle_jobs: _idle_jobs.IdleJobs | None = None
 
     def service_of(self, job: _job.Job) -> str:
         """Return the service whose workers run a job."""
@@ -89,10 +102,12 @@
             view.capacity = remaining_capacity(view)
         candidate = view.capacity
         candidate.speed = speeds.get(view.node, 1.0)
-        candidate.avoided = view.avoid_until > now or bool(
-            view.unknown_run_stops
+        candidate.has_unknown_runs = bool(view.unknown_run_stops)
+        candidate.avoided = (
+            candidate.has_unknown_runs or view.avoid_until > now
         )
         candidate.reserved = _probation.is_reserved(view, now)
+        candidate.held = candidate.reserved and view.probation_job is None
         candidate.target_violated = view.target_violated
         candidate.keeps_apart = fit_best_effort
         candidate.best_effort_barred = fit_best_effort and not (
@@ -130,6 +145,8 @@
         free_accelerators=life.accelerators,
         idle_cpu=life.cpu_millis,
         serving=view.serving,
+        total_memory=life.memory_mb,
+        total_accelerators=life.accelerators,
     )
     for attempt in view.attempts.values():
         stage = attempt.task.stage
@@ -156,10 +173,14 @@
     """
     _probation.end_listed(scheduler_state.workers)
     ready = _ready_stages(scheduler_state, now, unix_now)
+    checks_idle = policy.idle_jobs is not None and policy.idle_jobs.update(
+        ready, scheduler_state.workers, now, unix_now
+    )
     if not ready:
         if policy.job_order is not None:
             policy.job_order.clear(now)
-        return []
+        if not checks_idle:
+            return []
     by_service = candidates_by_service(
         scheduler_state.workers.values(),
         policy.evacuated,
@@ -174,6 +195,8 @@
     placed = _place_suspected(
         scheduler_state, policy, ordered, by_service, now
     )
+    if checks_idle:
+        placed += _place_overdue(scheduler_state, policy, by_service, now)
     for job, stages in ordered:
         service = policy.service_of(job)
         candidates = by_service.get(service, [])
@@ -193,9 +216,167 @@
             break
     for attempt in placed:
         attempt.assigned_at = unix_now
+    if checks_idle:
+        _log_idle_jobs(scheduler_state, policy, by_service, now)
+    return placed
+
+
+def _place_overdue(
+    scheduler_state: _scheduler_state.SchedulerState,
+    policy: Policy,
+    by_service: dict[str, list[_placement.WorkerCapacity]],
+    now: float,
+) -> list[_job.Attempt]:
+    """Assign one task of each job that has had nothing running for too long.
+
+    Tasks that last are assigned each, and however full their service is.
+    """
+    if policy.idle_jobs is None:
+        return []
+    waits = policy.idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
+    waits.sort(key=lambda wait: wait.tried_at)
+    used: dict[str, float] = {}
+    hopeless: set[tuple[object, ...]] = set()  # kinds of tasks
+    placed: list[_job.Attempt] = []
+    searches = 0  # in vain
+    for wait in waits:
+        task = _startable(wait, now)
+        if task is None:
+            continue
+        service = policy.service_of(task.stage.job)
+        candidates = by_service.get(service, [])
+        if service not in used:
+            used[service] = _service_room.used_ratio(candidates)
+        if not wait.lasts and used[service] >= _idle_jobs.MAX_USED_RATIO:
+            continue
+        may_use_avoided = wait.lasts or not _is_last_attempt(task, policy)
+        kind = (service, may_use_avoided, *_kind(task.stage.spec))
+        wait.tried_at = now
+        if kind in hopeless:
+            continue
+        choice = None
+        if _idle_jobs.has_room(task, candidates):
+            choice = _overdue.choose(
+                task.stage.spec,
+                task.stage.name,
+                candidates,
+                policy.factors,
+                task.failed_on,
+                may_use_avoided=may_use_avoided,
+                first=len(placed) * _overdue.MAX_COMPARED,
+            )
+        if choice is None:
+            if not task.stage.spec.max_per_worker:
+                hopeless.add(kind)
+            searches += 1
+        else:
+            placed.append(
+                _start_overdue(
+                    scheduler_state, policy, wait, task, choice, now
+                )
+            )
+            del used[service]  # it is determined anew
+        if (
+            searches >= MAX_OVERDUE_FAILURES
+            or len(placed) >= MAX_OVERDUE_STARTS
+        ):
+            break
     return placed
 
 
+def _kind(step: workflows.StepSpec) -> tuple[object, ...]:
+    """Return what decides which workers may take a task of a step."""
+    return (
+        step.required_label,
+        step.image,
+        step.latency_target_ms,
+        step.fills,
+        step.cpu_millis,
+        step.memory_mb,
+        step.accelerators,
+    )
+
+
+def _is_last_attempt(task: _job.Task, policy: Policy) -> bool:
+    """Whether one more failed run would end the task's job."""
+    queue = policy.queue_named(task.stage.job.record.queue)
+    return queue is not None and task.failures + 1 >= queue.max_attempts
+
+
+def _startable(wait: _idle_jobs.Wait, now: float) -> _job.Task | None:
+    """Return the task to start for a wait, None if none may start now."""
+    stage = wait.task.stage
+    if stage.spec.gang or not stage.job.open:
+        return None
+    for task in (wait.task,) if wait.lasts else stage.tasks:
+        if (
+            task.waiting
+            and task.retry_at <= now
+            and not _probation.must_start_alone(task, now)
+        ):
+            return task
+    return None
+
+
+def _start_overdue(
+    scheduler_state: _scheduler_state.SchedulerState,
+    policy: Policy,
+    wait: _idle_jobs.Wait,
+    task: _job.Task,
+    choice: _step_ranking.Choice,
+    now: float,
+) -> _job.Attempt:
+    stage = task.stage
+    reason = (
+        _wait_reason.obstacle(
+            stage.spec,
+            stage.name,
+            choice.candidate,
+            policy.factors,
+            wait_for_low_impact=(
+                now - stage.ready_since < _placement.LOW_IMPACT_WAIT_S
+            ),
+        )
+        or _wait_reason.Reason.ROUND_LIMIT
+    )
+    choice.candidate.reserve(stage.spec, stage.name)
+    attempt = _assign_choice(scheduler_state, task, choice)
+    metrics.OVERDUE_STARTS.labels(reason.value).inc()
+    observability.emit(
+        events.OVERDUE_START,
+        task=task.name,
+        run=attempt.number,
+        worker=attempt.worker_id,
+        pace=attempt.pace,
+        seconds=round(now - wait.since, 2),
+        reason=reason.value,
+    )
+    return attempt
+
+
+def _log_idle_jobs(
+    scheduler_state: _scheduler_state.SchedulerState,
+    policy: Policy,
+    by_service: dict[str, list[_placement.WorkerCapacity]],
+    now: float,
+) -> None:
+    """Log jobs that have nothing running although there is room."""
+
+    def state_of(service: str) -> _idle_jobs.ServiceState:
+        others = [
+            remaining_capacity(view)
+            for view in scheduler_state.workers.values()
+            if view.life.service == service
+            and not view.draining
+            and not view.usable(now)
+            and view.life.data_centre not in policy.evacuated
+        ]
+        return _idle_jobs.ServiceState(by_service.get(service, []), others)
+
+    if policy.idle_jobs is not None:
+        policy.idle_jobs.log(policy.service_of, state_of, policy.factors, now)
+
+
 def waiting_stages(
     scheduler_state: _scheduler_state.SchedulerState,
     policy: Policy,
@@ -244,6 +425,7 @@
             if choice is None:
                 waiting.setdefault(service, []).append(task)
                 break
+            choice.candidate.held = False
             placed.append(_assign_choice(scheduler_state, task, choice))
     for service, tasks in waiting.items():
         probations[service].hold(tasks)
--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -8,12 +8,14 @@
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _health
+from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _placement
 from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _service_room
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _best_effort_limit
 
@@ -27,8 +29,16 @@
 VIOLATION_GRACE_S = 0.7
 STOP_ALL_AFTER_S = 1.5  # then all best-effort tasks on the worker are stopped
 MOVE_MIN_PACE_PERCENT = 80
+# A run that stays as the only one of its job is examined again after this
+# time, as the examination visits all workers.
+STAY_CHECK_INTERVAL_S = 1.0
+# From the decision to move a run to its start on another worker: its stop, two
+# lists and a commit.
+MOVE_EXPECTED_S = 2.0
 DEFAULT_BOUNDS = workflows.Bounds()
 
+Evacuated = collections.abc.Callable[[], frozenset[str]]
+
 
 class RunSupervisor:
     """Periodically checks all workers and adjusts what they run.
@@ -37,6 +47,7 @@
     :param factors: learned interference factors.
     :param load: parts for hard load that are on.
     :param bounds: limits of the deployment.
+    :param evacuated: returns the data centres in which nothing may start.
     """
 
     def __init__(
@@ -46,14 +57,25 @@
         *,
         load: load_settings.LoadSettings = load_settings.OFF,
         bounds: workflows.Bounds = DEFAULT_BOUNDS,
+        evacuated: Evacuated = frozenset,
     ) -> None:
         self._scheduler_state = scheduler_state
         self._factors = factors
+        self._evacuated = evacuated
         self._fit_best_effort = load.fit_best_effort
         self._detect_long_tasks = load.detect_long_tasks
         self._restart_s = bounds.stop_s + bounds.restore_s
         # By agent: whether its worker has more best-effort runs than it bears.
         self._limits: dict[str, _best_effort_limit.LimitState] = {}
+        # By run: until when it stays as the only run of its job.
+        self._stay_until: dict[tuple[str, int], float] = {}
+        # By agent: steps of the runs that move to its worker, each with the
+        # local time until which it is expected.
+        self._promised: dict[str, list[tuple[float, _job.Stage]]] = {}
+        # Remaining capacity of the usable workers, at this local time.
+        self._candidates_at = 0.0
+        self._by_service: dict[str, list[_placement.WorkerCapacity]] = {}
+        self._split_gangs: set[_job.Stage] = set()  # in the last check
         self._next_health_check_at = 0.0
         self._paced_at: dict[str, float] = {}
 
@@ -68,10 +90,16 @@
                 self._stop_before_drain_end(view, now)
         if now >= self._next_health_check_at:
             self._next_health_check_at = now + HEALTH_INTERVAL_S
+            self._stay_until = {
+                key: until
+                for key, until in self._stay_until.items()
+                if until > now
+            }
             self._check_speeds(now)
             for view in self._scheduler_state.workers.values():
                 if view.usable(now):
                     self._check_progress(view, now)
+            self._stop_split_gangs()
 
     def _adjust_paces(self, view: _worker_view.WorkerView, now: float) -> None:
         """Set the pace of best-effort tasks, once for each new list."""
@@ -156,14 +184,27 @@
         held_at_zero: collections.abc.Collection[tuple[str, int]] = ()
         if view.target_violated:
             held_at_zero = {a.key for _, a in best_effort if a.pace == 0}
-        decision = _best_effort_limit.decide(
-            self._limits.get(view.node, _best_effort_limit.LimitState()),
-            view.serving,
-            runs,
-            self._factors,
-            now,
-            held_at_zero=held_at_zero,
-        )
+        state = self._limits.get(view.node, _best_effort_limit.LimitState())
+        while True:
+            decision = _best_effort_limit.decide(
+                state,
+                view.serving,
+                runs,
+                self._factors,
+                now,
+                held_at_zero=held_at_zero,
+            )
+            chosen = decision.stop
+            if chosen is None or not self._must_stay(
+                view.attempts[chosen], now
+            ):
+                break
+            runs = tuple(
+                dataclasses.replace(run, stoppable=False)
+                if run.key == chosen
+                else run
+                for run in runs
+            )
         self._limits[view.node] = decision.state
         if decision.stop is None:
             self._move_slowest(view, best_effort, now)
@@ -210,29 +251,113 @@
         if not slow:
             return
         attempt = min(slow, key=lambda item: (item.pace, item.key))
+        node = self._node_for_move(attempt, now)
+        if node:
+            self._promise(node, attempt, now)
+            self._limits[view.node] = dataclasses.replace(
+                state, stopped_at=now
+            )
+            self._scheduler_state.stop_run(attempt, 'throttled for too long')
+
+    def _node_for_move(self, attempt: _job.Attempt, now: float) -> str:
+        """Return the agent of a worker for a slow run, '' if there is none.
+
+        The room for one move serves no other until its run has come.
+        """
+        stage = attempt.task.stage
+        service = self._scheduler_state.workers[attempt.node].life.service
+        for candidate in self._candidates(service, now):
+            if candidate.node == attempt.node:
+                continue
+            left = self._without_promised(candidate, now)
+            if (
+                _placement.evaluate(
+                    stage.spec,
+                    stage.name,
+                    left,
+                    self._factors,
+                    MOVE_MIN_PACE_PERCENT,
+                )
+                is not None
+            ):
+                return candidate.node
+        return ''
+
+    def _promise(self, node: str, attempt: _job.Attempt, now: float) -> None:
+        """Keep room for a run that moves when further moves are decided."""
+        promised = self._promised.setdefault(node, [])
+        promised.append((now + MOVE_EXPECTED_S, attempt.task.stage))
+
+    def _without_promised(
+        self, candidate: _placement.WorkerCapacity, now: float
+    ) -> _placement.WorkerCapacity:
+        """Return what runs that move to a worker leave of its capacity."""
+        promised = [
+            item
+            for item in self._promised.pop(candidate.node, ())
+            if item[0] > now
+        ]
+        if not promised:
+            return candidate
+        self._promised[candidate.node] = promised
+        left = dataclasses.replace(
+            candidate,
+            tasks_per_step=dict(candidate.tasks_per_step),
+            best_effort=list(candidate.best_effort),
+        )
+        for _, stage in promised:
+            left.reserve(stage.spec, stage.name)
+        return left
+
+    def _must_stay(self, attempt: _job.Attempt, now: float) -> bool:
+        """Whether a stop would leave a job with nothing running for long.
+
+        That is so if no other worker would start the task at once, although
+        the service has room, so that its memory serves nobody else.
+        """
+        if self._stay_until.get(attempt.key, 0.0) > now:
+            return True
         stage = attempt.task.stage
-        candidates = _round.candidates_by_service(
-            self._scheduler_state.workers.values(),
-            frozenset(),
-            now,
-            fit_best_effort=True,
-        ).get(view.life.service, [])
+        if any(
+            other.listed_at and not other.stop_reason
+            for other in stage.job.attempts()
+            if other is not attempt
+        ):
+            return False
+        service = self._scheduler_state.workers[attempt.node].life.service
+        candidates = self._candidates(service, now)
+        if _service_room.used_ratio(candidates) >= _idle_jobs.MAX_USED_RATIO:
+            return False
         if any(
             _placement.evaluate(
                 stage.spec,
                 stage.name,
                 candidate,
                 self._factors,
-                MOVE_MIN_PACE_PERCENT,
+                _placement.MIN_PACE_BESIDE_SERVING_PERCENT,
             )
             is not None
             for candidate in candidates
-            if candidate.node != view.node
+            if candidate.node != attempt.node
         ):
-            self._limits[view.node] = dataclasses.replace(
-                state, stopped_at=now
+            return False
+        self._stay_until[attempt.key] = now + STAY_CHECK_INTERVAL_S
+        metrics.LAST_RUNS_KEPT.inc()
+        return True
+
+    def _candidates(
+        self, service: str, now: float
+    ) -> list[_placement.WorkerCapacity]:
+        """Return the remaining capacity of a service's usable workers."""
+        if self._candidates_at != now:
+            self._candidates_at = now
+            self._by_service = _round.candidates_by_service(
+                self._scheduler_state.workers.values(),
+                self._evacuated(),
+                now,
+                fit_best_effort=self._fit_best_effort,
             )
-            self._scheduler_state.stop_run(attempt, 'throttled for too long')
+        return self._by_service.get(service, [])
 
     def _may_stop(self, attempt: _job.Attempt, now: float) -> bool:
         """Whether a run may be stopped for the sake of serving tasks."""
@@ -310,27 +435,15 @@
             attempt.starved_since = now
         elif (
             now - attempt.starved_since > STARVED_S
-            and self._can_run_elsewhere(attempt, now)
+            and attempt.task.stage.spec.saves_progress
+            and not attempt.stop_reason
         ):
-            self._scheduler_state.stop_run(attempt, 'throttled for too long')
-
-    def _can_run_elsewhere(self, attempt: _job.Attempt, now: float) -> bool:
-        """Whether another worker would allow a run a high pace now."""
-        spec = attempt.task.stage.spec
-        if not spec.saves_progress or attempt.stop_reason:
-            return False
-        for view in self._scheduler_state.workers.values():
-            if view.node == attempt.node or not view.usable(now):
-                continue
-            pace = _interference.admissible_pace(
-                view.serving,
-                tuple(item for item, _ in _best_effort_tasks(view, now)),
-                _interference.best_effort_task(spec, view.life.cpu_millis),
-                self._factors,
-            )
-            if pace >= MOVE_MIN_PACE_PERCENT:
-                return True
-        return False
+            node = self._node_for_move(attempt, now)
+            if node:
+                self._promise(node, attempt, now)
+                self._scheduler_state.stop_run(
+                    attempt, 'throttled for too long'
+                )
 
     def _stop_before_drain_end(
         self, view: _worker_view.WorkerView, now: float
@@ -393,6 +506,31 @@
                 attempt.task.moved_as_slow = True
                 self._scheduler_state.stop_run(attempt, 'the worker is slow')
 
+    def _stop_split_gangs(self) -> None:
+        """Stop members of gangs that others of the same run have left.
+
+        A member whose start was refused doesn't come any more; the others
+        would wait for it, and the gang for them. Ends of a gang are listed
+        one after the other, so a gang must be split in two checks.
+        """
+        split = set()
+        for view in self._scheduler_state.workers.values():
+            for attempt in view.attempts.values():
+                stage = attempt.task.stage
+                if (
+                    stage.spec.gang
+                    and stage not in split
+                    and any(task.waiting for task in stage.tasks)
+                ):
+                    split.add(stage)
+        for stage in split & self._split_gangs:
+            for task in stage.tasks:
+                for attempt in task.attempts:
+                    self._scheduler_state.stop_run(
+                        attempt, 'other members of its gang have no run'
+                    )
+        self._split_gangs = split
+
     def _check_progress(
         self, view: _worker_view.WorkerView, now: float
     ) -> None:
