Don't charge a successor's listed runs with the loss of their worker

Seen by callers: good jobs shown as failed where hosts lose power in series and the scheduling entry is replaced in between.

A run that was listed had lived on after its start, which a task that crashes its worker doesn't.

Before: test_successor_counts_crashes_that_it_did_not_see[listed before] "assert True is False" (a CrashRecord, sole), and 'Attempt' object has no attribute 'listed_before'.

Change: the stored record of a run says whether it had been listed. It costs no write of its own; only for a task that is suspected already the first listing is stored at once.

Other causes remain.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -130,7 +130,8 @@
     ) -> None:
         """Attribute the loss of runs that an earlier scheduler assigned.
 
-        It isn't known which of them had been listed.
+        Runs that are known to have been listed had started long before, or
+        their worker would have been lost at once.
 
         :param attempts: runs of earlier incarnations of one worker.
         :param born_ms: Unix time of the present one in milliseconds.
@@ -139,7 +140,10 @@
         """
         by_life: dict[tuple[str, int], list[_job.Attempt]] = {}
         for attempt in attempts:
-            if attempt.assigned_at > born_ms / 1000 - INHERITED_NEW_S:
+            assigned_lately = (
+                attempt.assigned_at > born_ms / 1000 - INHERITED_NEW_S
+            )
+            if assigned_lately and not attempt.listed_before:
                 by_life.setdefault(attempt.life, []).append(attempt)
         for life, runs in by_life.items():
             self._attribute(
@@ -171,13 +175,17 @@
     def on_listed(
         self, attempt: _job.Attempt, view: _worker_view.WorkerView
     ) -> None:
-        """Clear a task whose run has lasted for long."""
+        """Clear a task whose run has lasted for long.
+
+        That a suspected task was listed is stored at once, so that a
+        successor doesn't take its run for new.
+        """
         task = attempt.task
-        if (
-            task.crashes
-            and attempt.listed_at
-            and view.listed_at - attempt.listed_at >= CLEARED_S
-        ):
+        if not task.crashes or not attempt.listed_at:
+            return
+        if attempt.listed_at == view.listed_at:
+            self._scheduler_state.dirty.add(task.stage.job)
+        elif view.listed_at - attempt.listed_at >= CLEARED_S:
             task.crashes = ()
             self._scheduler_state.dirty.add(task.stage.job)
 
@@ -252,7 +260,7 @@
 def _is_new(attempt: _job.Attempt, view: _worker_view.WorkerView) -> bool:
     """Whether a run was new on a worker when that was lost."""
     if not attempt.listed_at:
-        return True
+        return not attempt.listed_before
     return bool(view.unreachable_since) and _is_near_start(attempt, view)
 
 
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -23,6 +23,7 @@
         'checkpoint_at',
         'from_start',
         'listed_at',
+        'listed_before',
         'listed_percent',
         'load',
         'missing_since',
@@ -65,6 +66,8 @@
         self.ordered = False  # whether the start order may have been sent
         self.order_sent_at = 0.0
         self.listed_at = 0.0  # first time on the worker's list
+        # Whether an earlier scheduler saw it on the worker's list.
+        self.listed_before = False
         self.listed_percent = 0  # progress at that time
         self.missing_since = 0.0  # ordered, but not listed since then
         self.moved_at = 0.0  # last change of the percentage
@@ -194,6 +197,7 @@
                     item.worker_id,
                     item.born_ms,
                     item.assigned_at,
+                    bool(item.listed_at) or item.listed_before,
                 )
                 for item in self.attempts
             ),
@@ -375,6 +379,7 @@
             item.assigned_at,
         )
         attempt.ordered = True
+        attempt.listed_before = item.listed
         task.attempts.append(attempt)
 
 
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -6,6 +6,7 @@
 from citronrail.model import workflows
 from citronrail.workflow import _crashes
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _job
 from citronrail.workflow import _reports
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.tests import _cluster
@@ -47,20 +48,21 @@
 
 
 @pytest.mark.parametrize(
-    ('assigned_s_before', 'suspected'),
-    [(1.0, True), (60.0, False)],
-    ids=['just assigned', 'assigned long before'],
+    ('assigned_s_before', 'listed', 'suspected'),
+    [(1.0, False, True), (60.0, False, False), (1.0, True, False)],
+    ids=['just assigned', 'assigned long before', 'listed before'],
 )
 def test_successor_counts_crashes_that_it_did_not_see(
-    assigned_s_before, suspected
+    assigned_s_before, listed, suspected
 ):
     """Guards against a crash that falls between two schedulers.
 
-    The worker is back under another ID before the successor hears of it.
+    The worker is back under another ID before the successor hears of it. A
+    run that the predecessor had seen on its list did not crash it.
     """
     state = _scheduler_state.SchedulerState(lambda name: _cluster.QUEUE)
     attempt = documents.AttemptRecord(
-        1, 'a0', 'w0', 1, BORN_MS / 1000 - assigned_s_before
+        1, 'a0', 'w0', 1, BORN_MS / 1000 - assigned_s_before, listed
     )
     task = documents.TaskRecord(last_run=1, attempts=(attempt,))
     state.progress[JOB] = documents.ProgressRecord(
@@ -110,3 +112,25 @@
     )
     (task,) = progress.stages[0]
     assert (task.crashes, task.attempts[0].assigned_at) == ((), 0.0)
+
+
+def test_listed_runs_are_stored_as_such():
+    """Guards against a successor that takes each run for new.
+
+    With the leader replaced every few seconds, good work on hosts that lost
+    power was charged with each of these losses.
+    """
+    job = _job.Job(
+        documents.JobRecord(JOB, 'q', 'pool', 0.0, _cluster.one_step()), NOW
+    )
+    (task,) = job.stages[0].tasks
+    job.started = True
+    task.last_run = 1
+    attempt = _job.Attempt(task, 1, 'a0', 'w0', 1)
+    task.attempts.append(attempt)
+    attempt.listed_at = NOW
+    restored = _job.Job(job.record, NOW)
+    restored.restore(job.progress())
+    (inherited,) = restored.attempts()
+    assert inherited.listed_before
+    assert restored.progress() == job.progress()
