Take no loss that nobody saw as evidence against a task

Seen by callers: good jobs shown as failed where workers are lost together with their agents, or while the scheduling entry is replaced.

Cause: where the time of a loss is unknown it was assumed to follow the start of the run at once, so that such a loss pointed to the task alone.

Before: test_only_a_seen_loss_points_to_a_task[unseen] "assert [True] == [False]".

Change: only a loss that an agent has reported right after the order points to a task. An unseen one still counts for the bound that ends every task.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -67,8 +67,8 @@
 class _Loss:
     """The end of a worker incarnation that nobody had announced.
 
-    ``runs`` are those that were new on it. ``near_start`` tells whether it may
-    have been lost right after the start of one. ``at`` is the local time in
+    ``runs`` are those that were new on it. ``near_start`` tells whether it was
+    seen to be lost right after the start of one. ``at`` is the local time in
     seconds.
     """
 
@@ -115,7 +115,9 @@
             if _is_new(attempt, view)
             and (attempt.listed_at or not attempt.stop_reason)
         ]
-        near_start = any(_is_near_start(attempt, view) for attempt in new)
+        near_start = bool(view.unreachable_since) and any(
+            _is_near_start(attempt, view) for attempt in new
+        )
         life = (view.worker_id, view.life.born_ms)
         self._attribute(
             _Loss(view.node, life, tuple(new), near_start, now), unix_now
@@ -147,7 +149,7 @@
                 by_life.setdefault(attempt.life, []).append(attempt)
         for life, runs in by_life.items():
             self._attribute(
-                _Loss(runs[0].node, life, tuple(runs), True, now), unix_now
+                _Loss(runs[0].node, life, tuple(runs), False, now), unix_now
             )
 
     def on_leases_expired(self, view: _worker_view.WorkerView) -> None:
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -1,5 +1,7 @@
 """Tests of the decision whether crashes show that a task causes them."""
 
+import dataclasses
+
 import pytest
 
 from citronrail.model import messages
@@ -134,3 +136,76 @@
     (inherited,) = restored.attempts()
     assert inherited.listed_before
     assert restored.progress() == job.progress()
+
+
+class _Play:
+    """Jobs of one task on workers that are lost, seen through reports."""
+
+    def __init__(self, nodes=('a0', 'a1', 'a2')) -> None:
+        self.state = _scheduler_state.SchedulerState(
+            lambda name: _cluster.QUEUE
+        )
+        self.reports = _reports.Reports(self.state, workflows.Bounds(), TOKEN)
+        self.now = NOW
+        self.born = dict.fromkeys(nodes, 1)
+        for node in nodes:
+            self.report(node)
+
+    def report(self, node, **fields) -> None:
+        """Let an agent report its worker's present life."""
+        life = messages.WorkerLife(
+            node, self.born[node], 'pool', 'dc', 'ready', 4000, 8000, 0
+        )
+        report = messages.WorkerReport(TOKEN, life, clock_ms=1000)
+        if fields.get('unreachable'):
+            report = messages.WorkerReport(0, life, unreachable=True)
+        elif fields:
+            report = dataclasses.replace(report, **fields)
+        self.reports.take(node, report, self.now, UNIX_NOW + self.now)
+
+    def start(self, node, job_id=JOB) -> _job.Task:
+        """Start the task of a job on the worker of an agent."""
+        record = documents.JobRecord(
+            job_id, 'q', 'pool', 0.0, _cluster.one_step()
+        )
+        self.state.add_job(record, self.now, UNIX_NOW)
+        (task,) = self.state.jobs[job_id].stages[0].tasks
+        task.last_run += 1
+        attempt = _job.Attempt(
+            task, task.last_run, node, node, self.born[node]
+        )
+        attempt.ordered = True
+        attempt.order_sent_at = attempt.missing_since = self.now
+        task.attempts.append(attempt)
+        self.state.workers[node].attempts[attempt.key] = attempt
+        return task
+
+    def list_runs(self, node) -> None:
+        """Let the worker of an agent list its runs."""
+        rows = tuple(
+            messages.RunRow(name, number, 0, 0.0, '')
+            for name, number in self.state.workers[node].attempts
+        )
+        self.report(node, running=rows)
+
+    def lose(self, node, *, seen=True, down_s=1.0) -> None:
+        """Lose the worker of an agent, which sees it at once or not at all."""
+        if seen:
+            self.report(node, unreachable=True)
+        self.now += down_s
+        self.born[node] += 1
+        self.report(node)
+
+
+@pytest.mark.parametrize('seen', [True, False], ids=['seen', 'unseen'])
+def test_only_a_seen_loss_points_to_a_task(seen):
+    """Guards against blaming a task for a loss that nobody saw.
+
+    Where the agent is lost with its worker, or restarts at the same time, the
+    run may have lasted until shortly before the worker came back.
+    """
+    play = _Play()
+    task = play.start('a0')
+    play.now += 0.1
+    play.lose('a0', seen=seen)
+    assert [crash.sole for crash in task.crashes] == [seen]
