Give a task up after five crashes instead of four, also while one is unsure

Cause: the bound for crashes among others was one start lower than BUDGET requires. And a task whose fifth worker was silent until its lease had expired got a fifth record, but the bound wasn't checked there.

Before: test_proof_needs_several_crashes[four crashes among others are not enough] "assert True is False"; test_silence_after_the_last_start_that_is_ allowed "assert not True" (job.open).

Change: the bound is five; it is checked also when leases have expired. The one line in _reports.py passes the time on.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -44,7 +44,7 @@
 UNEXPLAINED_RATIO = 0.2
 UNEXPLAINED_WINDOW_S = 10.0
 # No task is started again after so many crashes, alone or not.
-MAX_CRASHES = 4
+MAX_CRASHES = 5
 MAX_LOGGED_RUNS = 8
 
 
@@ -91,6 +91,7 @@
         self, scheduler_state: _scheduler_state.SchedulerState
     ) -> None:
         self._scheduler_state = scheduler_state
+        self._unix_offset = 0.0  # from local to Unix time, in seconds
         # Recent losses without new runs of suspected tasks.
         self._unexplained: list[_Loss] = []
 
@@ -141,6 +142,7 @@
         :param now: local time in seconds.
         :param unix_now: Unix time in seconds.
         """
+        self._unix_offset = unix_now - now
         by_life: dict[tuple[str, int], list[_job.Attempt]] = {}
         for attempt in attempts:
             assigned_lately = (
@@ -153,17 +155,25 @@
                 _Loss(runs[0].node, life, tuple(runs), False, now), unix_now
             )
 
-    def on_leases_expired(self, view: _worker_view.WorkerView) -> None:
+    def on_leases_expired(
+        self, view: _worker_view.WorkerView, now: float
+    ) -> None:
         """Suspect the new runs of a worker that has been silent for long.
 
-        Whether it crashed shows when it is heard of again.
+        Whether it crashed shows when it is heard of again. A task that may
+        not be started again is given up at once.
+
+        :param view: the worker.
+        :param now: local time in seconds.
         """
         if view.draining:
             return
-        for attempt in view.attempts.values():
+        unix_now = now + self._unix_offset
+        for attempt in list(view.attempts.values()):
             if attempt.ordered and not attempt.listed_at:
                 view.presumed_lost.append(attempt)
                 self._add(attempt, sole=False)
+                self._give_up_if_proved(attempt.task, unix_now)
 
     def on_worker_back(self, view: _worker_view.WorkerView) -> None:
         """Withdraw the suspicion against runs of a worker that lives on."""
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -48,7 +48,7 @@
         """
         for view in self._scheduler_state.workers.values():
             if view.leases_expired(now):
-                self._crash_log.on_leases_expired(view)
+                self._crash_log.on_leases_expired(view, now)
         self._scheduler_state.expire_leases(now)
 
     def take(
