Clear a suspected task once its run has lasted for half a second

Seen by callers: good jobs shown as failed after crashes between which their runs had lasted for a second or two.

Cause: a task was cleared only after its run had been listed for 3 s, although only a crash within 0.5 s of the start points to a task. Where hosts lose power every few seconds, and workers are listed twice a second, no run got so far, and losses of runs that had plainly started well were summed up.

Before: test_run_that_lasted_clears_its_task[listed for as long as a start may crash a worker] "assert not (CrashRecord(...), CrashRecord(...)) is True".

Change: one limit, 0.5 s, for both; the clearing is stored as before.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -28,10 +28,9 @@
 
 # A crash points to a run only if its worker was lost so soon after the order.
 NEAR_START_S = 0.5
-# A run that was listed for this long was not lost by its start.
+# A run that was listed for this long was not lost by its start, and shows that
+# its task crashes no workers.
 LASTED_S = 0.5
-# A run that was listed for this long shows that its task crashes no workers.
-CLEARED_S = 3.0
 # Runs that a predecessor assigned so long before a worker came back were
 # cleared when it was lost; workers are back within some seconds.
 INHERITED_NEW_S = 6.0
@@ -188,17 +187,18 @@
     def on_listed(
         self, attempt: _job.Attempt, view: _worker_view.WorkerView
     ) -> None:
-        """Clear a task whose run has lasted for long."""
-        if not attempt.listed_at:
+        """Clear a task whose run has lasted.
+
+        For a suspected task that is stored at once, so that a successor knows
+        it.
+        """
+        if attempt.lasted or not attempt.listed_at:
+            return
+        if view.listed_at - attempt.listed_at < LASTED_S:
             return
+        attempt.lasted = True
         task = attempt.task
-        listed_s = view.listed_at - attempt.listed_at
-        if listed_s >= LASTED_S and not attempt.lasted:
-            attempt.lasted = True
-            if task.crashes:
-                # Not left to the next write, so that a successor knows it.
-                self._scheduler_state.dirty.add(task.stage.job)
-        if listed_s >= CLEARED_S and task.crashes:
+        if task.crashes:
             task.crashes = ()
             self._scheduler_state.dirty.add(task.stage.job)
 
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -244,3 +244,25 @@
     assert len(task.crashes) == 5
     assert not task.stage.job.open
     assert task.stage.job.ended_at == UNIX_NOW + play.now
+
+
+@pytest.mark.parametrize(
+    ('listed_s', 'cleared'),
+    [(0.4, False), (0.6, True)],
+    ids=['just listed', 'listed for as long as a start may crash a worker'],
+)
+def test_run_that_lasted_clears_its_task(listed_s, cleared):
+    """Guards against charging a task with losses that its runs outlasted.
+
+    On hosts that lose power again and again, most runs last for a second or
+    two, so that no loss is due to their start.
+    """
+    play = _Play()
+    task = play.start('a0')
+    task.crashes = (_crash(1, True), _crash(2, False))
+    play.list_runs('a0')
+    play.now += listed_s
+    play.list_runs('a0')
+    assert (not task.crashes) is cleared
+    play.lose('a0')
+    assert not task.crashes or not cleared
