--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -28,8 +28,9 @@
 
 # A crash points to a run only if its worker was lost so soon after the order.
 NEAR_START_S = 0.5
-# A run that was listed for this long shows that its task crashes no workers.
-CLEARED_S = 3.0
+# A run that was listed for this long was not lost by its start, and shows that
+# its task crashes no workers.
+LASTED_S = 0.5
 # Runs that a predecessor assigned so long before a worker came back were
 # cleared when it was lost; workers are back within some seconds.
 INHERITED_NEW_S = 6.0
@@ -42,7 +43,7 @@
 UNEXPLAINED_RATIO = 0.2
 UNEXPLAINED_WINDOW_S = 10.0
 # No task is started again after so many crashes, alone or not.
-MAX_CRASHES = 4
+MAX_CRASHES = 5
 MAX_LOGGED_RUNS = 8
 
 
@@ -67,8 +68,8 @@
 class _Loss:
     """The end of a worker incarnation that nobody had announced.
 
-    ``runs`` are those that were new on it. ``near_start`` tells whether it may
-    have been lost right after the start of one. ``at`` is the local time in
+    ``runs`` are those that were new on it. ``near_start`` tells whether it was
+    seen to be lost right after the start of one. ``at`` is the local time in
     seconds.
     """
 
@@ -89,6 +90,7 @@
         self, scheduler_state: _scheduler_state.SchedulerState
     ) -> None:
         self._scheduler_state = scheduler_state
+        self._unix_offset = 0.0  # from local to Unix time, in seconds
         # Recent losses without new runs of suspected tasks.
         self._unexplained: list[_Loss] = []
 
@@ -115,7 +117,9 @@
             if _is_new(attempt, view)
             and (attempt.listed_at or not attempt.stop_reason)
         ]
-        near_start = any(_is_near_start(attempt, view) for attempt in new)
+        near_start = bool(view.unreachable_since) and any(
+            _is_near_start(attempt, view) for attempt in new
+        )
         life = (view.worker_id, view.life.born_ms)
         self._attribute(
             _Loss(view.node, life, tuple(new), near_start, now), unix_now
@@ -130,33 +134,45 @@
     ) -> None:
         """Attribute the loss of runs that an earlier scheduler assigned.
 
-        It isn't known which of them had been listed.
+        Runs that are known to have lasted did not crash their worker.
 
         :param attempts: runs of earlier incarnations of one worker.
         :param born_ms: Unix time of the present one in milliseconds.
         :param now: local time in seconds.
         :param unix_now: Unix time in seconds.
         """
+        self._unix_offset = unix_now - now
         by_life: dict[tuple[str, int], list[_job.Attempt]] = {}
         for attempt in attempts:
-            if attempt.assigned_at > born_ms / 1000 - INHERITED_NEW_S:
+            assigned_lately = (
+                attempt.assigned_at > born_ms / 1000 - INHERITED_NEW_S
+            )
+            if assigned_lately and not attempt.lasted:
                 by_life.setdefault(attempt.life, []).append(attempt)
         for life, runs in by_life.items():
             self._attribute(
-                _Loss(runs[0].node, life, tuple(runs), True, now), unix_now
+                _Loss(runs[0].node, life, tuple(runs), False, now), unix_now
             )
 
-    def on_leases_expired(self, view: _worker_view.WorkerView) -> None:
+    def on_leases_expired(
+        self, view: _worker_view.WorkerView, now: float
+    ) -> None:
         """Suspect the new runs of a worker that has been silent for long.
 
-        Whether it crashed shows when it is heard of again.
+        Whether it crashed shows when it is heard of again. A task that may
+        not be started again is given up at once.
+
+        :param view: the worker.
+        :param now: local time in seconds.
         """
         if view.draining:
             return
-        for attempt in view.attempts.values():
+        unix_now = now + self._unix_offset
+        for attempt in list(view.attempts.values()):
             if attempt.ordered and not attempt.listed_at:
                 view.presumed_lost.append(attempt)
                 self._add(attempt, sole=False)
+                self._give_up_if_proved(attempt.task, unix_now)
 
     def on_worker_back(self, view: _worker_view.WorkerView) -> None:
         """Withdraw the suspicion against runs of a worker that lives on."""
@@ -171,13 +187,18 @@
     def on_listed(
         self, attempt: _job.Attempt, view: _worker_view.WorkerView
     ) -> None:
-        """Clear a task whose run has lasted for long."""
+        """Clear a task whose run has lasted.
+
+        For a suspected task that is stored at once, so that a successor knows
+        it.
+        """
+        if attempt.lasted or not attempt.listed_at:
+            return
+        if view.listed_at - attempt.listed_at < LASTED_S:
+            return
+        attempt.lasted = True
         task = attempt.task
-        if (
-            task.crashes
-            and attempt.listed_at
-            and view.listed_at - attempt.listed_at >= CLEARED_S
-        ):
+        if task.crashes:
             task.crashes = ()
             self._scheduler_state.dirty.add(task.stage.job)
 
@@ -251,9 +272,11 @@
 
 def _is_new(attempt: _job.Attempt, view: _worker_view.WorkerView) -> bool:
     """Whether a run was new on a worker when that was lost."""
-    if not attempt.listed_at:
+    if attempt.lasted:
+        return False
+    if not attempt.listed_at or not view.unreachable_since:
         return True
-    return bool(view.unreachable_since) and _is_near_start(attempt, view)
+    return _is_near_start(attempt, view)
 
 
 def _is_near_start(
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -59,6 +59,7 @@
     worker_id: bounded.Name
     born_ms: bounded.UnixMs
     assigned_at: bounded.Number = 0.0  # Unix time in seconds
+    lasted: bool = False  # its worker has lived on after its start
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -22,6 +22,7 @@
         'born_ms',
         'checkpoint_at',
         'from_start',
+        'lasted',
         'listed_at',
         'listed_percent',
         'load',
@@ -68,6 +69,9 @@
         # Number of the start order; 0 if another scheduler sent it.
         self.order_number = 0
         self.listed_at = 0.0  # first time on the worker's list
+        # Whether it was listed for long enough to show that its start did
+        # not crash the worker.
+        self.lasted = False
         self.listed_percent = 0  # progress at that time
         # Time on the worker's clock of the first list that reflects its start
         # order and doesn't show it; None if there is none.
@@ -199,6 +203,7 @@
                     item.worker_id,
                     item.born_ms,
                     item.assigned_at,
+                    item.lasted,
                 )
                 for item in self.attempts
             ),
@@ -380,6 +385,7 @@
             item.assigned_at,
         )
         attempt.ordered = True
+        attempt.lasted = item.lasted
         task.attempts.append(attempt)
 
 
