--- a/citronrail/workflow/_idle_jobs.py
+++ b/citronrail/workflow/_idle_jobs.py
@@ -227,7 +227,7 @@
                     return True
                 continue
             view = self.workers.get(attempt.node)
-            if view is None or attempt.missing_since:
+            if view is None or attempt.missing_from_ms is not None:
                 continue
             list_age_s = self.now - view.listed_at
             if (
