Bound the wait of gangs while workers are held or avoided

What callers saw: a gang with nothing running while workers with room for it twice over were held for suspected tasks or avoided. Cause: the bound on waiting left gangs out. Evidence, the new test before the change: FAILED test_gang_starts_where_workers_are_held_or_avoided[held] FAILED ...[avoided], ...[both] assert [0, 0, 0] == [1, 1, 1] Change: an overdue gang is placed with held and avoided workers open to it, if it finds no other place; the last attempt doesn't use avoided ones. All members get the same run number and checkpoint as before, in one function now.

--- a/citronrail/workflow/_overdue.py
+++ b/citronrail/workflow/_overdue.py
@@ -7,6 +7,7 @@
 """
 
 import collections.abc
+import dataclasses
 
 from citronrail.model import workflows
 from citronrail.workflow import _interference
@@ -77,6 +78,30 @@
     return best
 
 
+def open_to_gang(
+    candidates: collections.abc.Iterable[_placement.WorkerCapacity],
+    *,
+    may_use_avoided: bool,
+) -> list[_placement.WorkerCapacity]:
+    """Return copies of workers, held and avoided ones open to any task.
+
+    The rules for best-effort tasks are kept: members of a gang start at full
+    pace.
+
+    :param candidates: the usable workers of the gang's service.
+    :param may_use_avoided: whether workers that seem faulty are opened.
+    """
+    return [
+        dataclasses.replace(
+            item,
+            reserved=item.reserved and not item.held,
+            avoided=item.has_unknown_runs
+            or (item.avoided and not may_use_avoided),
+        )
+        for item in candidates
+    ]
+
+
 def _may_start(
     step: workflows.StepSpec,
     step_name: str,
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -254,27 +254,28 @@
         wait.tried_at = now
         if kind in hopeless:
             continue
-        choice = None
+        choices = []
         if _idle_jobs.has_room(task, candidates):
-            choice = _overdue.choose(
-                task.stage.spec,
-                task.stage.name,
+            choices = _overdue_choices(
+                task,
                 candidates,
                 policy.factors,
-                task.failed_on,
                 may_use_avoided=may_use_avoided,
                 first=len(placed) * _overdue.MAX_COMPARED,
             )
-        if choice is None:
+        if not choices:
             if not task.stage.spec.max_per_worker:
                 hopeless.add(kind)
             searches += 1
         else:
-            placed.append(
+            if task.stage.spec.gang:
+                _align_gang(task.stage)
+            placed += [
                 _start_overdue(
-                    scheduler_state, policy, wait, task, choice, now
+                    scheduler_state, policy, wait, item, choice, now
                 )
-            )
+                for item, choice in choices
+            ]
             del used[service]  # it is determined anew
         if (
             searches >= MAX_OVERDUE_FAILURES
@@ -294,20 +295,90 @@
         step.cpu_millis,
         step.memory_mb,
         step.accelerators,
+        step.gang and step.task_count,
     )
 
 
+def _overdue_choices(
+    task: _job.Task,
+    candidates: list[_placement.WorkerCapacity],
+    factors: _interference.PairFactors,
+    *,
+    may_use_avoided: bool,
+    first: int,
+) -> list[tuple[_job.Task, _step_ranking.Choice]]:
+    """Choose workers for an overdue task, or for all members of its gang."""
+    stage = task.stage
+    if stage.spec.gang:
+        members = _gang_choices(stage, candidates, factors)
+        if members:
+            return members
+        opened = _overdue.open_to_gang(
+            candidates, may_use_avoided=may_use_avoided
+        )
+        by_node = {item.node: item for item in candidates}
+        return [
+            (
+                member,
+                dataclasses.replace(
+                    choice, candidate=by_node[choice.candidate.node]
+                ),
+            )
+            for member, choice in _gang_choices(stage, opened, factors)
+        ]
+    choice = _overdue.choose(
+        stage.spec,
+        stage.name,
+        candidates,
+        factors,
+        task.failed_on,
+        may_use_avoided=may_use_avoided,
+        first=first,
+    )
+    return [] if choice is None else [(task, choice)]
+
+
+def _gang_choices(
+    stage: _job.Stage,
+    candidates: list[_placement.WorkerCapacity],
+    factors: _interference.PairFactors,
+) -> list[tuple[_job.Task, _step_ranking.Choice]]:
+    chosen = _step_ranking.choose_workers_for_gang(
+        stage.spec, stage.name, candidates, len(stage.tasks), factors
+    )
+    full_pace = _interference.FULL_PACE_PERCENT
+    return [
+        (task, _step_ranking.Choice(candidate, full_pace))
+        for task, candidate in zip(stage.tasks, chosen)
+    ]
+
+
+def _align_gang(stage: _job.Stage) -> None:
+    """Give all members the same last run and checkpoint."""
+    last_run = max(task.last_run for task in stage.tasks)
+    checkpoint = max(task.checkpoint for task in stage.tasks)
+    for task in stage.tasks:
+        task.last_run = last_run
+        task.checkpoint = checkpoint
+
+
 def _is_last_attempt(task: _job.Task, policy: Policy) -> bool:
     """Whether one more failed run would end the task's job."""
-    queue = policy.queue_named(task.stage.job.record.queue)
-    return queue is not None and task.failures + 1 >= queue.max_attempts
+    stage = task.stage
+    queue = policy.queue_named(stage.job.record.queue)
+    members = stage.tasks if stage.spec.gang else (task,)
+    failures = max(member.failures for member in members)
+    return queue is not None and failures + 1 >= queue.max_attempts
 
 
 def _startable(wait: _idle_jobs.Wait, now: float) -> _job.Task | None:
     """Return the task to start for a wait, None if none may start now."""
     stage = wait.task.stage
-    if stage.spec.gang or not stage.job.open:
+    if not stage.job.open:
         return None
+    if stage.spec.gang:
+        left = any(task.attempts for task in stage.tasks)
+        return None if left or stage.done else wait.task
     for task in (wait.task,) if wait.lasts else stage.tasks:
         if (
             task.waiting
@@ -591,17 +662,13 @@
 ) -> list[_job.Attempt]:
     if any(task.attempts for task in stage.tasks):
         return []  # some members of the previous run have not ended
-    name = stage.name
-    chosen = _step_ranking.choose_workers_for_gang(
-        stage.spec, name, candidates, len(stage.tasks), factors
-    )
-    run = max(task.last_run for task in stage.tasks) + 1
-    checkpoint = max(task.checkpoint for task in stage.tasks)
+    choices = _gang_choices(stage, candidates, factors)
+    if choices:
+        _align_gang(stage)
     placed = []
-    for task, candidate in zip(stage.tasks, chosen):
-        candidate.reserve(stage.spec, name)
-        task.checkpoint = checkpoint
-        placed.append(_assign(scheduler_state, task, candidate, run))
+    for task, choice in choices:
+        choice.candidate.reserve(stage.spec, stage.name)
+        placed.append(_assign_choice(scheduler_state, task, choice))
     return placed
 
 
--- a/citronrail/workflow/tests/test_split_gang.py
+++ b/citronrail/workflow/tests/test_split_gang.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from citronrail.workflow import _round
 from citronrail.workflow.tests import _fleet
 
 GANG = dataclasses.replace(
@@ -48,3 +49,30 @@
         fleet.supervisor.run(fleet.now)
         fleet.now += 0.2
     assert not fleet.stopping()
+
+
+@pytest.mark.parametrize(
+    'condition',
+    [
+        {'held_until': 1000.0},
+        {'avoid_until': 1000.0},
+        {'held_until': 1000.0, 'avoid_until': 1000.0},
+    ],
+    ids=['held', 'avoided', 'both'],
+)
+def test_gang_starts_where_workers_are_held_or_avoided(condition):
+    """Guards against a gang with nothing running while there is room."""
+    fleet = _fleet.Fleet(workers=3)
+    for view in fleet.state.workers.values():
+        for name, value in condition.items():
+            setattr(view, name, value)
+    fleet.submit('gang', GANG)
+    tasks = fleet.state.jobs['gang'].stages[0].tasks
+    tasks[1].last_run, tasks[1].checkpoint = 2, 'saved'
+    for _ in range(8):
+        fleet.step(0.25)
+    for view in fleet.state.workers.values():
+        assert not _round.remaining_capacity(view).overcommitted
+    assert [len(task.attempts) for task in tasks] == [1, 1, 1]
+    assert {task.last_run for task in tasks} == {3}
+    assert not any(task.attempts[0].from_start for task in tasks)
