Don't avoid a worker for best-effort runs that get no processors

What callers saw: a sound worker avoided for 6 s, so that other jobs waited, since two best-effort runs there made no progress beside tasks that use all processors. The bound on waiting starts more such runs. Cause: two runs without progress counted as a faulty worker, whatever kind. Such runs are still stopped, and start elsewhere.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -542,7 +542,19 @@
         for attempt in stuck:
             if not attempt.stop_reason:
                 self._scheduler_state.stop_run(attempt, 'it makes no progress')
-        if len(stuck) >= 2 and now >= view.avoid_until:
+        if len(stuck) < 2 or now < view.avoid_until:
+            return
+        # Best-effort runs get only what other tasks leave.
+        free_cpu = _round.remaining_capacity(view).free_cpu
+        evidence = [
+            attempt
+            for attempt in stuck
+            if not attempt.task.stage.spec.fills
+            or free_cpu
+            >= attempt.task.stage.spec.cpu_millis
+            * _placement.MIN_IDLE_CPU_RATIO
+        ]
+        if len(evidence) >= 2:
             self._scheduler_state.avoid_worker(
                 view, 'its runs make no progress', now
             )
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -373,3 +373,27 @@
         assert fleet.now - began_at < LIMIT_S
         fleet.step(STEP_S)
     assert len(scored) <= 10 * 64  # of 100 workers
+
+
+@pytest.mark.parametrize(
+    ('batch_cpu', 'avoided'),
+    [(15_500, False), (1000, True)],
+    ids=['no idle processors', 'idle processors'],
+)
+def test_starved_best_effort_runs_do_not_show_a_faulty_worker(
+    batch_cpu, avoided
+):
+    """Guards against a sound worker that is avoided, as fills wait there."""
+    fleet = _fleet.Fleet(workers=1)
+    fleet.submit('fill', dataclasses.replace(_fleet.REBUILD, task_count=2))
+    fleet.step()
+    fleet.submit('batch', dataclasses.replace(BATCH, cpu_millis=batch_cpu))
+    fleet.step()
+    fleet.step()
+    view = fleet.state.workers['a0']
+    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    (batch,) = fleet.state.jobs['batch'].attempts()
+    for _ in range(18):  # 9 s without progress of the fills
+        batch.moved_at = fleet.now
+        fleet.step()
+    assert bool(view.avoid_until) is avoided
