Test the bound on waiting on the simulated cluster

Cause: the tests so far count from the first wait to the assignment; callers count to the start on the worker, with commit and order. Change: jobs of three kinds run on a cluster whose workers are all avoided.

--- a/citronrail/workflow/tests/test_whole_path.py
+++ b/citronrail/workflow/tests/test_whole_path.py
@@ -191,3 +191,37 @@
             assert due_at <= record.starts[0] < due_at + 1
 
     await run(cluster, body)
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [{}, {'long_running': True}, {'gang': True, 'count': 2}],
+    ids=['batch', 'lasts', 'gang'],
+)
+async def test_job_runs_within_3_s_while_all_workers_are_avoided(
+    cluster, autojump_clock, fields
+):
+    """Guards against LOST: nothing runs for 3 s though there is room.
+
+    From the submission to the first run, with commit, order and start.
+    """
+    began_at = []
+
+    async def body():
+        term = cluster.leader.election.term
+        workers = term.scheduler_state.workers
+        await cluster.until(lambda: len(workers) == 3)
+        for view in workers.values():
+            view.avoid_until = trio.current_time() + 60.0
+        await cluster.submit(JOB, _cluster.one_step(**fields))
+        accepted_at = trio.current_time()
+        await cluster.until(
+            lambda: any(
+                record.starts for record in cluster.history.tasks.values()
+            ),
+            limit_s=10.0,
+        )
+        began_at.append(trio.current_time() - accepted_at)
+
+    await run(cluster, body)
+    assert began_at[0] < 3.0
