Stop runs of slow workers only for room on a faster one

What callers saw: a run stopped as 'the worker is slow' that found no room on another worker and started on the same slow one again, or waited. Cause: the move was decided from the speeds alone. Evidence, the new test before the change: FAILED test_run_leaves_a_slow_worker_only_for_room[12000-False] AssertionError: assert 'the worker is slow' == '' Change: the move asks for a worker that can start the task now and isn't slow itself, and keeps the room for it against other moves. Throttled runs don't move to slow workers either.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -260,14 +260,17 @@
             self._scheduler_state.stop_run(attempt, 'throttled for too long')
 
     def _node_for_move(self, attempt: _job.Attempt, now: float) -> str:
-        """Return the agent of a worker for a slow run, '' if there is none.
+        """Return the agent of a worker for a run, '' if there is none.
 
         The room for one move serves no other until its run has come.
         """
         stage = attempt.task.stage
         service = self._scheduler_state.workers[attempt.node].life.service
         for candidate in self._candidates(service, now):
-            if candidate.node == attempt.node:
+            if (
+                candidate.node == attempt.node
+                or candidate.speed < _placement.SLOW_SPEED_RATIO
+            ):
                 continue
             left = self._without_promised(candidate, now)
             if (
@@ -487,9 +490,11 @@
         )
         for view in views:
             if speeds[view.node] < _health.MOVE_SPEED_RATIO:
-                self._move_slow_runs(view)
+                self._move_slow_runs(view, now)
 
-    def _move_slow_runs(self, view: _worker_view.WorkerView) -> None:
+    def _move_slow_runs(
+        self, view: _worker_view.WorkerView, now: float
+    ) -> None:
         for attempt in list(view.attempts.values()):
             spec = attempt.task.stage.spec
             if attempt.stop_reason or spec.gang or spec.fills:
@@ -502,7 +507,13 @@
                 _other_speeds(view, attempt), attempt.task.moved_as_slow
             ):
                 continue
-            if _health.faster_elsewhere(progress, speed, spec.saves_progress):
+            if not _health.faster_elsewhere(
+                progress, speed, spec.saves_progress
+            ):
+                continue
+            node = self._node_for_move(attempt, now)
+            if node:
+                self._promise(node, attempt, now)
                 attempt.task.moved_as_slow = True
                 self._scheduler_state.stop_run(attempt, 'the worker is slow')
 
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -397,3 +397,30 @@
         batch.moved_at = fleet.now
         fleet.step()
     assert bool(view.avoid_until) is avoided
+
+
+@pytest.mark.parametrize(
+    ('cpu_millis', 'moves'), [(12_000, False), (4000, True)]
+)
+def test_run_leaves_a_slow_worker_only_for_room(cpu_millis, moves):
+    """Guards against a run that is stopped and starts on the slow worker.
+
+    Two of three workers run at full speed; a third at 28% of it.
+    """
+    fleet = _fleet.Fleet(workers=3)
+    step = dataclasses.replace(
+        BATCH, cpu_millis=12_000, task_count=2, max_per_worker=1
+    )
+    fleet.submit('fast', step)
+    fleet.step()
+    fleet.submit('slow', dataclasses.replace(BATCH, cpu_millis=cpu_millis))
+    fleet.place()
+    (slow,) = fleet.state.jobs['slow'].attempts()
+    if moves:  # on the free worker, as the others are busier
+        assert slow.node not in {
+            a.node for a in fleet.state.jobs['fast'].attempts()
+        }
+    for _ in range(30):
+        slow.order_sent_at += 0.36
+        fleet.step()
+    assert slow.stop_reason == ('the worker is slow' if moves else '')
