Count the bound on waiting from when the service has room

Cause: a job that had waited during a burst started at a low pace at the moment at which the burst ended, without a look for a better worker. Evidence, the new test before the change: FAILED test_bound_counts_from_the_time_when_the_service_has_room assert 1.0 < 0.0 Change: the 1.2 s also count from when under 60% of the service is in use. The rule's 3 s begin at half, so the bound holds. Tasks that last don't depend on it. For a kind of task whose room appears in a free service, the time still counts from the end of its last run.

--- a/citronrail/workflow/_idle_jobs.py
+++ b/citronrail/workflow/_idle_jobs.py
@@ -72,6 +72,8 @@
 
     def __init__(self) -> None:
         self._waits: dict[str, Wait] = {}  # by name of the job or task
+        # By service: since when less than MAX_USED_RATIO of it is in use.
+        self._free_since: dict[str, float] = {}
         self._next_at = 0.0
 
     def update(
@@ -133,6 +135,28 @@
         found.sort(key=lambda wait: wait.since)
         return found
 
+    def record_use(
+        self, used: collections.abc.Mapping[str, float], now: float
+    ) -> None:
+        """Record how much of the services with waiting jobs is in use.
+
+        :param used: by service, the share in use.
+        :param now: local time in seconds.
+        """
+        self._free_since = {
+            service: self._free_since.get(service, now)
+            for service, ratio in used.items()
+            if ratio < MAX_USED_RATIO
+        }
+
+    def free_s(self, service: str, now: float) -> float:
+        """Return for how long a service has had room, 0.0 if it has none.
+
+        :param service: a service with waiting jobs.
+        :param now: local time in seconds.
+        """
+        return now - self._free_since.get(service, now)
+
     def _due_logs(self, now: float) -> list[Wait]:
         return [
             wait
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -233,9 +233,16 @@
     """
     if policy.idle_jobs is None:
         return []
+    waits = policy.idle_jobs.waiting_for(0.0, now)
+    used = {
+        service: _service_room.used_ratio(by_service.get(service, []))
+        for service in {
+            policy.service_of(wait.task.stage.job) for wait in waits
+        }
+    }
+    policy.idle_jobs.record_use(used, now)
     waits = policy.idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
     waits.sort(key=lambda wait: wait.tried_at)
-    used: dict[str, float] = {}
     hopeless: set[tuple[object, ...]] = set()  # kinds of tasks
     placed: list[_job.Attempt] = []
     searches = 0  # in vain
@@ -245,9 +252,10 @@
             continue
         service = policy.service_of(task.stage.job)
         candidates = by_service.get(service, [])
-        if service not in used:
-            used[service] = _service_room.used_ratio(candidates)
-        if not wait.lasts and used[service] >= _idle_jobs.MAX_USED_RATIO:
+        if not wait.lasts and (
+            used[service] >= _idle_jobs.MAX_USED_RATIO
+            or policy.idle_jobs.free_s(service, now) < _overdue.START_AFTER_S
+        ):
             continue
         may_use_avoided = wait.lasts or not _is_last_attempt(task, policy)
         kind = (service, may_use_avoided, *_kind(task.stage.spec))
@@ -276,7 +284,7 @@
                 )
                 for item, choice in choices
             ]
-            del used[service]  # it is determined anew
+            used[service] = _service_room.used_ratio(candidates)
         if (
             searches >= MAX_OVERDUE_FAILURES
             or len(placed) >= MAX_OVERDUE_STARTS
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -424,3 +424,19 @@
         slow.order_sent_at += 0.36
         fleet.step()
     assert slow.stop_reason == ('the worker is slow' if moves else '')
+
+
+def test_bound_counts_from_the_time_when_the_service_has_room():
+    """Guards against many starts at a low pace as soon as a burst ends."""
+    fleet = _serving_fleet(own_load=0.65)
+    batch = dataclasses.replace(
+        BATCH, task_count=28, cpu_millis=100, estimate_s=3.0
+    )
+    fleet.submit('batch', batch)
+    fleet.step(STEP_S)
+    fleet.submit('fill', _fleet.REBUILD)
+    fill, burst = fleet.state.jobs['fill'], fleet.state.jobs['batch']
+    while burst.open:
+        assert not fill.started
+        fleet.step(STEP_S)
+    assert 1.0 < _seconds_to_first_run(fleet) < LIMIT_S - 1.0
