Select overdue tasks in a function of their own

Cause: _place_overdue had grown over a page, and tasks without room counted like a search for the best worker, although they cost a fraction. Change: _overdue_tasks yields the tasks whose wait has been too long; the limit of tasks without room is 40 a check, that of searches in vain 4.

--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -23,9 +23,11 @@
 from citronrail.workflow.overload import _job_order
 
 MAX_STARTS_PER_ROUND = 120  # the next round follows at once
-# Overdue tasks that are started, and those that find no worker, at a time.
+# Overdue tasks that are started at a time, and those that find no worker; the
+# second visit all workers, the third do so without scores.
 MAX_OVERDUE_STARTS = 40
-MAX_OVERDUE_FAILURES = 4
+MAX_OVERDUE_SEARCHES = 4
+MAX_OVERDUE_MISSES = 40
 # Runs with an admissible pace of at least this start at full pace.
 THROTTLED_START_BELOW_PERCENT = 90
 # A speculative run starts if the worker has sent no list for
@@ -231,39 +233,22 @@
 
     Tasks that last are assigned each, and however full their service is.
     """
-    if policy.idle_jobs is None:
-        return []
-    waits = policy.idle_jobs.waiting_for(0.0, now)
-    used = {
-        service: _service_room.used_ratio(by_service.get(service, []))
-        for service in {
-            policy.service_of(wait.task.stage.job) for wait in waits
-        }
-    }
-    policy.idle_jobs.record_use(used, now)
-    waits = policy.idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
-    waits.sort(key=lambda wait: wait.tried_at)
     hopeless: set[tuple[object, ...]] = set()  # kinds of tasks
     placed: list[_job.Attempt] = []
-    searches = 0  # in vain
-    for wait in waits:
-        task = _startable(wait, now)
-        if task is None:
-            continue
+    searches = misses = 0  # in vain
+    for wait, task in _overdue_tasks(policy, by_service, now):
+        step = task.stage.spec
         service = policy.service_of(task.stage.job)
         candidates = by_service.get(service, [])
-        if not wait.lasts and (
-            used[service] >= _idle_jobs.MAX_USED_RATIO
-            or policy.idle_jobs.free_s(service, now) < _overdue.START_AFTER_S
-        ):
-            continue
         may_use_avoided = wait.lasts or not _is_last_attempt(task, policy)
-        kind = (service, may_use_avoided, *_kind(task.stage.spec))
+        kind = (service, may_use_avoided, *_kind(step))
         wait.tried_at = now
         if kind in hopeless:
             continue
         choices = []
-        if _idle_jobs.has_room(task, candidates):
+        if not _idle_jobs.has_room(task, candidates):
+            misses += 1
+        else:
             choices = _overdue_choices(
                 task,
                 candidates,
@@ -271,28 +256,63 @@
                 may_use_avoided=may_use_avoided,
                 first=len(placed) * _overdue.MAX_COMPARED,
             )
-        if not choices:
-            if not task.stage.spec.max_per_worker:
-                hopeless.add(kind)
-            searches += 1
-        else:
-            if task.stage.spec.gang:
-                _align_gang(task.stage)
-            placed += [
-                _start_overdue(
-                    scheduler_state, policy, wait, item, choice, now
-                )
-                for item, choice in choices
-            ]
-            used[service] = _service_room.used_ratio(candidates)
+            searches += not choices
+        if not choices and not step.max_per_worker:
+            hopeless.add(kind)
+        if choices and step.gang:
+            _align_gang(task.stage)
+        placed += [
+            _start_overdue(scheduler_state, policy, wait, item, choice, now)
+            for item, choice in choices
+        ]
         if (
-            searches >= MAX_OVERDUE_FAILURES
+            searches >= MAX_OVERDUE_SEARCHES
+            or misses >= MAX_OVERDUE_MISSES
             or len(placed) >= MAX_OVERDUE_STARTS
         ):
             break
     return placed
 
 
+def _overdue_tasks(
+    policy: Policy,
+    by_service: dict[str, list[_placement.WorkerCapacity]],
+    now: float,
+) -> collections.abc.Iterator[tuple[_idle_jobs.Wait, _job.Task]]:
+    """Iterate over waits that have been too long, and the task to start.
+
+    The use of a service is determined again after each start.
+    """
+    idle_jobs = policy.idle_jobs
+    if idle_jobs is None:
+        return
+    used = {
+        service: _service_room.used_ratio(by_service.get(service, []))
+        for service in {
+            policy.service_of(wait.task.stage.job)
+            for wait in idle_jobs.waiting_for(0.0, now)
+        }
+    }
+    idle_jobs.record_use(used, now)
+    waits = idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
+    waits.sort(key=lambda wait: wait.tried_at)
+    for wait in waits:
+        task = _startable(wait, now)
+        if task is None:
+            continue
+        service = policy.service_of(task.stage.job)
+        if not wait.lasts and (
+            used[service] >= _idle_jobs.MAX_USED_RATIO
+            or idle_jobs.free_s(service, now) < _overdue.START_AFTER_S
+        ):
+            continue
+        yield wait, task
+        if task.attempts:
+            used[service] = _service_room.used_ratio(
+                by_service.get(service, [])
+            )
+
+
 def _kind(step: workflows.StepSpec) -> tuple[object, ...]:
     """Return what decides which workers may take a task of a step."""
     return (
