Look for split gangs by job instead of by run

Cause: the check went over all runs of all workers twice a second. Change: it goes over the stages of started jobs.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -524,16 +524,15 @@
         would wait for it, and the gang for them. Ends of a gang are listed
         one after the other, so a gang must be split in two checks.
         """
-        split = set()
-        for view in self._scheduler_state.workers.values():
-            for attempt in view.attempts.values():
-                stage = attempt.task.stage
-                if (
-                    stage.spec.gang
-                    and stage not in split
-                    and any(task.waiting for task in stage.tasks)
-                ):
-                    split.add(stage)
+        split = {
+            stage
+            for job in self._scheduler_state.jobs.values()
+            if job.started and not job.ended_at
+            for stage in job.stages
+            if stage.spec.gang
+            and any(task.waiting for task in stage.tasks)
+            and any(task.attempts for task in stage.tasks)
+        }
         for stage in split & self._split_gangs:
             for task in stage.tasks:
                 for attempt in task.attempts:
