--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -23,9 +23,11 @@
 from citronrail.workflow.overload import _job_order
 
 MAX_STARTS_PER_ROUND = 120  # the next round follows at once
-# Overdue tasks that are started, and those that find no worker, at a time.
+# Overdue tasks that are started at a time, and those that find no worker; the
+# second visit all workers, the third do so without scores.
 MAX_OVERDUE_STARTS = 40
-MAX_OVERDUE_FAILURES = 4
+MAX_OVERDUE_SEARCHES = 4
+MAX_OVERDUE_MISSES = 40
 # Runs with an admissible pace of at least this start at full pace.
 THROTTLED_START_BELOW_PERCENT = 90
 # A speculative run starts if the worker has sent no list for
@@ -231,59 +233,86 @@
 
     Tasks that last are assigned each, and however full their service is.
     """
-    if policy.idle_jobs is None:
-        return []
-    waits = policy.idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
-    waits.sort(key=lambda wait: wait.tried_at)
-    used: dict[str, float] = {}
     hopeless: set[tuple[object, ...]] = set()  # kinds of tasks
     placed: list[_job.Attempt] = []
-    searches = 0  # in vain
-    for wait in waits:
-        task = _startable(wait, now)
-        if task is None:
-            continue
+    searches = misses = 0  # in vain
+    for wait, task in _overdue_tasks(policy, by_service, now):
+        step = task.stage.spec
         service = policy.service_of(task.stage.job)
         candidates = by_service.get(service, [])
-        if service not in used:
-            used[service] = _service_room.used_ratio(candidates)
-        if not wait.lasts and used[service] >= _idle_jobs.MAX_USED_RATIO:
-            continue
         may_use_avoided = wait.lasts or not _is_last_attempt(task, policy)
-        kind = (service, may_use_avoided, *_kind(task.stage.spec))
+        kind = (service, may_use_avoided, *_kind(step))
         wait.tried_at = now
         if kind in hopeless:
             continue
-        choice = None
-        if _idle_jobs.has_room(task, candidates):
-            choice = _overdue.choose(
-                task.stage.spec,
-                task.stage.name,
+        choices = []
+        if not _idle_jobs.has_room(task, candidates):
+            misses += 1
+        else:
+            choices = _overdue_choices(
+                task,
                 candidates,
                 policy.factors,
-                task.failed_on,
                 may_use_avoided=may_use_avoided,
                 first=len(placed) * _overdue.MAX_COMPARED,
             )
-        if choice is None:
-            if not task.stage.spec.max_per_worker:
-                hopeless.add(kind)
-            searches += 1
-        else:
-            placed.append(
-                _start_overdue(
-                    scheduler_state, policy, wait, task, choice, now
-                )
-            )
-            del used[service]  # it is determined anew
+            searches += not choices
+        if not choices and not step.max_per_worker:
+            hopeless.add(kind)
+        if choices and step.gang:
+            _align_gang(task.stage)
+        placed += [
+            _start_overdue(scheduler_state, policy, wait, item, choice, now)
+            for item, choice in choices
+        ]
         if (
-            searches >= MAX_OVERDUE_FAILURES
+            searches >= MAX_OVERDUE_SEARCHES
+            or misses >= MAX_OVERDUE_MISSES
             or len(placed) >= MAX_OVERDUE_STARTS
         ):
             break
     return placed
 
 
+def _overdue_tasks(
+    policy: Policy,
+    by_service: dict[str, list[_placement.WorkerCapacity]],
+    now: float,
+) -> collections.abc.Iterator[tuple[_idle_jobs.Wait, _job.Task]]:
+    """Iterate over waits that have been too long, and the task to start.
+
+    The use of a service is determined again after each start.
+    """
+    idle_jobs = policy.idle_jobs
+    if idle_jobs is None:
+        return
+    used = {
+        service: _service_room.used_ratio(by_service.get(service, []))
+        for service in {
+            policy.service_of(wait.task.stage.job)
+            for wait in idle_jobs.waiting_for(0.0, now)
+        }
+    }
+    idle_jobs.record_use(used, now)
+    waits = idle_jobs.waiting_for(_overdue.START_AFTER_S, now)
+    waits.sort(key=lambda wait: wait.tried_at)
+    for wait in waits:
+        task = _startable(wait, now)
+        if task is None:
+            continue
+        service = policy.service_of(task.stage.job)
+        if not wait.lasts and (
+            used[service] >= _idle_jobs.MAX_USED_RATIO
+            or idle_jobs.free_s(service, now) < _overdue.START_AFTER_S
+        ):
+            continue
+        yield wait, task
+        if task.attempts:
+            used[service] = _service_room.used_ratio(
+                by_service.get(service, [])
+            )
+
+
 def _kind(step: workflows.StepSpec) -> tuple[object, ...]:
     """Return what decides which workers may take a task of a step."""
     return (
@@ -294,20 +323,90 @@
         step.cpu_millis,
         step.memory_mb,
         step.accelerators,
+        step.gang and step.task_count,
     )
 
 
+def _overdue_choices(
+    task: _job.Task,
+    candidates: list[_placement.WorkerCapacity],
+    factors: _interference.PairFactors,
+    *,
+    may_use_avoided: bool,
+    first: int,
+) -> list[tuple[_job.Task, _step_ranking.Choice]]:
+    """Choose workers for an overdue task, or for all members of its gang."""
+    stage = task.stage
+    if stage.spec.gang:
+        members = _gang_choices(stage, candidates, factors)
+        if members:
+            return members
+        opened = _overdue.open_to_gang(
+            candidates, may_use_avoided=may_use_avoided
+        )
+        by_node = {item.node: item for item in candidates}
+        return [
+            (
+                member,
+                dataclasses.replace(
+                    choice, candidate=by_node[choice.candidate.node]
+                ),
+            )
+            for member, choice in _gang_choices(stage, opened, factors)
+        ]
+    choice = _overdue.choose(
+        stage.spec,
+        stage.name,
+        candidates,
+        factors,
+        task.failed_on,
+        may_use_avoided=may_use_avoided,
+        first=first,
+    )
+    return [] if choice is None else [(task, choice)]
+
+
+def _gang_choices(
+    stage: _job.Stage,
+    candidates: list[_placement.WorkerCapacity],
+    factors: _interference.PairFactors,
+) -> list[tuple[_job.Task, _step_ranking.Choice]]:
+    chosen = _step_ranking.choose_workers_for_gang(
+        stage.spec, stage.name, candidates, len(stage.tasks), factors
+    )
+    full_pace = _interference.FULL_PACE_PERCENT
+    return [
+        (task, _step_ranking.Choice(candidate, full_pace))
+        for task, candidate in zip(stage.tasks, chosen)
+    ]
+
+
+def _align_gang(stage: _job.Stage) -> None:
+    """Give all members the same last run and checkpoint."""
+    last_run = max(task.last_run for task in stage.tasks)
+    checkpoint = max(task.checkpoint for task in stage.tasks)
+    for task in stage.tasks:
+        task.last_run = last_run
+        task.checkpoint = checkpoint
+
+
 def _is_last_attempt(task: _job.Task, policy: Policy) -> bool:
     """Whether one more failed run would end the task's job."""
-    queue = policy.queue_named(task.stage.job.record.queue)
-    return queue is not None and task.failures + 1 >= queue.max_attempts
+    stage = task.stage
+    queue = policy.queue_named(stage.job.record.queue)
+    members = stage.tasks if stage.spec.gang else (task,)
+    failures = max(member.failures for member in members)
+    return queue is not None and failures + 1 >= queue.max_attempts
 
 
 def _startable(wait: _idle_jobs.Wait, now: float) -> _job.Task | None:
     """Return the task to start for a wait, None if none may start now."""
     stage = wait.task.stage
-    if stage.spec.gang or not stage.job.open:
+    if not stage.job.open:
         return None
+    if stage.spec.gang:
+        left = any(task.attempts for task in stage.tasks)
+        return None if left or stage.done else wait.task
     for task in (wait.task,) if wait.lasts else stage.tasks:
         if (
             task.waiting
@@ -591,17 +690,13 @@
 ) -> list[_job.Attempt]:
     if any(task.attempts for task in stage.tasks):
         return []  # some members of the previous run have not ended
-    name = stage.name
-    chosen = _step_ranking.choose_workers_for_gang(
-        stage.spec, name, candidates, len(stage.tasks), factors
-    )
-    run = max(task.last_run for task in stage.tasks) + 1
-    checkpoint = max(task.checkpoint for task in stage.tasks)
+    choices = _gang_choices(stage, candidates, factors)
+    if choices:
+        _align_gang(stage)
     placed = []
-    for task, candidate in zip(stage.tasks, chosen):
-        candidate.reserve(stage.spec, name)
-        task.checkpoint = checkpoint
-        placed.append(_assign(scheduler_state, task, candidate, run))
+    for task, choice in choices:
+        choice.candidate.reserve(stage.spec, stage.name)
+        placed.append(_assign_choice(scheduler_state, task, choice))
     return placed
 
 
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -373,3 +373,70 @@
         assert fleet.now - began_at < LIMIT_S
         fleet.step(STEP_S)
     assert len(scored) <= 10 * 64  # of 100 workers
+
+
+@pytest.mark.parametrize(
+    ('batch_cpu', 'avoided'),
+    [(15_500, False), (1000, True)],
+    ids=['no idle processors', 'idle processors'],
+)
+def test_starved_best_effort_runs_do_not_show_a_faulty_worker(
+    batch_cpu, avoided
+):
+    """Guards against a sound worker that is avoided, as fills wait there."""
+    fleet = _fleet.Fleet(workers=1)
+    fleet.submit('fill', dataclasses.replace(_fleet.REBUILD, task_count=2))
+    fleet.step()
+    fleet.submit('batch', dataclasses.replace(BATCH, cpu_millis=batch_cpu))
+    fleet.step()
+    fleet.step()
+    view = fleet.state.workers['a0']
+    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    (batch,) = fleet.state.jobs['batch'].attempts()
+    for _ in range(18):  # 9 s without progress of the fills
+        batch.moved_at = fleet.now
+        fleet.step()
+    assert bool(view.avoid_until) is avoided
+
+
+@pytest.mark.parametrize(
+    ('cpu_millis', 'moves'), [(12_000, False), (4000, True)]
+)
+def test_run_leaves_a_slow_worker_only_for_room(cpu_millis, moves):
+    """Guards against a run that is stopped and starts on the slow worker.
+
+    Two of three workers run at full speed; a third at 28% of it.
+    """
+    fleet = _fleet.Fleet(workers=3)
+    step = dataclasses.replace(
+        BATCH, cpu_millis=12_000, task_count=2, max_per_worker=1
+    )
+    fleet.submit('fast', step)
+    fleet.step()
+    fleet.submit('slow', dataclasses.replace(BATCH, cpu_millis=cpu_millis))
+    fleet.place()
+    (slow,) = fleet.state.jobs['slow'].attempts()
+    if moves:  # on the free worker, as the others are busier
+        assert slow.node not in {
+            a.node for a in fleet.state.jobs['fast'].attempts()
+        }
+    for _ in range(30):
+        slow.order_sent_at += 0.36
+        fleet.step()
+    assert slow.stop_reason == ('the worker is slow' if moves else '')
+
+
+def test_bound_counts_from_the_time_when_the_service_has_room():
+    """Guards against many starts at a low pace as soon as a burst ends."""
+    fleet = _serving_fleet(own_load=0.65)
+    batch = dataclasses.replace(
+        BATCH, task_count=28, cpu_millis=100, estimate_s=3.0
+    )
+    fleet.submit('batch', batch)
+    fleet.step(STEP_S)
+    fleet.submit('fill', _fleet.REBUILD)
+    fill, burst = fleet.state.jobs['fill'], fleet.state.jobs['batch']
+    while burst.open:
+        assert not fill.started
+        fleet.step(STEP_S)
+    assert 1.0 < _seconds_to_first_run(fleet) < LIMIT_S - 1.0
