Refuse a deeply nested message of a peer

Callers saw an entry end, with all connections of its peer port, because of one message.

Cause: messages.unpack caught ValueError and KeyError, and a RecursionError ended the task of the port.

Evidence: test_deeply_nested_message_ends_no_port ended with an ExceptionGroup of "RecursionError: maximum recursion depth exceeded".

Change: envelope and body are decoded by model/codec.py, so that the message is counted and logged (CR1600) and answered with ProtocolError like others.

Conclusion: the port and the other peers are not affected.

--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -3,6 +3,7 @@
 import contextlib
 import socket
 
+import msgspec
 import prometheus_client
 import pytest
 import trio
@@ -137,6 +138,19 @@
     assert refused('undecodable') == before + 4
 
 
+async def test_deeply_nested_message_ends_no_port():
+    """Guards against an entry that ends because of one peer's message."""
+    one = agent()
+    async with hubs(one) as entry:
+        await wait_until(lambda: entry.peers('agent'))
+        with raw_dealer(entry.address, b'stray') as stray:
+            body = msgspec.Raw(b'\x91' * 50_000 + b'\xc0')
+            stray.send(msgspec.msgpack.encode(('Alive', body)))
+            answer = await receive(stray)
+            assert isinstance(answer, messages.ProtocolError)
+        await entry.send('agent-1', messages.Credit('r', 1, 1))
+
+
 async def test_message_of_another_boot_is_refused():
     """Guards against a heartbeat from an earlier boot of an agent."""
     one = agent()
--- a/citronrail/model/messages/_wire.py
+++ b/citronrail/model/messages/_wire.py
@@ -3,11 +3,19 @@
 import msgspec
 
 from citronrail.model import _compression
+from citronrail.model import codec
 from citronrail.model.messages import _membership
 from citronrail.model.messages import _registry
 from citronrail.model.messages import _tasks
 
 
+class _Envelope(
+    msgspec.Struct, frozen=True, array_like=True, forbid_unknown_fields=True
+):
+    kind: str
+    body: msgspec.Raw
+
+
 def pack(message: object) -> bytes:
     """Encode a message for the wire.
 
@@ -29,20 +37,12 @@
     :raises UnknownMessage: if the bytes are not a registered message.
     """
     try:
-        kind, body = _ENVELOPE.decode(_compression.expand(data))
-        return _decoder(kind).decode(body)
-    except (ValueError, KeyError) as exc:  # msgspec's errors are ValueErrors
+        envelope = codec.decode(_compression.expand(data), _Envelope)
+        return codec.decode(envelope.body, _registry.KINDS[envelope.kind])
+    except (ValueError, KeyError) as exc:  # Undecodable is a ValueError
         raise _registry.UnknownMessage(str(exc)) from exc
 
 
-def _decoder(kind: str) -> msgspec.msgpack.Decoder[object]:
-    decoder = _DECODERS.get(kind)
-    if decoder is None:
-        decoder = msgspec.msgpack.Decoder(_registry.KINDS[kind])
-        _DECODERS[kind] = decoder
-    return decoder
-
-
 # Every agent sends these to every entry, so the traffic of an idle node is
 # their size times the number of entries.
 _COMPRESSED_MESSAGES = (
@@ -51,5 +51,3 @@
     _tasks.UsageReport,
 )
 _ENCODER = msgspec.msgpack.Encoder()
-_ENVELOPE = msgspec.msgpack.Decoder(tuple[str, msgspec.Raw])
-_DECODERS: dict[str, msgspec.msgpack.Decoder[object]] = {}
