Refuse peer messages with numbers out of range

Callers saw a worker that got no more work after one odd report, and entries whose deadlines on a peer's clock were no numbers.

Cause: the clock in Hello and the periodic messages, and the numbers of orders and reports, were taken as they came. A report is applied and committed, so that a value which the next leader can't read would hide a whole record.

Evidence: test_clock_out_of_range_is_refused failed for NaN, both infinities and 1e300: the peer was accepted.

The message is counted, logged (CR1600) and answered with ProtocolError.

Conclusion: one odd message changes nothing.

--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -1,6 +1,8 @@
 """Tests the connections between processes over real sockets."""
 
 import contextlib
+import dataclasses
+import math
 import socket
 
 import msgspec
@@ -138,6 +140,12 @@
     assert refused('undecodable') == before + 4
 
 
+def _odd_hello(node_id, **changes):
+    """Return a Hello and the routing id that belongs to it."""
+    hello = dataclasses.replace(paths.hello(node_id, 'agent')(), **changes)
+    return messages.pack(hello), f'{node_id}/{hello.boot_id}'.encode()
+
+
 async def test_deeply_nested_message_ends_no_port():
     """Guards against an entry that ends because of one peer's message."""
     one = agent()
@@ -151,6 +159,18 @@
         await entry.send('agent-1', messages.Credit('r', 1, 1))
 
 
+@pytest.mark.parametrize('clock', [math.nan, math.inf, -math.inf, 1e300])
+async def test_clock_out_of_range_is_refused(clock):
+    """Guards against deadlines that are no numbers on a peer's clock."""
+    data, routing_id = _odd_hello('odd', clock=clock)
+    async with hubs() as entry:
+        with raw_dealer(entry.address, routing_id) as odd:
+            odd.send(data)
+            answer = await receive(odd)
+            assert isinstance(answer, messages.ProtocolError)
+        assert entry.peers('agent') == ()
+
+
 async def test_message_of_another_boot_is_refused():
     """Guards against a heartbeat from an earlier boot of an agent."""
     one = agent()
--- a/citronrail/model/messages/_membership.py
+++ b/citronrail/model/messages/_membership.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from citronrail.model import bounded
 from citronrail.model import identifiers
 from citronrail.model.messages import _registry
 from citronrail.model.messages import _tasks
@@ -57,7 +58,7 @@
     node_id: identifiers.NodeId
     boot_id: identifiers.BootId
     role: str
-    clock: float  # the sender's monotonic clock
+    clock: bounded.SignedNumber  # the sender's monotonic clock
     data_centre: identifiers.DataCentreName
     rack: str = ''
     capacity: resources.Resources = resources.Resources()
@@ -70,7 +71,7 @@
     """Sent by the peer port on a connection that was idle for a second."""
 
     boot_id: identifiers.BootId
-    clock: float  # the sender's monotonic clock
+    clock: bounded.SignedNumber  # the sender's monotonic clock
 
 
 @_registry.message
@@ -79,7 +80,7 @@
 
     boot_id: identifiers.BootId
     seq: int
-    clock: float  # the sender's monotonic clock
+    clock: bounded.SignedNumber  # the sender's monotonic clock
     load: AgentLoad
     free: resources.Resources
     backends: tuple[BackendState, ...] = ()
@@ -100,7 +101,7 @@
 
     boot_id: identifiers.BootId
     seq: int
-    clock: float  # the sender's monotonic clock
+    clock: bounded.SignedNumber  # the sender's monotonic clock
     settings_version: int
     permit_until: float
     ranges: tuple[RangeClaim, ...] = ()
@@ -133,7 +134,7 @@
 
     boot_id: identifiers.BootId
     seq: int
-    clock: float  # the sender's monotonic clock
+    clock: bounded.SignedNumber  # the sender's monotonic clock
     settings_version: int
     fresh_age_s: float
     ranges: tuple[RangeClaim, ...] = ()
