Keep the peer port open after an error of a connection listener

Callers saw an entry end when one peer connected that a listener could not handle.

Cause: listeners for connections are called in the task of the port, without a guard; handlers of messages have had one.

Evidence: test_listener_that_raises_ends_no_port ended with an ExceptionGroup of "ZeroDivisionError: odd peer".

Conclusion: the port and the other peers are not affected.

--- a/citronrail/adapters/_peer_links.py
+++ b/citronrail/adapters/_peer_links.py
@@ -182,7 +182,7 @@
         )
         _metrics.PEERS_CONNECTED.labels(peer.role).inc()
         for on_connect, _ in self._listeners:
-            on_connect(peer)
+            _call(on_connect, peer)
 
     def _disconnected(self, link: Link) -> None:
         observability.emit(
@@ -192,4 +192,18 @@
         )
         _metrics.PEERS_CONNECTED.labels(link.peer.role).dec()
         for _, on_disconnect in self._listeners:
-            on_disconnect(link.peer)
+            _call(on_disconnect, link.peer)
+
+
+def _call(listener: ports.Listener, peer: ports.Peer) -> None:
+    """Call a listener; its error must not end the port of all peers."""
+    try:
+        listener(peer)
+    except Exception as exc:  # noqa: BLE001
+        _metrics.PEER_MESSAGES_REFUSED.labels('listener failed').inc()
+        observability.emit(
+            events.PEER_HANDLER_FAILED,
+            message='connection',
+            peer=peer.node_id,
+            error=repr(exc),
+        )
--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -171,6 +171,28 @@
         assert entry.peers('agent') == ()
 
 
+async def test_listener_that_raises_ends_no_port():
+    """Guards against an entry that ends because it can't handle one peer."""
+
+    def fail_for_odd(peer):
+        if peer.node_id == 'odd':
+            raise ZeroDivisionError('odd peer')
+
+    one = agent()
+    async with hubs() as entry:
+        entry.listen(fail_for_odd, fail_for_odd)
+        data, routing_id = _odd_hello('odd')
+        with raw_dealer(entry.address, routing_id) as odd:
+            odd.send(data)
+            assert isinstance(await receive(odd), messages.Hello)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(one.run)
+                one.set_entries([entry.address])
+                await wait_until(lambda: len(entry.peers('agent')) == 2)
+                nursery.cancel_scope.cancel()
+        await wait_until(lambda: not entry.peers('agent'))
+
+
 async def test_message_of_another_boot_is_refused():
     """Guards against a heartbeat from an earlier boot of an agent."""
     one = agent()
