Refuse addresses of entries that can't be peer addresses

Callers saw agents that never reached their leader and connected to another port instead, without a word in the log.

Cause: libzmq takes the lowest 16 bits of a port that is too large, so that a leader record with port 99999 led to port 34463; other malformed addresses were tried again and again.

Evidence: test_odd_address_of_an_entry_is_refused failed for all addresses: nothing was counted, and with a port of the right one plus 65,536 the agent stayed connected.

Change: addresses from leader records, directories and settings are checked where connections are made. A refused one is logged as CR1756 and counted in citronrail_adapters_peer_messages_refused{reason="address"}.

Conclusion: the address is skipped; the next valid one is connected to.

--- a/citronrail/adapters/_peer_connections.py
+++ b/citronrail/adapters/_peer_connections.py
@@ -7,11 +7,15 @@
 import zmq
 
 from citronrail.adapters import _curve
+from citronrail.adapters import _metrics
 from citronrail.adapters import _peer_inbox
 from citronrail.adapters import _peer_links
 from citronrail.adapters import _reconnect
 from citronrail.adapters import _zmq_sockets
+from citronrail.model import bounded
 from citronrail.model import messages
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as workflow_events
 
 _FULL_QUEUE_RETRY_S = 0.002
 
@@ -52,9 +56,12 @@
     ) -> None:
         """Connect to these entries and disconnect from all others.
 
+        An address that can't be one is counted, logged and skipped.
+
         :param addresses: peer ports as ``tcp://IP:PORT``.
         :param nursery: runs one task for each connection.
         """
+        addresses = frozenset(filter(_check_address, addresses))
         for address in self._scopes.keys() - addresses:
             self._scopes.pop(address).cancel()
         for address in sorted(addresses - self._scopes.keys()):
@@ -154,6 +161,17 @@
                 self._inbox.deliver(link, message, frames)
 
 
+def _check_address(address: str) -> bool:
+    """Whether an address can be connected to; count and log it if not."""
+    if bounded.is_peer_address(address):
+        return True
+    _metrics.PEER_MESSAGES_REFUSED.labels('address').inc()
+    observability.emit(
+        workflow_events.PEER_ADDRESS_REFUSED, address=repr(address[:80])
+    )
+    return False
+
+
 async def _close_when_broken(
     link: _peer_links.Link, monitor: _zmq_sockets.TrioSocket
 ) -> None:
--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -193,6 +193,39 @@
         await wait_until(lambda: not entry.peers('agent'))
 
 
+@pytest.mark.parametrize(
+    'address',
+    [
+        'tcp://127.0.0.1:{wrapped}',
+        'tcp://127.0.0.1:0',
+        'tcp://127.0.0.1:-1',
+        'tcp://127.0.0.1',
+        'tcp://:7000',
+        'ipc:///tmp/x',
+        'tcp://127.0.0.1:1;127.0.0.1:7000',
+        'tcp://127.0.0.1:70\x0000',
+        '\u20ac',
+    ],
+)
+async def test_odd_address_of_an_entry_is_refused(address):
+    """Guards against a connection to another port, and a failed process.
+
+    libzmq takes the lowest 16 bits of a port that is too large.
+    """
+    one = agent()
+    before = refused('address')
+    async with hubs(one) as entry:
+        await wait_until(lambda: entry.peers('agent'))
+        port = int(entry.address.rpartition(':')[2])
+        one.set_entries([address.format(wrapped=port + 65536)])
+        await wait_until(lambda: not entry.peers('agent'))
+        await trio.sleep(0.3)
+        assert entry.peers('agent') == ()
+        assert refused('address') == before + 1
+        one.set_entries([entry.address])
+        await wait_until(lambda: entry.peers('agent'))
+
+
 async def test_message_of_another_boot_is_refused():
     """Guards against a heartbeat from an earlier boot of an agent."""
     one = agent()
--- a/citronrail/model/bounded.py
+++ b/citronrail/model/bounded.py
@@ -31,9 +31,24 @@
 Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_LENGTH)]
 Text = typing.Annotated[str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)]
 
+MAX_PORT = 65_535
+
+_ADDRESS = re.compile(
+    r'tcp://(?:[0-9A-Za-z_.-]+|\[[0-9A-Za-z:.%]+\]):([0-9]{1,5})'
+)
 _TOKEN = re.compile(f'[!-~]{{1,{MAX_NAME_LENGTH}}}')
 
 
 def is_token(text: str) -> bool:
     """Return whether a text can stand in a header: printable ASCII."""
     return _TOKEN.fullmatch(text) is not None
+
+
+def is_peer_address(text: str) -> bool:
+    """Return whether a text is an address of a peer port.
+
+    :param text: ``tcp://HOST:PORT``. Of a port that is too large, libzmq
+        would take the lowest 16 bits.
+    """
+    found = _ADDRESS.fullmatch(text)
+    return found is not None and 0 < int(found[1]) <= MAX_PORT
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -135,6 +135,9 @@
 LISTENER_FAILED = _events.EventKind(
     1755, 'ERROR', 'listener of {prefix} failed at {key}: {reason}'
 )
+PEER_ADDRESS_REFUSED = _events.EventKind(
+    1756, 'ERROR', 'no connection to {address}, which is no peer address'
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
