Report odd values in the settings file as errors of the file

Callers saw a running process end when its settings file changed.

Cause: the reload, which only compares the file, catches ConfigError. A file nested 100,000 deep overflowed the stack of the YAML library; ports outside of 1 to 65535 and a lease or share of NaN were accepted.

Evidence: test_odd_settings_are_an_error_with_the_file[deep] ended the test process with "Segmentation fault" in yaml.load; the other 8 cases failed, with "DID NOT RAISE" or OverflowError for a port of infinity.

Change: the depth is checked on the parser's events before the document is built, and numbers and ports are checked.

Conclusion: the process logs the error and keeps its settings.

--- a/citronrail/platform/_settings.py
+++ b/citronrail/platform/_settings.py
@@ -8,10 +8,12 @@
 import yaml
 
 from citronrail import errors
+from citronrail.model import bounded
 from citronrail.model import load_settings
 from citronrail.model import workflows
 
 PATH_VARIABLE = 'CITRONRAIL_CONFIG'
+MAX_DEPTH = 50  # of nested collections
 LOAD_SETTINGS_VARIABLE = 'CITRONRAIL_LOAD_SETTINGS'
 
 
@@ -49,19 +51,41 @@
         settings, is missing or malformed.
     """
     try:
-        document = yaml.load(
-            pathlib.Path(path).read_text(),
-            Loader=getattr(yaml, 'CSafeLoader', yaml.SafeLoader),
-        )
+        document = _parse(pathlib.Path(path).read_text())
         if not isinstance(document, dict):
             raise ValueError('the top level is not a mapping')
         return _settings(path, document)
-    except (OSError, yaml.YAMLError, KeyError, TypeError, ValueError) as exc:
+    except (
+        OSError,
+        yaml.YAMLError,
+        KeyError,
+        TypeError,
+        ValueError,
+        OverflowError,
+        RecursionError,
+    ) as exc:
         raise errors.ConfigError(
             f'{path}: {exc!r}', step='settings.load'
         ) from exc
 
 
+def _parse(text: str) -> typing.Any:
+    """Parse YAML that isn't nested too deeply, which would end the process.
+
+    :raises ValueError: if it is nested too deeply.
+    """
+    loader = getattr(yaml, 'CSafeLoader', yaml.SafeLoader)
+    depth = 0
+    for event in yaml.parse(text, Loader=loader):
+        if isinstance(event, yaml.CollectionStartEvent):
+            depth += 1
+        elif isinstance(event, yaml.CollectionEndEvent):
+            depth -= 1
+        if depth > MAX_DEPTH:
+            raise ValueError('it is nested too deeply')
+    return yaml.load(text, Loader=loader)
+
+
 def _settings(path: str, document: dict[str, typing.Any]) -> Settings:
     listen = document.get('listen') or {}
     limits = document.get('limits') or {}
@@ -75,17 +99,17 @@
         callers_address=str(listen.get('front') or ''),
         ready_address=str(listen.get('ready') or ''),
         announcements_address=str(listen.get('control') or ''),
-        peer_ports=(int(first), int(last)),
+        peer_ports=(_port(first), _port(last)),
         store_address=str(document['platform']['addr']),
         worker_address=str(document.get('app') or ''),
         service=str(document.get('service') or ''),
         advice_address=str(document.get('advice') or ''),
-        processor_share=float(limits.get('cpuShare', 1.0))
-        * float(limits.get('cores', 1)),
+        processor_share=_number(limits.get('cpuShare', 1.0))
+        * _number(limits.get('cores', 1)),
         bounds=_bounds(document.get('bounds') or {}),
         load=load_settings.load(
             os.environ.get(LOAD_SETTINGS_VARIABLE, '')
-        ).for_store(float(document['platform'].get('writesPerS', 0.0))),
+        ).for_store(_number(document['platform'].get('writesPerS', 0.0))),
     )
 
 
@@ -96,7 +120,7 @@
         value = document.get(name)
         if value is None:
             return default_s
-        return float(value) / (1000.0 if _is_in_ms(name) else 1.0)
+        return _number(value) / (1000.0 if _is_in_ms(name) else 1.0)
 
     return workflows.Bounds(
         max_lease_s=seconds('maxHoldMs', defaults.max_lease_s),
@@ -114,5 +138,19 @@
     )
 
 
+def _port(value: typing.Any) -> int:
+    port = int(value)
+    if not 0 < port <= bounded.MAX_PORT:
+        raise ValueError(f'{port} is no port')
+    return port
+
+
+def _number(value: typing.Any) -> float:
+    number = float(value)
+    if not 0.0 <= number <= bounded.MAX_NUMBER:
+        raise ValueError(f'{number} is out of range')
+    return number
+
+
 def _is_in_ms(name: str) -> bool:
     return name.lower().endswith('ms')
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -18,6 +18,7 @@
 from citronrail.model import messages
 from citronrail.platform import _announcement_app
 from citronrail.platform import _operator_documents
+from citronrail.platform import _settings
 from citronrail.platform import _store
 from citronrail.platform import _wire_jobs
 from citronrail.platform import _worker
@@ -360,3 +361,46 @@
     """Guards against replacing the settings in force by nothing."""
     with pytest.raises(errors.ConfigError):
         _operator_documents.decode_config(document)
+
+
+SETTINGS = """
+node: n1
+class: entry
+zone: dc
+ip: 127.0.0.1
+internalPortRange: [7000, 7010]
+platform: {addr: "127.0.0.1:1"}
+"""
+
+
+@pytest.mark.parametrize(
+    'line',
+    [
+        'odd: ' + '[' * 100_000,
+        'internalPortRange: [0, 7010]',
+        'internalPortRange: [7000, 99999]',
+        'internalPortRange: [.inf, 7010]',
+        'limits: {cpuShare: .nan}',
+        'bounds: {maxHoldMs: .nan}',
+        'bounds: {maxHoldMs: .inf}',
+        'bounds: {maxHoldMs: -1}',
+        'bounds: {graceS: 1.0e+300}',
+    ],
+    ids=[
+        'deep',
+        'port 0',
+        'port',
+        'inf port',
+        'share',
+        'nan',
+        'inf',
+        'negative',
+        'huge',
+    ],
+)
+def test_odd_settings_are_an_error_with_the_file(tmp_path, line):
+    """Guards against a changed settings file that ends a running process."""
+    path = tmp_path / 'settings.yaml'
+    path.write_text(SETTINGS + line + '\n')
+    with pytest.raises(errors.ConfigError):
+        _settings.load(str(path))
