Skip learned factors and run times that are no numbers

Cause: the stored factors of an earlier leader were restored as they were; a NaN among them makes every comparison of the placement that uses it false.

Evidence: all 5 cases of test_odd_learned_values_are_skipped failed: the record was restored.

Change: the values have the ranges of model/bounded.py.

--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -20,6 +20,7 @@
 import dataclasses
 import math
 
+from citronrail.model import bounded
 from citronrail.model import workflows
 
 # More than half of the observed pairs have a factor of 1.0 to 1.5, the others
@@ -175,8 +176,10 @@
     its variance; ``rest_ratios`` the image and its baseline ratio.
     """
 
-    factors: tuple[tuple[str, str, float, float], ...] = ()
-    rest_ratios: tuple[tuple[str, float], ...] = ()
+    factors: tuple[
+        tuple[str, str, bounded.SignedNumber, bounded.SignedNumber], ...
+    ] = ()
+    rest_ratios: tuple[tuple[str, bounded.SignedNumber], ...] = ()
 
 
 class PairFactors:
--- a/citronrail/workflow/overload/_run_times.py
+++ b/citronrail/workflow/overload/_run_times.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 
+from citronrail.model import bounded
 from citronrail.model import estimates
 from citronrail.model import identifiers
 from citronrail.model import resources
@@ -32,8 +33,8 @@
 
     queue: str
     image: str
-    run_s: tuple[float, ...]
-    ratios: tuple[float, ...]
+    run_s: tuple[bounded.Number, ...]
+    ratios: tuple[bounded.Number, ...]
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/workflow/tests/test_odd_records.py
+++ b/citronrail/workflow/tests/test_odd_records.py
@@ -93,6 +93,27 @@
         nursery.cancel_scope.cancel()
 
 
+ODD_LEARNED = {
+    'factor': _run_times.LearnedState((('a', 'b', math.nan, 1.0),)),
+    'variance': _run_times.LearnedState((('a', 'b', 1.0, math.inf),)),
+    'baseline': _run_times.LearnedState((), (('a', math.nan),)),
+    'run time': _run_times.LearnedState(
+        (), (), (_run_times.StoredRunTimes('q', '', (-1.0,), ()),)
+    ),
+    'ratio': _run_times.LearnedState(
+        (), (), (_run_times.StoredRunTimes('q', '', (), (math.inf,)),)
+    ),
+}
+
+
+@pytest.mark.parametrize('learned', ODD_LEARNED.values(), ids=ODD_LEARNED)
+def test_odd_learned_values_are_skipped(learned):
+    """Guards against placement by estimates that are no numbers."""
+    value = documents.encode(learned)
+    kind = _run_times.LearnedState
+    assert _scheduler_state.decode_item('key', value, kind) is None
+
+
 TASK = documents.TaskRecord(
     last_run=1, attempts=(documents.AttemptRecord(1, 'a0', 'w0', 1),)
 )
