Treat odd answers of etcd as failed calls

Callers of the deployments with etcd would see the same ends of processes: a follower or an election met an error that it doesn't handle.

Cause: answers were decoded by the json module, whose RecursionError isn't a ValueError, and a code of 1e999 raises OverflowError.

Evidence: the new cases failed with "RecursionError: maximum recursion depth exceeded while decoding a JSON array", "OverflowError: cannot convert float infinity to integer" and "AttributeError: 'int' object has no attribute 'get'".

Change: answers and lines of a watch are decoded by model/codec.py, and the two other errors are caught.

Conclusion: the call fails with an error of the store, which is retried.

--- a/citronrail/adapters/_etcd_protocol.py
+++ b/citronrail/adapters/_etcd_protocol.py
@@ -2,11 +2,11 @@
 
 import base64
 import collections.abc
-import json
 import math
 import typing
 
 from citronrail import errors
+from citronrail.model import codec
 from citronrail import ports
 
 Json = dict[str, typing.Any]
@@ -107,9 +107,9 @@
     :returns: the error, or None if the call may have had an effect.
     """
     try:
-        answer = json.loads(body)
+        answer = codec.from_json(body, dict)
         code, text = int(answer['code']), str(answer.get('message', ''))
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, OverflowError):
         return None
     match code:
         case _ if code == INVALID_ARGUMENT and 'too large' in text:
--- a/citronrail/adapters/_etcd_store.py
+++ b/citronrail/adapters/_etcd_store.py
@@ -2,13 +2,13 @@
 
 import collections.abc
 import contextlib
-import json
 
 import httpx
 import trio
 
 from citronrail.adapters import _etcd_protocol as protocol
 from citronrail import errors
+from citronrail.model import codec
 from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
 from citronrail import ports
@@ -197,7 +197,7 @@
                 step=path,
             )
         try:
-            answer = response.json()
+            answer = codec.from_json(response.content, object)
         except ValueError as exc:
             raise errors.StoreOutcomeUnknown(
                 'the answer is no JSON', step=path
@@ -241,7 +241,7 @@
         async for line in response.aiter_lines():
             if not line.strip():
                 continue
-            message = json.loads(line)
+            message = codec.from_json(line.encode(), dict)
             if 'result' not in message:
                 raise errors.StoreUnavailable(
                     f'watch failed: {message}', step='store.watch'
@@ -249,7 +249,13 @@
             batch = protocol.events(message['result'])
             if batch:
                 yield batch
-    except (httpx.HTTPError, ValueError, KeyError, TypeError) as exc:
+    except (
+        httpx.HTTPError,
+        ValueError,
+        KeyError,
+        TypeError,
+        AttributeError,
+    ) as exc:
         raise _unavailable('store.watch', exc) from exc
     raise errors.StoreUnavailable('the watch ended', step='store.watch')
 
--- a/citronrail/adapters/tests/test_etcd_store.py
+++ b/citronrail/adapters/tests/test_etcd_store.py
@@ -16,6 +16,9 @@
 from standins import key_value
 
 
+DEEP = b'{"x":' + b'[' * 100_000 + b']' * 100_000 + b'}'
+
+
 @dataclasses.dataclass
 class Served:
     """A store client and the state of the store that it uses."""
@@ -205,7 +208,10 @@
         (200, b'no json', errors.StoreOutcomeUnknown),
         (200, b'[]', errors.StoreOutcomeUnknown),
         (200, b'{}', errors.StoreOutcomeUnknown),
+        (200, DEEP, errors.StoreOutcomeUnknown),
+        (503, DEEP, errors.StoreOutcomeUnknown),
         (503, b'{"code": 14}', errors.StoreOutcomeUnknown),
+        (503, b'{"code": 1e999}', errors.StoreOutcomeUnknown),
         (500, b'', errors.StoreOutcomeUnknown),
         (400, b'{"code": 3, "message": "bad"}', errors.StoreUnavailable),
     ],
@@ -225,7 +231,18 @@
 
 
 @pytest.mark.parametrize(
-    'line', ['{}', '[]', 'x', '{"result": {"events": 1}}']
+    'line',
+    [
+        '{}',
+        '[]',
+        'x',
+        '{"result": {"events": 1}}',
+        '{"result": {"events": [7]}}',
+        '{"result": {"events": ["x"]}}',
+        '{"result": 7}',
+        DEEP.decode(),
+    ],
+    ids=lambda line: line[:40],
 )
 async def test_malformed_watch_lines(line):
     """Guards a follower's task against a crash on a malformed watch line."""
