Refuse odd announcements of backend servers

Cause: the agent's local port took any incarnation and any address that begins with http://. An incarnation of 2^64 can't be encoded in the message to the entries, and a port out of range can never be connected to. A nested field raised RecursionError in the request handler.

Change: the body is decoded by model/codec.py with ranges, and the address is parsed. Refusals are answered with 400.

--- a/citronrail/adapters/_agent_app.py
+++ b/citronrail/adapters/_agent_app.py
@@ -2,8 +2,9 @@
 
 import collections.abc
 import dataclasses
+import typing
+import urllib.parse
 
-import msgspec
 import prometheus_client
 import quart
 import quart_trio
@@ -11,6 +12,8 @@
 
 from citronrail.adapters import _problem_json
 from citronrail import errors
+from citronrail.model import bounded
+from citronrail.model import codec
 from citronrail.model import identifiers
 from citronrail import observability
 from citronrail import routing
@@ -23,8 +26,8 @@
 class Announcement:
     """Body of an announcement; ``address`` is ``http://IP:PORT``."""
 
-    address: str
-    incarnation: int = 0
+    address: bounded.Text
+    incarnation: bounded.Id = 0
     leaving: bool = False
 
 
@@ -111,19 +114,27 @@
     return app
 
 
+def _is_backend_address(text: str) -> bool:
+    try:
+        parts = urllib.parse.urlsplit(text)
+        return parts.scheme == 'http' and parts.port != 0
+    except ValueError:  # also for a port beyond 65535
+        return False
+
+
 async def _read_announcement(service: str) -> Announcement:
     """Decode the announcement in the current request body.
 
     :raises werkzeug.exceptions.BadRequest: if it is malformed.
     """
-    data = await quart.request.get_data(as_text=False)
+    data = typing.cast(bytes, await quart.request.get_data(as_text=False))
     try:
-        announcement = msgspec.json.decode(data, type=Announcement)
-    except msgspec.DecodeError as exc:
-        raise werkzeug.exceptions.BadRequest(str(exc)) from exc
+        announcement = codec.from_json(data, Announcement)
+    except errors.Undecodable as exc:
+        raise werkzeug.exceptions.BadRequest(exc.message) from exc
     if len(service) > MAX_SERVICE_NAME:
         raise werkzeug.exceptions.BadRequest('The service name is too long')
-    if not announcement.address.startswith('http://'):
+    if not _is_backend_address(announcement.address):
         raise werkzeug.exceptions.BadRequest(
             'The address must be http://IP:PORT'
         )
