--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import math
 import socket
 import time
 
@@ -140,6 +141,12 @@
     assert refused('undecodable') == before + 4
 
 
+def _odd_hello(node_id, **changes):
+    """Return a Hello and the routing id that belongs to it."""
+    hello = dataclasses.replace(paths.hello(node_id, 'agent')(), **changes)
+    return messages.pack(hello), f'{node_id}/{hello.boot_id}'.encode()
+
+
 async def test_deeply_nested_message_ends_no_port():
     """Guards against an entry that ends because of one peer's message."""
     one = agent()
@@ -153,6 +160,73 @@
         await entry.send('agent-1', messages.Credit('r', 1, 1))
 
 
+@pytest.mark.parametrize('clock', [math.nan, math.inf, -math.inf, 1e300])
+async def test_clock_out_of_range_is_refused(clock):
+    """Guards against deadlines that are no numbers on a peer's clock."""
+    data, routing_id = _odd_hello('odd', clock=clock)
+    async with hubs() as entry:
+        with raw_dealer(entry.address, routing_id) as odd:
+            odd.send(data)
+            answer = await receive(odd)
+            assert isinstance(answer, messages.ProtocolError)
+        assert entry.peers('agent') == ()
+
+
+async def test_listener_that_raises_ends_no_port():
+    """Guards against an entry that ends because it can't handle one peer."""
+
+    def fail_for_odd(peer):
+        if peer.node_id == 'odd':
+            raise ZeroDivisionError('odd peer')
+
+    one = agent()
+    async with hubs() as entry:
+        entry.listen(fail_for_odd, fail_for_odd)
+        data, routing_id = _odd_hello('odd')
+        with raw_dealer(entry.address, routing_id) as odd:
+            odd.send(data)
+            assert isinstance(await receive(odd), messages.Hello)
+            async with trio.open_nursery() as nursery:
+                await nursery.start(one.run)
+                one.set_entries([entry.address])
+                await wait_until(lambda: len(entry.peers('agent')) == 2)
+                nursery.cancel_scope.cancel()
+        await wait_until(lambda: not entry.peers('agent'))
+
+
+@pytest.mark.parametrize(
+    'address',
+    [
+        'tcp://127.0.0.1:{wrapped}',
+        'tcp://127.0.0.1:0',
+        'tcp://127.0.0.1:-1',
+        'tcp://127.0.0.1',
+        'tcp://:7000',
+        'ipc:///tmp/x',
+        'tcp://127.0.0.1:1;127.0.0.1:7000',
+        'tcp://127.0.0.1:70\x0000',
+        '\u20ac',
+    ],
+)
+async def test_odd_address_of_an_entry_is_refused(address):
+    """Guards against a connection to another port, and a failed process.
+
+    libzmq takes the lowest 16 bits of a port that is too large.
+    """
+    one = agent()
+    before = refused('address')
+    async with hubs(one) as entry:
+        await wait_until(lambda: entry.peers('agent'))
+        port = int(entry.address.rpartition(':')[2])
+        one.set_entries([address.format(wrapped=port + 65536)])
+        await wait_until(lambda: not entry.peers('agent'))
+        await trio.sleep(0.3)
+        assert entry.peers('agent') == ()
+        assert refused('address') == before + 1
+        one.set_entries([entry.address])
+        await wait_until(lambda: entry.peers('agent'))
+
+
 async def test_message_of_another_boot_is_refused():
     """Guards against a heartbeat from an earlier boot of an agent."""
     one = agent()
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -152,6 +152,9 @@
 LISTENER_FAILED = _events.EventKind(
     1755, 'ERROR', 'listener of {prefix} failed at {key}: {reason}'
 )
+PEER_ADDRESS_REFUSED = _events.EventKind(
+    1756, 'ERROR', 'no connection to {address}, which is no peer address'
+)
 WAITS_WITH_ROOM = _events.EventKind(
     1770,
     'WARNING',
