Answer requests that arrive while an HTTP port closes

Seen by callers: on a kept-alive connection, a request that was sent in the moment in which an entry closed its port, or within half a second after, ended without an answer. So did a request pipelined behind the one in progress.

Cause: hypercorn closes an idle connection from a timer task. When the stop begins, this task and the reader of the connection wake up together, and the timer closes the connection although a request has arrived. After a response during the stop it closes the connection without regard to requests that it has read already. Listeners are closed at once, with the connections that the kernel had accepted. An exception in the code of one connection ends the process, as it passes through the nursery of all connections.

Change: a connection class on top of hypercorn's, in which only the reader closes an idle connection, after a last look at the socket. Idle connections and the listener stay for 0.5 s after the stop began. A response says "connection: close" only if nothing follows it. After the last response, late bytes are read for 0.15 s, since closing with unread bytes resets the connection. A failure in a connection is logged as CR1623 and ends no other.

test_planned_stop_interrupts_no_request expected a transport error right after the router had drained. The port now answers 503, "not run", with "connection: close" at that time; the test requires that, and the transport error after the grace time.

Conclusion: a stop takes up to 0.65 s longer where connections are idle.

--- a/citronrail/adapters/_http_servers.py
+++ b/citronrail/adapters/_http_servers.py
@@ -1,13 +1,16 @@
 """Serving HTTP with hypercorn under trio."""
 
 import collections.abc
+import functools
 import logging
 import typing
 
+from hypercorn import app_wrappers
 import hypercorn.config
-import hypercorn.trio
+from hypercorn.trio import lifespan as hypercorn_lifespan
 import trio
 
+from citronrail.adapters import _http_connection
 from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
 
@@ -16,7 +19,9 @@
     75.0  # longer than the idle timeout of clients and load balancers
 )
 DRAIN_S = 30.0
-_RESPONSE_START = 'http.response.start'
+# Bounds the wait for the accept loop on a busy machine to 0.5 s.
+ACCEPT_CHECKS = 50
+ACCEPT_CHECK_S = 0.01
 
 Send = collections.abc.Callable[
     [dict[str, typing.Any]], collections.abc.Awaitable[None]
@@ -36,8 +41,10 @@
 ) -> None:
     """Serve an application until ``shutdown`` is set.
 
-    After ``shutdown`` no connection is accepted, idle ones are closed, and
-    requests in progress have ``drain_s`` seconds to complete.
+    After ``shutdown``, responses end their connections, and requests in
+    progress have ``drain_s`` seconds to complete. Connections are accepted
+    for a moment longer, and idle ones stay open for as long, since a client
+    may have sent a request already.
 
     :param app: an ASGI application.
     :param host: IP address to listen at.
@@ -48,44 +55,67 @@
     :param task_status: started with the port once it listens.
     """
     config = hypercorn.config.Config()
-    config.bind = [f'{host}:{port}']
-    config.graceful_timeout = drain_s
     config.keep_alive_timeout = KEEP_ALIVE_S
     config.h11_max_incomplete_size = 2 * MAX_HEADER_BYTES
     config.include_server_header = False
     config.accesslog = None
     config.errorlog = _silenced_logger(name)
+    wrapped = app_wrappers.ASGIWrapper(typing.cast(typing.Any, _wrap_app(app)))
+    state = _http_connection.Port(wrapped, config, name)
     async with trio.open_nursery() as nursery:
-        binds = await nursery.start(
-            _serve, _wrap_app(app, shutdown), config, shutdown
+        lifespan = hypercorn_lifespan.Lifespan(wrapped, config, {})
+        await nursery.start(lifespan.handle_lifespan)
+        await lifespan.wait_for_startup()
+        listeners = await trio.open_tcp_listeners(port, host=host)
+        number = listeners[0].socket.getsockname()[1]
+        observability.emit(
+            events.HTTP_PORT_OPEN,
+            name=name,
+            address=f'http://{host}:{number}',
         )
-        address = binds[0]
-        observability.emit(events.HTTP_PORT_OPEN, name=name, address=address)
-        task_status.started(int(address.rsplit(':', 1)[1]))
+        task_status.started(number)
+        await _serve(state, listeners, shutdown, drain_s)
+        await lifespan.wait_for_shutdown()
+        nursery.cancel_scope.cancel()
     observability.emit(events.HTTP_PORT_CLOSED, name=name)
 
 
 async def _serve(
-    app: AsgiApp,
-    config: hypercorn.config.Config,
+    state: _http_connection.Port,
+    listeners: list[trio.SocketListener],
     shutdown: trio.Event,
-    task_status: trio.TaskStatus[list[str]],
+    drain_s: float,
 ) -> None:
-    await hypercorn.trio.serve(
-        typing.cast(typing.Any, app),
-        config,
-        shutdown_trigger=shutdown.wait,
-        task_status=task_status,
-        mode='asgi',
-    )
-
-
-def _wrap_app(app: AsgiApp, shutdown: trio.Event) -> AsgiApp:
-    """Reject HTTP/2, and close persistent connections during shutdown.
+    async with trio.open_nursery() as connections:
+        async with trio.open_nursery() as accepting:
+            accepting.start_soon(
+                functools.partial(
+                    trio.serve_listeners,
+                    state.serve,
+                    listeners,
+                    handler_nursery=connections,
+                )
+            )
+            await shutdown.wait()
+            connections.cancel_scope.deadline = trio.current_time() + drain_s
+            state.stop()
+            await trio.sleep(_http_connection.IDLE_GRACE_S)
+            await _accept_waiting(listeners)
+            accepting.cancel_scope.cancel()
+
+
+async def _accept_waiting(listeners: list[trio.SocketListener]) -> None:
+    """Leave time to accept connections that the kernel has established."""
+    for _ in range(ACCEPT_CHECKS):
+        if not any(map(_http_connection.has_unread, listeners)):
+            return
+        await trio.sleep(ACCEPT_CHECK_S)
+
+
+def _wrap_app(app: AsgiApp) -> AsgiApp:
+    """Reject HTTP/2.
 
     hypercorn cannot abort an HTTP/2 stream in a way that the client notices.
-    During shutdown, ``connection: close`` keeps a client from sending another
-    request on a connection that is about to be closed.
     """
 
     async def wrapped(
@@ -93,18 +123,12 @@
         receive: typing.Any,
         send: typing.Any,
     ) -> None:
-        async def send_closing(message: dict[str, typing.Any]) -> None:
-            if shutdown.is_set() and message['type'] == _RESPONSE_START:
-                headers = [*message['headers'], (b'connection', b'close')]
-                message = {**message, 'headers': headers}
-            await send(message)
-
         if scope['type'] == 'http' and scope['http_version'][0] != '1':
-            start = {'type': _RESPONSE_START, 'status': 505}
+            start = {'type': 'http.response.start', 'status': 505}
             await send({**start, 'headers': []})
             await send({'type': 'http.response.body', 'body': b''})
         else:
-            await app(scope, receive, _shield_last_message(send_closing))
+            await app(scope, receive, _shield_last_message(send))
 
     return wrapped
 
--- a/citronrail/adapters/tests/test_http_ports.py
+++ b/citronrail/adapters/tests/test_http_ports.py
@@ -6,6 +6,7 @@
 import pytest
 import trio
 
+from citronrail.adapters import _http_connection
 from citronrail.adapters.tests import path as paths
 from citronrail import routing
 from standins import backend_server
@@ -139,6 +140,12 @@
                 await path.router.drain()
         for answer in answers:
             assert answer.content == backend_server.pattern(100)
+        # A client that still uses the port is told why it must go elsewhere.
+        answer = await path.caller.get('/quick')
+        assert answer.status_code == 503
+        assert answer.headers['citronrail-outcome'] == 'not run'
+        assert answer.headers['connection'] == 'close'
+        await trio.sleep(_http_connection.IDLE_GRACE_S + 0.2)
         with pytest.raises(httpx.TransportError):
             await path.caller.get('/quick')
 
--- a/citronrail/observability/catalogue/adapters.py
+++ b/citronrail/observability/catalogue/adapters.py
@@ -38,6 +38,9 @@
 HTTP_PORT_CLOSED = _events.EventKind(
     1622, 'INFO', 'HTTP port for {name} is closed'
 )
+HTTP_CONNECTION_FAILED = _events.EventKind(
+    1623, 'ERROR', 'Connection to the port for {name} failed: {reason}'
+)
 STORE_ENDPOINT_FAILED = _events.EventKind(
     1640, 'WARNING', 'Store endpoint {endpoint} failed for {path}: {reason}'
 )
