Answer 504 to requests that outlast the drain of a port

Seen by callers: a request in progress at the end of the drain ended without an answer. Operators saw nothing of it.

Cause: hypercorn cancels the connections when the graceful timeout ends. The port also had a time limit of its own, counted from the start of its drain, so that the process cancelled it before that limit when earlier components had used time.

Evidence: test_handler_that_outlasts_the_stop before the change: "assert [] == [b'504']". The test of the time of the process was not run before the change.

Change: 0.25 s before the end, requests that were read whole and have no response yet are answered with 504, since a handler may have passed them on. The port ends 0.2 s before the cancel scope of the process does. CR1624 and citronrail_adapters_http_requests_ended_total count what was answered with 504 and what was cut within its response, by port.

--- a/citronrail/adapters/_http_connection.py
+++ b/citronrail/adapters/_http_connection.py
@@ -6,8 +6,10 @@
 connection, after it has checked that nothing has arrived.
 """
 
+import collections
 import contextlib
 import dataclasses
+import enum
 import select
 import typing
 
@@ -23,6 +25,7 @@
 import hypercorn.utils
 import trio
 
+from citronrail.adapters import _metrics
 from citronrail import observability
 from citronrail.observability.catalogue import adapters as events
 
@@ -66,6 +69,7 @@
         # Responses announce that the connection is closed after them.
         self.closing = False
         self._stopped_at = float('inf')
+        self._empty = trio.Event()
 
     async def serve(self, stream: trio.SocketStream) -> None:
         """Serve one connection until it is closed.
@@ -82,6 +86,8 @@
             )
         finally:
             self.connections.discard(connection)
+            if not self.connections:
+                self._empty.set()
 
     def stop(self) -> None:
         """Close connections that stay idle, and others after a response."""
@@ -97,6 +103,51 @@
             max(idle_since, self._stopped_at) + IDLE_GRACE_S,
         )
 
+    async def wait_closed(self) -> None:
+        """Wait until no connection is open."""
+        while self.connections:
+            self._empty = trio.Event()
+            await self._empty.wait()
+
+    async def end_requests(self) -> None:
+        """Answer 504 where no response has begun, and record what is cut.
+
+        A handler that is still at work may have passed the request on, so
+        that its outcome isn't known.
+        """
+        ended: collections.Counter[RequestEnd] = collections.Counter()
+        async with trio.open_nursery() as nursery:
+            for connection in self.connections:
+                if (how := connection.request_end) is None:
+                    continue
+                ended[how] += 1
+                if how is RequestEnd.ANSWERED:
+                    nursery.start_soon(connection.answer_timeout)
+        for how, count in ended.items():
+            _metrics.HTTP_REQUESTS_ENDED.labels(self.name, how.value).inc(
+                count
+            )
+        if ended:
+            observability.emit(
+                events.HTTP_REQUESTS_ENDED,
+                name=self.name,
+                answered=ended[RequestEnd.ANSWERED],
+                cut=ended[RequestEnd.CUT],
+            )
+
+
+class RequestEnd(enum.Enum):
+    """What becomes of a request in progress at the end of a drain."""
+
+    ANSWERED = 'answered with 504'
+    CUT = 'cut within its response'
+
+
+_REQUEST_ENDS = {
+    h11.SEND_RESPONSE: RequestEnd.ANSWERED,
+    h11.SEND_BODY: RequestEnd.CUT,
+}
+
 
 class _Protocol(h11_protocol.H11Protocol):
     """HTTP/1.1 that says when a response is the last of its connection."""
@@ -135,6 +186,10 @@
             event = dataclasses.replace(event, headers=headers)
         await super().stream_send(event)
 
+    async def send_timeout(self) -> None:
+        """Answer 504 to the request in progress."""
+        await self._send_error_response(504)
+
     async def _check_protocol(self, event: h11.Request) -> None:
         """Ignore offers to switch to HTTP/2."""
 
@@ -171,6 +226,19 @@
         )
         return self._port.closing and not followed
 
+    @property
+    def request_end(self) -> RequestEnd | None:
+        """What becomes of its request now, None without a whole one."""
+        state = self._h11.connection
+        if self._ended or state.their_state not in (h11.DONE, h11.MUST_CLOSE):
+            return None
+        return _REQUEST_ENDS.get(state.our_state)
+
+    async def answer_timeout(self) -> None:
+        """Answer 504 and end the connection."""
+        await self._h11.send_timeout()
+        await self.protocol_send(hypercorn.events.Closed())
+
     async def run(self) -> None:
         """Serve requests until the connection is closed."""
         sock = self._socket_stream.socket
--- a/citronrail/adapters/_http_servers.py
+++ b/citronrail/adapters/_http_servers.py
@@ -22,6 +22,8 @@
 # Bounds the wait for the accept loop on a busy machine to 0.5 s.
 ACCEPT_CHECKS = 50
 ACCEPT_CHECK_S = 0.01
+# Before the end of a drain, to write responses and close their connections.
+LAST_ANSWERS_S = 0.25
 
 Send = collections.abc.Callable[
     [dict[str, typing.Any]], collections.abc.Awaitable[None]
@@ -37,6 +39,7 @@
     name: str,
     shutdown: trio.Event,
     drain_s: float = DRAIN_S,
+    stop_by: collections.abc.Callable[[], float] = lambda: float('inf'),
     task_status: trio.TaskStatus[int] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """Serve an application until ``shutdown`` is set.
@@ -44,7 +47,8 @@
     After ``shutdown``, responses end their connections, and requests in
     progress have ``drain_s`` seconds to complete. Connections are accepted
     for a moment longer, and idle ones stay open for as long, since a client
-    may have sent a request already.
+    may have sent a request already. Just before the end, requests without a
+    response are answered with 504.
 
     :param app: an ASGI application.
     :param host: IP address to listen at.
@@ -52,6 +56,8 @@
     :param name: purpose of the port, used in events.
     :param shutdown: set to stop.
     :param drain_s: time limit for requests in progress, in seconds.
+    :param stop_by: returns the local time by which the port has to be closed,
+        called once ``shutdown`` is set.
     :param task_status: started with the port once it listens.
     """
     config = hypercorn.config.Config()
@@ -74,7 +80,7 @@
             address=f'http://{host}:{number}',
         )
         task_status.started(number)
-        await _serve(state, listeners, shutdown, drain_s)
+        await _serve(state, listeners, shutdown, drain_s, stop_by)
         await lifespan.wait_for_shutdown()
         nursery.cancel_scope.cancel()
     observability.emit(events.HTTP_PORT_CLOSED, name=name)
@@ -85,6 +91,7 @@
     listeners: list[trio.SocketListener],
     shutdown: trio.Event,
     drain_s: float,
+    stop_by: collections.abc.Callable[[], float],
 ) -> None:
     async with trio.open_nursery() as connections:
         async with trio.open_nursery() as accepting:
@@ -97,11 +104,16 @@
                 )
             )
             await shutdown.wait()
-            connections.cancel_scope.deadline = trio.current_time() + drain_s
+            ends_at = min(trio.current_time() + drain_s, stop_by())
             state.stop()
-            await trio.sleep(_http_connection.IDLE_GRACE_S)
+            with trio.move_on_at(ends_at - LAST_ANSWERS_S):
+                await trio.sleep(_http_connection.IDLE_GRACE_S)
             await _accept_waiting(listeners)
             accepting.cancel_scope.cancel()
+        with trio.move_on_at(ends_at - LAST_ANSWERS_S):
+            await state.wait_closed()
+        connections.cancel_scope.deadline = ends_at
+        await state.end_requests()
 
 
 async def _accept_waiting(listeners: list[trio.SocketListener]) -> None:
--- a/citronrail/adapters/_metrics.py
+++ b/citronrail/adapters/_metrics.py
@@ -26,3 +26,9 @@
     'Bytes in frames exchanged with peers, before encryption and framing.',
     ['direction', 'kind'],
 )
+HTTP_REQUESTS_ENDED = prometheus_client.Counter(
+    'citronrail_adapters_http_requests_ended_total',
+    'Whole requests in progress at the end of a drain, by port and what '
+    'became of them.',
+    ['port', 'end'],
+)
--- a/citronrail/adapters/tests/test_http_stop.py
+++ b/citronrail/adapters/tests/test_http_stop.py
@@ -8,6 +8,7 @@
 import trio
 
 from citronrail import adapters
+from citronrail.daemon import parts
 
 REQUEST = b'GET /%d HTTP/1.1\r\nHost: h\r\n\r\n'
 POST = b'POST /%d HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\n'
@@ -159,6 +160,37 @@
     assert STATUS.findall(data) == [b'200']
 
 
+async def test_handler_that_outlasts_the_stop(nursery):
+    """Guards against silence for a request that is cut by the stop."""
+    port = _Port(handle_s=60.0)
+    await nursery.start(port.run)
+    stream = await port.connect()
+    await stream.send_all(REQUEST % 1)
+    await trio.sleep(0.1)
+    port.shutdown.set()
+    data, ended = await _read_all(stream, 2 * DRAIN_S)
+    assert STATUS.findall(data) == [b'504']
+    assert ended
+    await port.closed.wait()
+
+
+async def test_port_ends_within_the_time_of_the_process(nursery):
+    """Guards against a port that has more time to drain than its process.
+
+    The process then cancelled the port with the requests in it.
+    """
+    app = _Port(handle_s=60.0)
+    port = parts.HttpPort(app.app, '127.0.0.1:0', 'test', 30.0)
+    await nursery.start(port.run)
+    stream = await trio.open_tcp_stream('127.0.0.1', port.port)
+    await stream.send_all(REQUEST % 1)
+    await trio.sleep(0.1)
+    with trio.fail_after(1.0):
+        await port.drain()
+    data, _ = await _read_all(stream)
+    assert STATUS.findall(data) == [b'504']
+
+
 async def test_failure_in_a_handler(nursery):
     """Guards against an exception that ends other connections."""
     port = _Port()
--- a/citronrail/daemon/_components.py
+++ b/citronrail/daemon/_components.py
@@ -48,6 +48,10 @@
     return tuple(f'tcp://{address}' for address in cfg.entries)
 
 
+# A port is closed this long before the drain of its process is cancelled.
+CLOSE_MARGIN_S = 0.2
+
+
 class HttpPort:
     """An HTTP server as a component with graceful shutdown.
 
@@ -66,6 +70,7 @@
         self._drain_s = drain_s
         self._shutdown = trio.Event()
         self._closed = trio.Event()
+        self._stop_by = float('inf')
         self.port = 0
 
     async def run(
@@ -93,12 +98,17 @@
             name=self._name,
             shutdown=self._shutdown,
             drain_s=self._drain_s,
+            stop_by=lambda: self._stop_by,
             task_status=task_status,
         )
         self._closed.set()
 
     async def drain(self) -> None:
-        """Stop accepting connections and wait for requests in progress."""
+        """Stop accepting connections and wait for requests in progress.
+
+        The requests end before the caller's cancel scope does.
+        """
+        self._stop_by = trio.current_effective_deadline() - CLOSE_MARGIN_S
         self._shutdown.set()
         await self._closed.wait()
 
--- a/citronrail/observability/catalogue/adapters.py
+++ b/citronrail/observability/catalogue/adapters.py
@@ -41,6 +41,12 @@
 HTTP_CONNECTION_FAILED = _events.EventKind(
     1623, 'ERROR', 'Connection to the port for {name} failed: {reason}'
 )
+HTTP_REQUESTS_ENDED = _events.EventKind(
+    1624,
+    'WARNING',
+    'The time for draining the port for {name} is up: {answered} requests in '
+    'progress answered with 504, {cut} responses cut',
+)
 STORE_ENDPOINT_FAILED = _events.EventKind(
     1640, 'WARNING', 'Store endpoint {endpoint} failed for {path}: {reason}'
 )
