Leave drain time to the port for callers when the store hangs

Seen by callers: with a store that hangs, requests in progress at an entry that stops could be cut.

Cause: components drain one after another within one deadline, and the callers' port comes last. A drain before it, such as the end of the scheduling lease, could use all the time; the port was then cancelled with the requests in it.

Evidence: the new test before the change: "assert ['drain 2', 'stop 0'] == ['drain 2', 'drain 0']".

Change: a quarter of the limit, 1.5 s at most, is left to the last component.

Conclusion: by reading, calls to the store time out after 1.0 s, so that the fault needed a slow loop as well. A lease that isn't ended in time expires.

--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -12,6 +12,10 @@
 Hook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
+# Of the time limit for draining, this is left to the last component, which
+# answers callers: a store that hangs delays the drains before it.
+RESERVED_DRAIN_SHARE = 0.25
+MAX_RESERVE_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +43,9 @@
     def __init__(self, node_id: str, drain_limit_s: float = 30.0) -> None:
         self._node_id = node_id
         self._drain_limit_s = drain_limit_s
+        self._reserve_s = min(
+            MAX_RESERVE_S, drain_limit_s * RESERVED_DRAIN_SHARE
+        )
         self._components: list[Component] = []
         self._on_started: list[Hook] = []
         self._on_reload: list[Hook] = []
@@ -112,10 +119,13 @@
         self.ready = False
         self.draining = True
         observability.emit(events.DRAIN_STARTED, signal=self._stop_reason)
-        deadline = trio.current_time() + self._drain_limit_s
-        for component in reversed(self._components):
-            if component.drain is None:
-                continue
+        ends_at = trio.current_time() + self._drain_limit_s
+        draining = [c for c in reversed(self._components) if c.drain]
+        for component in draining:
+            assert component.drain is not None
+            deadline = ends_at
+            if component is not draining[-1]:
+                deadline -= self._reserve_s
             started_at = trio.current_time()
             with trio.move_on_at(deadline) as scope:
                 await component.drain()
--- a/citronrail/daemon/tests/test_application.py
+++ b/citronrail/daemon/tests/test_application.py
@@ -60,6 +60,22 @@
     assert 'stop 1' in log
 
 
+async def test_a_drain_that_hangs_leaves_time_to_the_others(autojump_clock):
+    """Guards against requests that are cut as another drain hangs.
+
+    The callers' port drains last; a lease that couldn't be revoked while the
+    store hung used up the time.
+    """
+    log = []
+    app = _application_of(log, 0.5, 1000.0, 1.0, limit=4.5)
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app.run, False)
+            await trio.sleep(0.1)
+            app.stop()
+    assert log[3:5] == ['drain 2', 'drain 0']
+
+
 async def test_not_ready_while_draining(autojump_clock):
     """Guards against load balancers that send work to a stopping entry."""
     app = _application_of([], 3.0)
