Bound answers to callers by their deadline and by the drain

Seen by callers: an answer could come after the time that Deadline-Ms names, and a request that arrived late in a drain was worked on until the entry ended under it.

Cause: a query to the scheduling entry takes up to 0.4 s, whatever the deadline; the deadline of a request, up to 2.5 s, took no account of the drain, which ends 4.5 s after SIGTERM (a request of second 2.4 was given until second 4.9). Both found by reading.

Change: requests are answered 0.8 s before the process has drained and at most 0.15 s after their deadline, which is 0.15 s before the caller gives up: reads with 503, others with 504, since their outcome isn't known. A request whose body ends later than that is answered at once with 503 and isn't run. At the end of the drain, an unfinished body gets 504 from the port as well.

Conclusion: no answer waits for a component that has stopped.

--- a/citronrail/adapters/_http_connection.py
+++ b/citronrail/adapters/_http_connection.py
@@ -228,11 +228,11 @@
 
     @property
     def request_end(self) -> RequestEnd | None:
-        """What becomes of its request now, None without a whole one."""
-        state = self._h11.connection
-        if self._ended or state.their_state not in (h11.DONE, h11.MUST_CLOSE):
+        """What becomes of its request now, None without one."""
+        state = self._h11.connection.our_state
+        if self._ended or state is None:
             return None
-        return _REQUEST_ENDS.get(state.our_state)
+        return _REQUEST_ENDS.get(state)
 
     async def answer_timeout(self) -> None:
         """Answer 504 and end the connection."""
--- a/citronrail/adapters/_metrics.py
+++ b/citronrail/adapters/_metrics.py
@@ -28,7 +28,7 @@
 )
 HTTP_REQUESTS_ENDED = prometheus_client.Counter(
     'citronrail_adapters_http_requests_ended_total',
-    'Whole requests in progress at the end of a drain, by port and what '
+    'Requests in progress at the end of a drain, by port and what '
     'became of them.',
     ['port', 'end'],
 )
--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -53,6 +53,8 @@
         self._stop_reason = 'none'
         self.ready = False
         self.draining = False
+        # Local time by which the process has drained, infinity before a stop.
+        self.drain_ends_at = float('inf')
 
     def add(
         self,
@@ -120,6 +122,7 @@
         self.draining = True
         observability.emit(events.DRAIN_STARTED, signal=self._stop_reason)
         ends_at = trio.current_time() + self._drain_limit_s
+        self.drain_ends_at = ends_at
         draining = [c for c in reversed(self._components) if c.drain]
         for component in draining:
             assert component.drain is not None
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -35,3 +35,8 @@
 SETTINGS_READ = _events.EventKind(
     1014, 'INFO', 'settings read again: {result}'
 )
+REQUESTS_REFUSED = _events.EventKind(
+    1015,
+    'WARNING',
+    '{count} requests answered with 503 since the last line: {reason}',
+)
--- a/citronrail/platform/_caller_app.py
+++ b/citronrail/platform/_caller_app.py
@@ -1,6 +1,7 @@
 """HTTP applications: jobs for callers and readiness."""
 
 import collections.abc
+import functools
 
 from starlette import applications
 from starlette import requests
@@ -10,6 +11,7 @@
 
 from citronrail.model import workflows
 from citronrail.platform import _http_apps
+from citronrail.platform import _refusals
 from citronrail.platform import _wire_jobs
 from citronrail import workflow
 
@@ -19,23 +21,42 @@
 RESPONSE_MARGIN_S = 0.3
 MAX_WAIT_S = 2.5
 
+# A service that has not replied this long after its deadline is given up;
+# within RESPONSE_MARGIN_S, so that the caller still gets the response.
+OVERRUN_S = 0.15
+STOPPING = 'stopping'
+NO_CONFIG = 'no configuration'
+
 Config = collections.abc.Callable[[], workflows.OperatorConfig | None]
 
 
+def _never() -> float:
+    return float('inf')
+
+
 def caller_app(
-    service: workflow.CallerService, config: Config
+    service: workflow.CallerService,
+    config: Config,
+    answer_by: collections.abc.Callable[[], float] = _never,
 ) -> applications.Starlette:
     """Create the application for callers.
 
     :param service: handles jobs.
     :param config: returns the current operators' configuration, None before
         it is loaded.
+    :param answer_by: returns the local time by which all requests have to be
+        answered as the process stops, infinity otherwise.
     :returns: an ASGI application.
     """
+    refusals = _refusals.Refusals()
 
     async def handle(req: requests.Request) -> responses.Response:
         current = config()
         if current is None:
+            refusals.record(NO_CONFIG)
+            return _not_run_response(1)
+        if trio.current_time() >= answer_by():
+            refusals.record(STOPPING)
             return _not_run_response(1)
         header = req.headers.get('host', '')
         host = header.rpartition(':')[0] or header
@@ -44,15 +65,30 @@
         if queue is None:
             return _http_apps.json_response(404, {'error': 'no such queue'})
         job_id = path.removeprefix(queue.prefix)
-        deadline = _deadline(req.headers.get(DEADLINE_HEADER))
+        deadline = min(
+            _deadline(req.headers.get(DEADLINE_HEADER)), answer_by()
+        )
         if not job_id and req.method == 'GET':
-            return _pending_response(await service.pending(queue))
+            reply = await _within(
+                deadline, READ_GIVEN_UP, lambda _: service.pending(queue)
+            )
+            return _pending_response(reply)
         if not _wire_jobs.is_valid_job_id(job_id):
             return _http_apps.json_response(404, {'error': 'no such job'})
         if req.method == 'GET':
-            return _state_response(await service.state(job_id, deadline))
+            reply = await _within(
+                deadline,
+                READ_GIVEN_UP,
+                functools.partial(service.state, job_id),
+            )
+            return _state_response(reply)
         if req.method == 'DELETE':
-            return _cancel_response(await service.cancel(job_id, deadline))
+            reply = await _within(
+                deadline,
+                WRITE_GIVEN_UP,
+                functools.partial(service.cancel, job_id),
+            )
+            return _cancel_response(reply)
         try:
             spec = await _read_job(req, current.max_body_bytes)
         except trio.TooSlowError:
@@ -61,9 +97,15 @@
             return _http_apps.json_response(413, {'error': str(exc)})
         except ValueError as exc:
             return _http_apps.json_response(400, {'error': str(exc)})
-        return _submit_response(
-            await service.submit(queue, job_id, spec, deadline)
+        if trio.current_time() >= answer_by():
+            refusals.record(STOPPING)
+            return _not_run_response(1)
+        reply = await _within(
+            min(deadline, answer_by()),
+            WRITE_GIVEN_UP,
+            functools.partial(service.submit, queue, job_id, spec),
         )
+        return _submit_response(reply)
 
     methods = ['GET', 'POST', 'DELETE']
     return applications.Starlette(
@@ -71,6 +113,23 @@
     )
 
 
+READ_GIVEN_UP = workflow.Reply(workflow.Verdict.NOT_RUN)
+WRITE_GIVEN_UP = workflow.Reply(workflow.Verdict.UNKNOWN)
+
+
+async def _within(
+    deadline: float,
+    otherwise: workflow.Reply,
+    call: collections.abc.Callable[
+        [float], collections.abc.Awaitable[workflow.Reply]
+    ],
+) -> workflow.Reply:
+    """Return the reply of the service, ``otherwise`` if it is too late."""
+    with trio.move_on_at(deadline + OVERRUN_S):
+        return await call(deadline)
+    return otherwise
+
+
 async def _read_job(
     req: requests.Request, max_body_bytes: int
 ) -> workflows.WorkflowSpec:
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -23,6 +23,9 @@
 from citronrail import workflow
 
 DRAIN_SHARE = 0.75  # of the grace period between the two stop signals
+# All requests are answered this long before the process has drained. That
+# covers the time to close their connections where the loop is slow.
+ANSWER_MARGIN_S = 0.8
 METRICS_PORT = 9464  # also set in deploy/system.toml
 # The load balancer probes once a second and removes an entry after two failed
 # probes.
@@ -188,7 +191,11 @@
         relay=relay,
     )
     callers = process.port(
-        _caller_app.caller_app(service, lambda: operator_view.config),
+        _caller_app.caller_app(
+            service,
+            lambda: operator_view.config,
+            lambda: app.drain_ends_at - ANSWER_MARGIN_S,
+        ),
         cfg.callers_address,
         'callers',
     )
--- a/citronrail/platform/_transport_metrics.py
+++ b/citronrail/platform/_transport_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of calls to the platform."""
+"""Metrics of calls to the platform and of requests of its callers."""
 
 import prometheus_client
 
@@ -7,3 +7,9 @@
     'Calls to the platform by peer and result',
     ['peer', 'result'],
 )
+REFUSED = prometheus_client.Counter(
+    'citronrail_platform_requests_refused',
+    'Requests of callers answered with 503 for the state of this process, by '
+    'reason',
+    ['reason'],
+)
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -294,3 +294,69 @@
     res = await _post(client, f'/q/{JOB}', _body())
     assert res.status_code == 429
     assert res.headers['Retry-After'] == '17'
+
+
+class _HangingService(_Service):
+    """Replies to nothing."""
+
+    async def submit(self, queue, job_id, spec, deadline):
+        await trio.sleep_forever()
+
+    async def cancel(self, job_id, deadline):
+        await trio.sleep_forever()
+
+    state = cancel
+
+    async def pending(self, queue):
+        await trio.sleep_forever()
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'status'),
+    [
+        pytest.param('POST', JOB, 504, id='submit'),
+        pytest.param('DELETE', JOB, 504, id='cancel'),
+        pytest.param('GET', JOB, 503, id='state'),
+        pytest.param('GET', '', 503, id='pending'),
+    ],
+)
+@pytest.mark.parametrize(
+    ('stops_in_s', 'deadline_ms', 'limit_s'),
+    [
+        pytest.param(float('inf'), '1000', 1.0, id='deadline of the caller'),
+        pytest.param(0.4, '3000', 0.6, id='stop of the process'),
+    ],
+)
+async def test_answers_come_in_time(
+    autojump_clock, method, path, status, stops_in_s, deadline_ms, limit_s
+):
+    """Guards against answers after the caller's time or the process's."""
+    config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
+    ends_at = trio.current_time() + stops_in_s
+    client = _client(
+        _caller_app.caller_app(
+            _HangingService(), lambda: config, lambda: ends_at
+        )
+    )
+    with trio.fail_after(limit_s):
+        answer = await client.request(
+            method,
+            f'/q/{path}',
+            content=_body() if method == 'POST' else None,
+            headers={'Host': 'a.example', 'Deadline-Ms': deadline_ms},
+        )
+    assert answer.status_code == status
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST', 'DELETE'])
+async def test_requests_after_the_end_of_the_answers(service, method):
+    """Guards against work that a stopping process can't answer any more."""
+    config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
+    now = trio.current_time()
+    app = _caller_app.caller_app(service, lambda: config, lambda: now)
+    answer = await _client(app).request(
+        method, f'/q/{JOB}', content=_body(), headers={'Host': 'a.example'}
+    )
+    assert answer.status_code == 503
+    assert answer.headers['retry-after'] == '1'
+    assert not service.submitted
