Go on with a drain when SIGTERM is repeated

Seen by callers: an entry that got a second SIGTERM while it drained cut all requests in progress.

Cause: any second stop signal ended the process at once. Planned stops may overlap, and no page of the platform gives a second SIGTERM that meaning.

Evidence: the new test before the change: "assert ('drain 0' in ['start 0', 'stop 0']) is True".

Change: SIGTERM during a drain is logged (CR1016) and changes nothing. SIGINT, which a person sends from a terminal, still ends the process at once.

Conclusion: the platform's SIGKILL after the grace period bounds a drain.

--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -89,8 +89,8 @@
     async def run(self, handle_signals: bool = True) -> None:
         """Run all components until a planned stop is complete.
 
-        :param handle_signals: treat SIGTERM and SIGINT as a planned stop, a
-            second one as an immediate stop, and SIGHUP as a reload.
+        :param handle_signals: treat SIGTERM and SIGINT as a planned stop,
+            SIGINT during it as an immediate stop, and SIGHUP as a reload.
         """
         async with trio.open_nursery() as nursery:
             if handle_signals:
@@ -158,6 +158,10 @@
                 if number == RELOAD_SIGNAL:
                     await self._reload()
                     continue
+                if self._stop.is_set() and number != signal.SIGINT:
+                    # Planned stops may overlap; requests are still answered.
+                    observability.emit(events.STOP_REPEATED, signal=name)
+                    continue
                 if self._stop.is_set():
                     observability.emit(events.KILLED, signal=name)
                     scope.cancel()
--- a/citronrail/daemon/_main.py
+++ b/citronrail/daemon/_main.py
@@ -30,7 +30,7 @@
     parser = argparse.ArgumentParser(
         prog='citronraild',
         description='Runs one process of citronrail, an entry or an agent.',
-        epilog='SIGTERM drains the process; a second one ends it at once.',
+        epilog='SIGTERM drains the process; SIGINT then ends it at once.',
     )
     parser.add_argument(
         '--config',
--- a/citronrail/daemon/tests/test_application.py
+++ b/citronrail/daemon/tests/test_application.py
@@ -1,5 +1,9 @@
 """Tests the order of start, drain and stop."""
 
+import os
+import signal
+
+import pytest
 import trio
 import trio.testing
 
@@ -87,3 +91,26 @@
         await trio.sleep(1.0)
         assert app.draining
         assert not app.ready
+
+
+@pytest.mark.parametrize(
+    ('second', 'drains'),
+    [
+        pytest.param(signal.SIGTERM, True, id='stop signal'),
+        pytest.param(signal.SIGINT, False, id='interrupt'),
+    ],
+)
+async def test_second_signal_during_a_drain(second, drains):
+    """Guards against cutting requests as two planned stops overlap."""
+    log = []
+    app = _application_of(log, 0.3)
+    with trio.fail_after(5):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app.run)
+            while not app.ready:
+                await trio.sleep(0.01)
+            os.kill(os.getpid(), signal.SIGTERM)
+            while not app.draining:
+                await trio.sleep(0.01)
+            os.kill(os.getpid(), second)
+    assert ('drain 0' in log) is drains
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -40,3 +40,6 @@
     'WARNING',
     '{count} requests answered with 503 since the last line: {reason}',
 )
+STOP_REPEATED = _events.EventKind(
+    1016, 'INFO', 'signal {signal} during the drain; the drain goes on'
+)
--- a/citronrail/platform/_program.py
+++ b/citronrail/platform/_program.py
@@ -29,7 +29,7 @@
     parser = argparse.ArgumentParser(
         prog='citronrail.platform',
         description='Runs one process of citronrail on the platform.',
-        epilog='SIGTERM drains the process; a second one ends it at once.',
+        epilog='SIGTERM drains the process; SIGINT then ends it at once.',
     )
     parser.add_argument('role', choices=sorted(ROLES))
     parser.add_argument(
