Keep serving when a reload after SIGHUP fails

Seen by callers: nothing so far; found by reading. A settings file of an odd form (limits as a list, a document nested very deep) read again after SIGHUP raises AttributeError or RecursionError, which settings.load doesn't turn into a ConfigError. The exception passed through the task that watches signals and ended the process with all requests in it.

Change: a failed hook is logged as CR1017, and the process goes on.

--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -77,7 +77,7 @@
     def on_reload(self, hook: Hook) -> None:
         """Await ``hook`` on SIGHUP, which signals changed settings.
 
-        A hook must not raise; on failure, the process continues unchanged.
+        If a hook fails, that is logged and the process continues unchanged.
         """
         self._on_reload.append(hook)
 
@@ -171,4 +171,7 @@
     async def _reload(self) -> None:
         observability.emit(events.RELOADED, node=self._node_id)
         for hook in self._on_reload:
-            await hook()
+            try:
+                await hook()
+            except Exception as exc:  # noqa: BLE001
+                observability.emit(events.RELOAD_FAILED, reason=repr(exc))
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -43,3 +43,6 @@
 STOP_REPEATED = _events.EventKind(
     1016, 'INFO', 'signal {signal} during the drain; the drain goes on'
 )
+RELOAD_FAILED = _events.EventKind(
+    1017, 'ERROR', 'reload after SIGHUP failed: {reason}'
+)
