Ignore SIGHUP until the components handle it

Seen by callers: an entry that got SIGHUP while it started ended, and its callers found the port closed for another start.

Cause: until the signal receiver runs, SIGHUP has its default action. The imports take seconds at entries with little processor time.

Conclusion: the interpreter's own start, before the first line of the program, is not covered.

--- a/citronrail/daemon/__main__.py
+++ b/citronrail/daemon/__main__.py
@@ -2,7 +2,7 @@
 
 import sys
 
-from citronrail.daemon import _main
+from citronrail.daemon import _program
 
 if __name__ == '__main__':
-    sys.exit(_main.main())
+    sys.exit(_program.main())
--- a/citronrail/platform/__main__.py
+++ b/citronrail/platform/__main__.py
@@ -1,7 +1,11 @@
 """Entry point of ``python -m citronrail.platform``."""
 
+import importlib
+import signal
 import sys
 
-from citronrail.platform import _program
+# The imports take seconds with little processor time. SIGHUP would end the
+# process by default; it is handled once the components run.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
 
-sys.exit(_program.main())
+sys.exit(importlib.import_module('citronrail.platform._program').main())
