End a drain although a client does not read its response

Seen by callers: nothing so far; found by reading. A client that doesn't read a large response, of the metrics for example, kept the process running until SIGKILL.

Cause: hypercorn shields the sending from cancellation, without a time limit.

Change: at the end of the drain, and when a port is cancelled, its sockets are closed, which ends a send that waits.

Conclusion: a drain ends by its limit whatever the clients do.

--- a/citronrail/adapters/_http_connection.py
+++ b/citronrail/adapters/_http_connection.py
@@ -42,6 +42,8 @@
 
 def has_unread(stream: _Readable) -> bool:
     """Return whether data, an end or a connection waits at a socket."""
+    if stream.socket.fileno() < 0:
+        return True  # closed; reading from it fails at once
     poll = select.poll()
     poll.register(stream.socket.fileno(), select.POLLIN)
     return bool(poll.poll(0))
@@ -135,6 +137,11 @@
                 cut=ended[RequestEnd.CUT],
             )
 
+    async def close_forcefully(self) -> None:
+        """Close all connections, also those whose client doesn't read."""
+        for connection in tuple(self.connections):
+            await connection.close_forcefully()
+
 
 class RequestEnd(enum.Enum):
     """What becomes of a request in progress at the end of a drain."""
@@ -272,6 +279,11 @@
         else:
             await super().protocol_send(event)
 
+    async def close_forcefully(self) -> None:
+        """Close the socket; sending is shielded from cancellation."""
+        self._ended = True
+        await trio.aclose_forcefully(self._socket_stream)
+
     def check_idle(self) -> None:
         """Let the reader apply the time limit for idle connections."""
         self._waiting.deadline = self._idle_until()
--- a/citronrail/adapters/_http_servers.py
+++ b/citronrail/adapters/_http_servers.py
@@ -94,26 +94,50 @@
     stop_by: collections.abc.Callable[[], float],
 ) -> None:
     async with trio.open_nursery() as connections:
-        async with trio.open_nursery() as accepting:
-            accepting.start_soon(
-                functools.partial(
-                    trio.serve_listeners,
-                    state.serve,
-                    listeners,
-                    handler_nursery=connections,
-                )
+        try:
+            ends_at = await _accept(
+                state, listeners, connections, shutdown, drain_s, stop_by
             )
-            await shutdown.wait()
-            ends_at = min(trio.current_time() + drain_s, stop_by())
-            state.stop()
             with trio.move_on_at(ends_at - LAST_ANSWERS_S):
-                await trio.sleep(_http_connection.IDLE_GRACE_S)
-            await _accept_waiting(listeners)
-            accepting.cancel_scope.cancel()
+                await state.wait_closed()
+            await state.end_requests()
+            with trio.move_on_at(ends_at):
+                await state.wait_closed()
+        finally:
+            with trio.CancelScope(shield=True):
+                await state.close_forcefully()
+        connections.cancel_scope.cancel()
+
+
+async def _accept(
+    state: _http_connection.Port,
+    listeners: list[trio.SocketListener],
+    connections: trio.Nursery,
+    shutdown: trio.Event,
+    drain_s: float,
+    stop_by: collections.abc.Callable[[], float],
+) -> float:
+    """Accept connections until a moment after the shutdown.
+
+    :returns: the local time by which the requests have to end.
+    """
+    async with trio.open_nursery() as accepting:
+        accepting.start_soon(
+            functools.partial(
+                trio.serve_listeners,
+                state.serve,
+                listeners,
+                handler_nursery=connections,
+            )
+        )
+        await shutdown.wait()
+        ends_at = min(trio.current_time() + drain_s, stop_by())
+        state.stop()
         with trio.move_on_at(ends_at - LAST_ANSWERS_S):
-            await state.wait_closed()
-        connections.cancel_scope.deadline = ends_at
-        await state.end_requests()
+            await trio.sleep(_http_connection.IDLE_GRACE_S)
+            await _accept_waiting(listeners)
+        accepting.cancel_scope.cancel()
+    return ends_at
 
 
 async def _accept_waiting(listeners: list[trio.SocketListener]) -> None:
--- a/citronrail/adapters/tests/test_http_stop.py
+++ b/citronrail/adapters/tests/test_http_stop.py
@@ -19,9 +19,9 @@
 class _Port:
     """A served application and the event that stops it."""
 
-    def __init__(self, handle_s=0.0, started=False):
+    def __init__(self, handle_s=0.0, repeats=1):
         self.handle_s = handle_s
-        self.started = started
+        self.repeats = repeats
         self.handled = []
         self.shutdown = trio.Event()
         self.closed = trio.Event()
@@ -51,9 +51,11 @@
         if scope['path'] == '/666':
             raise RecursionError
         await trio.sleep(self.handle_s)
+        body = b'ok' * self.repeats
+        length = b'%d' % len(body)
         start = {'type': 'http.response.start', 'status': 200}
-        await send({**start, 'headers': [(b'content-length', b'2')]})
-        await send({'type': 'http.response.body', 'body': b'ok'})
+        await send({**start, 'headers': [(b'content-length', length)]})
+        await send({'type': 'http.response.body', 'body': body})
 
     async def connect(self):
         return await trio.open_tcp_stream('127.0.0.1', self.number)
@@ -191,6 +193,21 @@
     assert STATUS.findall(data) == [b'504']
 
 
+async def test_client_that_does_not_read(nursery):
+    """Guards against a stop that waits without end for a client to read.
+
+    hypercorn shields the sending from cancellation.
+    """
+    port = _Port(repeats=10_000_000)
+    await nursery.start(port.run)
+    stream = await port.connect()
+    await stream.send_all(REQUEST % 1)
+    await trio.sleep(0.1)
+    port.shutdown.set()
+    with trio.fail_after(DRAIN_S + 0.5):
+        await port.closed.wait()
+
+
 async def test_failure_in_a_handler(nursery):
     """Guards against an exception that ends other connections."""
     port = _Port()
