Soak planned stops under connections in use

Callers go on sending over kept-alive, pipelined, slow and new connections while entries are stopped alone, in turn 1 s apart, twice, and with SIGHUP or configurations before and within the drain. A request that was sent whole, and whose connection ended later than 0.2 s after without a complete answer, is lost. Processes that end by themselves or need SIGKILL fail a run as well. Answers that come after the caller gave up are counted as late.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -11,6 +11,7 @@
 import trio
 
 from soak import _run
+from soak import _stops
 
 DEFAULT_FAULT_SECONDS = 12.0
 
@@ -31,6 +32,11 @@
         default=1,
         help='number of consecutive seeds to run',
     )
+    parser.add_argument(
+        '--stops',
+        action='store_true',
+        help='planned stops under connections in use, instead of faults',
+    )
     parser.add_argument('--seconds', type=float, default=DEFAULT_FAULT_SECONDS)
     parser.add_argument(
         '--keep',
@@ -48,6 +54,11 @@
         for seed in range(first, first + args.seeds):
             directory = root / str(seed)
             directory.mkdir(parents=True)
+            if args.stops:
+                stops = trio.run(_stops.run, seed, directory)
+                failed += not stops.passed
+                _print_stops(stops)
+                continue
             result = trio.run(_run.run, seed, args.seconds, directory)
             failed += bool(result.violations)
             _print(result)
@@ -69,5 +80,18 @@
             print(f'  fault: {line}')
 
 
+def _print_stops(result: _stops.Result) -> None:
+    print(
+        f'seed {result.seed} ({result.conditions}): '
+        f'{sum(result.statuses.values())} answered {result.statuses}, '
+        f'{len(result.lost)} lost, {result.raced} raced, {result.late} late, '
+        f'{len(result.killed)} killed, {len(result.ended)} ended',
+        flush=True,
+    )
+    if not result.passed:
+        for line in (*result.lost, *result.steps):
+            print(f'  {line}')
+
+
 if __name__ == '__main__':
     sys.exit(main())
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -35,22 +35,20 @@
 SERVICE = 'pool'
 CONFIG_KEY = 'op/config'
 SHUTDOWN_GRACE_S = 6.0
+LOAD_SETTINGS = pathlib.Path(__file__).parents[1] / 'deploy' / 'load.json'
 MAX_LEASE_MS = 6000
 ENTRY_COUNT = 3
 WORKER_COUNT = 4
-CONFIG = {
-    'version': 1,
-    'routes': [
-        {
-            'name': 'jobs',
-            'host': HOST_NAME,
-            'prefix': JOBS_PATH_PREFIX,
-            'service': SERVICE,
-            'maxAttempts': 50,
-        }
-    ],
-    'services': [{'name': SERVICE}],
-}
+ROUTES = [
+    {
+        'name': 'jobs',
+        'host': HOST_NAME,
+        'prefix': JOBS_PATH_PREFIX,
+        'service': SERVICE,
+        'maxAttempts': 50,
+    }
+]
+CONFIG = {'version': 1, 'routes': ROUTES, 'services': [{'name': SERVICE}]}
 
 
 class Node:
@@ -79,6 +77,7 @@
     :param directory: directory for settings and logs.
     :param rng: random number generator.
     :param make_plan: returns the behaviour of a task, given its name.
+    :param hard_load: turn the parts for hard load on.
     """
 
     def __init__(
@@ -86,8 +85,11 @@
         directory: pathlib.Path,
         rng: random.Random,
         make_plan: typing.Callable[[str], task_worker.TaskPlan],
+        *,
+        hard_load: bool = False,
     ) -> None:
         self.directory = directory
+        self._hard_load = hard_load
         # A separate loopback subnet keeps concurrent runs from sharing ports.
         self._subnet = f'127.{1 + os.getpid() % 200}.{rng.randrange(250)}'
         self.store = key_value.MemoryStore()
@@ -204,8 +206,14 @@
                 stdin=subprocess.DEVNULL,
                 stdout=log,
                 stderr=subprocess.STDOUT,
+                env=self._environment(),
             )
 
+    def _environment(self) -> dict[str, str]:
+        if not self._hard_load:
+            return dict(os.environ)
+        return {**os.environ, 'CITRONRAIL_LOAD_SETTINGS': str(LOAD_SETTINGS)}
+
     def _settings(self, node: Node) -> dict[str, typing.Any]:
         is_entry = node.role == 'entry'
         entry_ports = {"front": CALLERS_PORT, "ready": READY_PORT}
@@ -217,7 +225,10 @@
             'ip': node.ip,
             'listen': {k: f'{node.ip}:{v}' for k, v in listen.items()},
             'internalPortRange': list(PEER_PORTS),
-            'platform': {'addr': f'{node.ip}:{STORE_PROXY_PORT}'},
+            'platform': {
+                'addr': f'{node.ip}:{STORE_PROXY_PORT}',
+                'writesPerS': 2000 if self._hard_load else 0,
+            },
             'bounds': {
                 'maxHoldMs': MAX_LEASE_MS,
                 'graceS': SHUTDOWN_GRACE_S,
