Answer 503 to jobs whose body is not whole when a drain ends

Seen by callers: a job whose body arrived slowly around the end of a drain was answered with 504 by the port, although it certainly wasn't run. Callers don't repeat a request that was answered with 504.

Evidence: the new test before the change: TooSlowError, no answer within 1 s of the time by which all requests have to be answered.

Conclusion: 504 at a stop is left for requests that were passed on.

--- a/citronrail/platform/_caller_app.py
+++ b/citronrail/platform/_caller_app.py
@@ -90,8 +90,11 @@
             )
             return _cancel_response(reply)
         try:
-            spec = await _read_job(req, current.max_body_bytes)
+            spec = await _read_job(req, current.max_body_bytes, answer_by)
         except trio.TooSlowError:
+            if trio.current_time() >= answer_by():
+                refusals.record(STOPPING)
+                return _not_run_response(1)
             return _http_apps.json_response(408, {'error': 'body too slow'})
         except _http_apps.BodyTooLarge as exc:
             return _http_apps.json_response(413, {'error': str(exc)})
@@ -131,9 +134,11 @@
 
 
 async def _read_job(
-    req: requests.Request, max_body_bytes: int
+    req: requests.Request,
+    max_body_bytes: int,
+    answer_by: collections.abc.Callable[[], float],
 ) -> workflows.WorkflowSpec:
-    body = await _http_apps.read_body(req)
+    body = await _http_apps.read_body(req, answer_by)
     if len(body) > max_body_bytes:
         raise _http_apps.BodyTooLarge('the body is too large')
     return _wire_jobs.decode_job(body)
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -360,3 +360,41 @@
     assert answer.status_code == 503
     assert answer.headers['retry-after'] == '1'
     assert not service.submitted
+
+
+async def test_body_that_is_not_whole_at_the_end_of_the_answers(
+    service, autojump_clock
+):
+    """Guards against 504, or a cut, for a job that was certainly not run.
+
+    Callers don't repeat a request that was answered with 504.
+    """
+    ends_at = [float('inf')]
+    config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
+    app = _caller_app.caller_app(service, lambda: config, lambda: ends_at[0])
+
+    send, receive = trio.open_memory_channel(2)
+    body = {'type': 'http.request', 'body': _body()[:10], 'more_body': True}
+    await send.send(body)
+    sent = []
+
+    async def record(message):
+        sent.append(message)
+
+    scope = {
+        'type': 'http',
+        'method': 'POST',
+        'path': f'/q/{JOB}',
+        'headers': [(b'host', b'a.example')],
+        'query_string': b'',
+        'app': app,
+    }
+    with trio.fail_after(3.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app, scope, receive.receive, record)
+            await trio.sleep(1.0)
+            # The stop begins while the body is read.
+            ends_at[0] = trio.current_time() + 1.0
+    assert sent[0]['status'] == 503
+    assert (b'retry-after', b'1') in sent[0]['headers']
+    assert not service.submitted
