Ignore offers to switch the protocol of a connection

Seen by callers: nothing so far; found with a table of odd requests. One request that offers h2c with settings that can't be read ended the process, with all requests in it. An offer of WebSocket got 400, its connection stayed open and held a stop up for all of its time.

Cause: hypercorn decodes the settings of h2c within the task of the connection, whose exceptions end all connections; its state for WebSocket doesn't close after a refusal.

Evidence: the new tests at: "binascii.Error: Incorrect padding" out of adapters.serve, and "assert [b'400'] == [b'200']".

Change: both offers are ignored, which HTTP allows; the request is served over HTTP/1.1.

--- a/citronrail/adapters/_http_connection.py
+++ b/citronrail/adapters/_http_connection.py
@@ -198,7 +198,18 @@
         await self._send_error_response(504)
 
     async def _check_protocol(self, event: h11.Request) -> None:
-        """Ignore offers to switch to HTTP/2."""
+        """Ignore offers to switch to HTTP/2, whose settings may be invalid."""
+
+    async def _create_stream(self, request: h11.Request) -> None:
+        """Handle a request; an offer to switch to WebSocket is ignored."""
+        headers = [item for item in request.headers if item[0] != b'upgrade']
+        plain = h11.Request(
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            http_version=request.http_version,
+        )
+        await super()._create_stream(plain)
 
 
 class Connection(tcp_server.TCPServer):
--- a/citronrail/adapters/tests/test_http_stop.py
+++ b/citronrail/adapters/tests/test_http_stop.py
@@ -220,6 +220,33 @@
     assert STATUS.findall(data) == [b'500']
 
 
+@pytest.mark.parametrize(
+    'offer',
+    [
+        pytest.param(
+            b'Upgrade: h2c\r\nConnection: upgrade, http2-settings\r\n'
+            b'HTTP2-Settings: AA\r\n',
+            id='h2c with settings that cannot be read',
+        ),
+        pytest.param(
+            b'Upgrade: websocket\r\nConnection: upgrade\r\n', id='websocket'
+        ),
+    ],
+)
+async def test_offer_to_switch_the_protocol(nursery, offer):
+    """Guards against a request that ends the process or holds up its stop."""
+    port = _Port()
+    await nursery.start(port.run)
+    stream = await port.connect()
+    await stream.send_all(b'GET /1 HTTP/1.1\r\nHost: h\r\n' + offer + b'\r\n')
+    await _answered(await port.connect())
+    port.shutdown.set()
+    data, _ = await _read_all(stream, 1.0)
+    assert STATUS.findall(data) == [b'200']
+    with trio.fail_after(1.0):
+        await port.closed.wait()
+
+
 async def test_idle_connections_are_closed(nursery):
     """Guards against a stop that waits for clients that send nothing."""
     port = _Port()
