--- a/citronrail/daemon/_application.py
+++ b/citronrail/daemon/_application.py
@@ -12,6 +12,10 @@
 Hook = collections.abc.Callable[[], collections.abc.Awaitable[None]]
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 RELOAD_SIGNAL = signal.SIGHUP
+# Of the time limit for draining, this is left to the last component, which
+# answers callers: a store that hangs delays the drains before it.
+RESERVED_DRAIN_SHARE = 0.25
+MAX_RESERVE_S = 1.5
 
 
 @dataclasses.dataclass(frozen=True)
@@ -39,6 +43,9 @@
     def __init__(self, node_id: str, drain_limit_s: float = 30.0) -> None:
         self._node_id = node_id
         self._drain_limit_s = drain_limit_s
+        self._reserve_s = min(
+            MAX_RESERVE_S, drain_limit_s * RESERVED_DRAIN_SHARE
+        )
         self._components: list[Component] = []
         self._on_started: list[Hook] = []
         self._on_reload: list[Hook] = []
@@ -46,6 +53,8 @@
         self._stop_reason = 'none'
         self.ready = False
         self.draining = False
+        # Local time by which the process has drained, infinity before a stop.
+        self.drain_ends_at = float('inf')
 
     def add(
         self,
@@ -68,7 +77,7 @@
     def on_reload(self, hook: Hook) -> None:
         """Await ``hook`` on SIGHUP, which signals changed settings.
 
-        A hook must not raise; on failure, the process continues unchanged.
+        If a hook fails, that is logged and the process continues unchanged.
         """
         self._on_reload.append(hook)
 
@@ -80,8 +89,8 @@
     async def run(self, handle_signals: bool = True) -> None:
         """Run all components until a planned stop is complete.
 
-        :param handle_signals: treat SIGTERM and SIGINT as a planned stop, a
-            second one as an immediate stop, and SIGHUP as a reload.
+        :param handle_signals: treat SIGTERM and SIGINT as a planned stop,
+            SIGINT during it as an immediate stop, and SIGHUP as a reload.
         """
         async with trio.open_nursery() as nursery:
             if handle_signals:
@@ -112,10 +121,14 @@
         self.ready = False
         self.draining = True
         observability.emit(events.DRAIN_STARTED, signal=self._stop_reason)
-        deadline = trio.current_time() + self._drain_limit_s
-        for component in reversed(self._components):
-            if component.drain is None:
-                continue
+        ends_at = trio.current_time() + self._drain_limit_s
+        self.drain_ends_at = ends_at
+        draining = [c for c in reversed(self._components) if c.drain]
+        for component in draining:
+            assert component.drain is not None
+            deadline = ends_at
+            if component is not draining[-1]:
+                deadline -= self._reserve_s
             started_at = trio.current_time()
             with trio.move_on_at(deadline) as scope:
                 await component.drain()
@@ -145,6 +158,10 @@
                 if number == RELOAD_SIGNAL:
                     await self._reload()
                     continue
+                if self._stop.is_set() and number != signal.SIGINT:
+                    # Planned stops may overlap; requests are still answered.
+                    observability.emit(events.STOP_REPEATED, signal=name)
+                    continue
                 if self._stop.is_set():
                     observability.emit(events.KILLED, signal=name)
                     scope.cancel()
@@ -154,4 +171,7 @@
     async def _reload(self) -> None:
         observability.emit(events.RELOADED, node=self._node_id)
         for hook in self._on_reload:
-            await hook()
+            try:
+                await hook()
+            except Exception as exc:  # noqa: BLE001
+                observability.emit(events.RELOAD_FAILED, reason=repr(exc))
--- a/citronrail/observability/catalogue/daemon.py
+++ b/citronrail/observability/catalogue/daemon.py
@@ -41,3 +41,14 @@
     'event loop of {node} was up to {seconds} s late; it is short of '
     'processor time',
 )
+STOP_REPEATED = _events.EventKind(
+    1016, 'INFO', 'signal {signal} during the drain; the drain goes on'
+)
+RELOAD_FAILED = _events.EventKind(
+    1017, 'ERROR', 'reload after SIGHUP failed: {reason}'
+)
+REQUESTS_REFUSED = _events.EventKind(
+    1018,
+    'WARNING',
+    '{count} requests answered with 503 since the last line: {reason}',
+)
--- a/citronrail/platform/_transport_metrics.py
+++ b/citronrail/platform/_transport_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics of calls to the platform."""
+"""Metrics of calls to the platform and of requests of its callers."""
 
 import prometheus_client
 
@@ -12,3 +12,9 @@
     'Data that was refused or skipped as malformed or out of range, by source',
     ['source'],
 )
+REQUESTS_REFUSED = prometheus_client.Counter(
+    'citronrail_platform_requests_refused',
+    'Requests of callers answered with 503 for the state of this process, by '
+    'reason',
+    ['reason'],
+)
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -294,3 +294,107 @@
     res = await _post(client, f'/q/{JOB}', _body())
     assert res.status_code == 429
     assert res.headers['Retry-After'] == '17'
+
+
+class _HangingService(_Service):
+    """Replies to nothing."""
+
+    async def submit(self, queue, job_id, spec, deadline):
+        await trio.sleep_forever()
+
+    async def cancel(self, job_id, deadline):
+        await trio.sleep_forever()
+
+    state = cancel
+
+    async def pending(self, queue):
+        await trio.sleep_forever()
+
+
+@pytest.mark.parametrize(
+    ('method', 'path', 'status'),
+    [
+        pytest.param('POST', JOB, 504, id='submit'),
+        pytest.param('DELETE', JOB, 504, id='cancel'),
+        pytest.param('GET', JOB, 503, id='state'),
+        pytest.param('GET', '', 503, id='pending'),
+    ],
+)
+@pytest.mark.parametrize(
+    ('stops_in_s', 'deadline_ms', 'limit_s'),
+    [
+        pytest.param(float('inf'), '1000', 1.0, id='deadline of the caller'),
+        pytest.param(0.4, '3000', 0.6, id='stop of the process'),
+    ],
+)
+async def test_answers_come_in_time(
+    autojump_clock, method, path, status, stops_in_s, deadline_ms, limit_s
+):
+    """Guards against answers after the caller's time or the process's."""
+    config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
+    ends_at = trio.current_time() + stops_in_s
+    client = _client(
+        _caller_app.caller_app(
+            _HangingService(), lambda: config, lambda: ends_at
+        )
+    )
+    with trio.fail_after(limit_s):
+        answer = await client.request(
+            method,
+            f'/q/{path}',
+            content=_body() if method == 'POST' else None,
+            headers={'Host': 'a.example', 'Deadline-Ms': deadline_ms},
+        )
+    assert answer.status_code == status
+
+
+@pytest.mark.parametrize('method', ['GET', 'POST', 'DELETE'])
+async def test_requests_after_the_end_of_the_answers(service, method):
+    """Guards against work that a stopping process can't answer any more."""
+    config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
+    now = trio.current_time()
+    app = _caller_app.caller_app(service, lambda: config, lambda: now)
+    answer = await _client(app).request(
+        method, f'/q/{JOB}', content=_body(), headers={'Host': 'a.example'}
+    )
+    assert answer.status_code == 503
+    assert answer.headers['retry-after'] == '1'
+    assert not service.submitted
+
+
+async def test_body_that_is_not_whole_at_the_end_of_the_answers(
+    service, autojump_clock
+):
+    """Guards against 504, or a cut, for a job that was certainly not run.
+
+    Callers don't repeat a request that was answered with 504.
+    """
+    ends_at = [float('inf')]
+    config = workflows.OperatorConfig(1, QUEUES, max_body_bytes=5000)
+    app = _caller_app.caller_app(service, lambda: config, lambda: ends_at[0])
+
+    send, receive = trio.open_memory_channel(2)
+    body = {'type': 'http.request', 'body': _body()[:10], 'more_body': True}
+    await send.send(body)
+    sent = []
+
+    async def record(message):
+        sent.append(message)
+
+    scope = {
+        'type': 'http',
+        'method': 'POST',
+        'path': f'/q/{JOB}',
+        'headers': [(b'host', b'a.example')],
+        'query_string': b'',
+        'app': app,
+    }
+    with trio.fail_after(3.0):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(app, scope, receive.receive, record)
+            await trio.sleep(1.0)
+            # The stop begins while the body is read.
+            ends_at[0] = trio.current_time() + 1.0
+    assert sent[0]['status'] == 503
+    assert (b'retry-after', b'1') in sent[0]['headers']
+    assert not service.submitted
