Start suspected tasks on hosts that have not lost their worker lately

Seen by callers: good jobs shown as failed where workers flap, and where zones or all hosts lose power in series, with and without a replaced scheduler.

Cause: a worker that has just come back has the fewest runs, so that it drew the same task again and again, and was lost again. Two of these crashes could be on one host and still counted as proof. That a run had lasted was stored for suspected tasks only, so that a successor suspected all others.

Change: the scheduler keeps which hosts lost their worker in the last 3 s. Suspected tasks leave them out for at most 1.5 s, unless all are like that. A crash on such a host points to nothing, and the crashes that prove must have been on two hosts. Losses caused by a task that is given up are forgiven. While hosts are lost, that a run has lasted is stored with the next commit.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -4,15 +4,17 @@
 along and lists no ends, so that a crash looks alike for the task that caused
 it and for those that merely ran there. These rules tell them apart:
 
-* Only a run that is new on its worker can have caused a crash: one that the
-  worker has not listed yet, or that was ordered right before.
-* A suspected task starts only as the one new run of its worker (see
-  :mod:`citronrail.workflow._probation`), so that a further crash points to
-  its job alone.
-* A task is given up after three crashes, two of which pointed to its job
-  alone, on different hosts if there are any. Where workers also crash without
-  suspected tasks, that can be a coincidence: more are needed, and a host that
-  did so is no evidence.
+* Only a run that is new on its worker can have caused a crash: one that has
+  not been listed for some time, or that was ordered right before.
+* A suspected task starts only as the one new run of its worker, at first on a
+  host that has not lost its worker lately (see
+  :mod:`citronrail.workflow._probation`), so that a further crash points to its
+  job alone. A crash points to a job only if an agent saw it right after the
+  start, on such a host.
+* A task is given up after three crashes, of which those on two hosts point to
+  its job alone. Where workers also crash without suspected tasks, that can be
+  a coincidence: more are needed.
+* After five crashes it is given up in any case.
 """
 
 import collections.abc
@@ -34,8 +36,8 @@
 # Runs that a predecessor assigned so long before a worker came back were
 # cleared when it was lost; workers are back within some seconds.
 INHERITED_NEW_S = 6.0
-# Crashes before a task is given up, and how many of them must point to it
-# alone.
+# Crashes before a task is given up, and on how many hosts they must point to
+# it alone.
 MIN_CRASHES = 3
 MIN_SOLE_CRASHES = 2
 # One more must point to it if this share of the workers has crashed without
@@ -57,7 +59,7 @@
     :param unexplained_ratio: recent crashes without suspected tasks as a
         share of all workers.
     """
-    sole_count = sum(crash.sole for crash in crashes)
+    sole_count = len({crash.node for crash in crashes if crash.sole})
     needed = MIN_SOLE_CRASHES + int(unexplained_ratio / UNEXPLAINED_RATIO)
     return len(crashes) >= MAX_CRASHES or (
         len(crashes) >= MIN_CRASHES and sole_count >= needed
@@ -68,16 +70,18 @@
 class _Loss:
     """The end of a worker incarnation that nobody had announced.
 
-    ``runs`` are those that were new on it. ``near_start`` tells whether it was
-    seen to be lost right after the start of one. ``at`` is the local time in
-    seconds.
+    ``runs`` are those that were new on it, ``at`` is the local time in
+    seconds. ``near_start`` tells whether it was seen to be lost right after
+    the start of one, ``on_sound_host`` whether its host had not lost a worker
+    shortly before.
     """
 
     node: str
     life: tuple[str, int]
     runs: tuple[_job.Attempt, ...]
-    near_start: bool
     at: float
+    near_start: bool = False
+    on_sound_host: bool = False
 
 
 class CrashLog:
@@ -121,9 +125,17 @@
             _is_near_start(attempt, view) for attempt in new
         )
         life = (view.worker_id, view.life.born_ms)
-        self._attribute(
-            _Loss(view.node, life, tuple(new), near_start, now), unix_now
+        losses = self._scheduler_state.host_losses
+        loss = _Loss(
+            view.node,
+            life,
+            tuple(new),
+            now,
+            near_start,
+            not losses.count(view.node, now),
         )
+        losses.add(life, view.node, now)
+        self._attribute(loss, unix_now)
 
     def on_inherited_runs_lost(
         self,
@@ -150,9 +162,9 @@
             if assigned_lately and not attempt.lasted:
                 by_life.setdefault(attempt.life, []).append(attempt)
         for life, runs in by_life.items():
-            self._attribute(
-                _Loss(runs[0].node, life, tuple(runs), False, now), unix_now
-            )
+            node = runs[0].node
+            self._scheduler_state.host_losses.add(life, node, now)
+            self._attribute(_Loss(node, life, tuple(runs), now), unix_now)
 
     def on_leases_expired(
         self, view: _worker_view.WorkerView, now: float
@@ -189,8 +201,8 @@
     ) -> None:
         """Clear a task whose run has lasted.
 
-        For a suspected task that is stored at once, so that a successor knows
-        it.
+        While hosts are lost that is stored at once, so that a successor
+        doesn't count the loss of the run.
         """
         if attempt.lasted or not attempt.listed_at:
             return
@@ -198,7 +210,9 @@
             return
         attempt.lasted = True
         task = attempt.task
-        if task.crashes:
+        if task.crashes or self._scheduler_state.host_losses.any(
+            view.listed_at
+        ):
             task.crashes = ()
             self._scheduler_state.dirty.add(task.stage.job)
 
@@ -211,11 +225,9 @@
         ]
         suspected = any(attempt.task.crashes for attempt in loss.runs)
         jobs = {attempt.task.stage.job for attempt in loss.runs}
-        sole = loss.near_start and len(jobs) == 1
+        sole = loss.near_start and loss.on_sound_host and len(jobs) == 1
         for attempt in loss.runs:
-            others = self._unexplained_without(attempt.task)
-            host_is_sound = all(loss.node != item.node for item in others)
-            self._add(attempt, sole=sole and host_is_sound)
+            self._add(attempt, sole=sole)
         if not suspected:
             self._unexplained.append(loss)
         for attempt in loss.runs:
@@ -266,6 +278,9 @@
             workers=', '.join(crash.worker_id for crash in task.crashes),
         )
         self._unexplained = self._unexplained_without(task)
+        self._scheduler_state.host_losses.forgive(
+            crash.life for crash in task.crashes
+        )
         job.failed = True
         self._scheduler_state.end_job(job, unix_now, 'the job is given up')
 
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -66,7 +66,7 @@
     worker_id: str
     born_ms: int
     node: str  # agent on the worker's host
-    sole: bool  # no other job had a new run there
+    sole: bool  # it points to this job and to nothing else
 
     @property
     def life(self) -> tuple[str, int]:
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -4,6 +4,7 @@
 
 from citronrail.model import workflows
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _host_losses
 from citronrail.workflow import _queue_order
 
 PACE_ORDER_DELAY_S = 0.2  # from sending a pace to its effect on the worker
@@ -295,6 +296,8 @@
         self.started = False  # a run was assigned
         self.begun = False  # a worker has listed a run, or its end
         self.failed_on: set[str] = set()  # agents of failed runs
+        # Shared by all jobs of a scheduler.
+        self.host_losses = _host_losses.HostLosses()
 
     @property
     def status(self) -> documents.JobStatus:
--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -17,8 +17,9 @@
 from citronrail.workflow import _worker_view
 
 HOLD_S = 2.0  # new runs are listed in less, or their worker is in trouble
-# After this wait a task may return to a host that a crash pointed to, and one
-# that was lost only once, among other new runs, starts like any other.
+# After this wait a task may start on a host that lost its worker lately or to
+# which a crash pointed, and one that was lost only once, among other new runs,
+# starts like any other.
 MAX_WAIT_S = 1.5
 # Share of a service's workers that are on probation or held at a time.
 MAX_RESERVED_RATIO = 0.5
@@ -78,28 +79,25 @@
     def take(self, task: _job.Task) -> _step_ranking.Choice | None:
         """Choose a worker for a suspected task and reserve it for its job.
 
-        A worker with few runs loses little if it crashes; that is often the
-        one that has just come back. After two crashes on it, it may be the
-        host that is unstable.
+        A worker with few runs loses little if it crashes. That is often the
+        one that has just come back, so a sound host goes first.
 
         :param task: the task.
         :returns: the choice, None if the task has to wait.
         """
         job = task.stage.job
-        fitting = [
-            candidate
-            for candidate in self._fitting(task)
-            if self._is_open_to(job, candidate)
-        ]
+        fitting = self._fitting(task)
+        open_ones = [item for item in fitting if self._is_open_to(job, item)]
         if self._at_limit():
-            fitting = [item for item in fitting if item.reserved]
-        if not fitting:
+            open_ones = [item for item in open_ones if item.reserved]
+        if not open_ones:
             return None
+        losses = job.host_losses
         crashes = collections.Counter(crash.node for crash in task.crashes)
         chosen = min(
-            fitting,
+            open_ones,
             key=lambda item: (
-                crashes[item.node] > 1,
+                losses.count(item.node, self.now) + crashes[item.node],
                 len(self.workers[item.node].attempts),
             ),
         )
@@ -138,17 +136,27 @@
     def _fitting(self, task: _job.Task) -> list[_placement.WorkerCapacity]:
         """Return the workers that may start a task.
 
-        Hosts that a crash has pointed to are left out at first; others may be
-        too small or full.
+        Hosts that a crash has pointed to, or that lost their worker lately,
+        are left out at first; others may be too small or full. Where there
+        are no others, a wait would only bring the next loss closer.
         """
         blamed = {crash.node for crash in task.crashes if crash.sole}
-        if self.now - task.retry_at > MAX_WAIT_S:
-            blamed = set()
+        losses = task.stage.job.host_losses
+        any_host = self._waited(task, MAX_WAIT_S) or all(
+            losses.count(candidate.node, self.now)
+            for candidate in self.candidates
+        )
         spec = task.stage.spec
         return [
             candidate
             for candidate in self.candidates
-            if candidate.node not in blamed
+            if (
+                any_host
+                or (
+                    candidate.node not in blamed
+                    and not losses.count(candidate.node, self.now)
+                )
+            )
             and _placement.evaluate(
                 spec,
                 task.stage.name,
@@ -159,6 +167,10 @@
             is not None
         ]
 
+    def _waited(self, task: _job.Task, wait_s: float) -> bool:
+        """Whether a task has waited for longer than a bound."""
+        return self.now - task.retry_at > wait_s
+
     def _is_open_to(
         self, job: _job.Job, candidate: _placement.WorkerCapacity
     ) -> bool:
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -9,6 +9,7 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _health
+from citronrail.workflow import _host_losses
 from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _worker_view
@@ -33,6 +34,7 @@
         self.queue_named = queue_named
         self.jobs: dict[str, _job.Job] = {}
         self.workers: dict[str, _worker_view.WorkerView] = {}
+        self.host_losses = _host_losses.HostLosses()
         self.dirty: set[_job.Job] = set()
         self.pending_cancels: set[str] = set()
         # By agent: runs of an earlier scheduler whose worker has not reported
@@ -51,6 +53,7 @@
             return
         age_s = min(600.0, max(0.0, unix_now - record.accepted_at))
         job = _job.Job(record, now - age_s)
+        job.host_losses = self.host_losses
         self.jobs[record.job_id] = job
         progress = self.progress.pop(record.job_id, None)
         if progress is not None:
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -8,8 +8,10 @@
 from citronrail.model import workflows
 from citronrail.workflow import _crashes
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _reports
+from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.tests import _cluster
 
@@ -266,3 +268,61 @@
     assert (not task.crashes) is cleared
     play.lose('a0')
     assert not task.crashes or not cleared
+
+
+@pytest.mark.parametrize(
+    ('up_s', 'sole'),
+    [(0.5, False), (10.0, True)],
+    ids=['lost shortly before', 'settled'],
+)
+def test_only_a_sound_host_gives_evidence(up_s, sole):
+    """Guards against blaming a task for a worker that flaps."""
+    play = _Play()
+    play.lose('a0')
+    play.now += up_s
+    task = play.start('a0')
+    play.lose('a0')
+    assert [crash.sole for crash in task.crashes] == [sole]
+
+
+def test_one_host_is_no_proof():
+    """Guards against giving up work that one unstable host has lost."""
+    crashes = [
+        documents.CrashRecord('w0', number, 'a0', True) for number in range(4)
+    ]
+    assert not _crashes.is_proved(crashes, 0.0)
+
+
+@pytest.mark.parametrize(
+    ('lost', 'expected'),
+    [
+        (('a0',), ('a1', 'a2')),
+        (('a0', 'a1', 'a2'), ('a0', 'a1', 'a2')),
+    ],
+    ids=['another host is sound', 'none is sound'],
+)
+def test_suspected_task_starts_on_a_sound_host(lost, expected):
+    """Guards against a worker that flaps and draws the same task each time.
+
+    A worker that has just come back has the fewest runs. Where all have, the
+    task starts at once.
+    """
+    play = _Play()
+    for number, node in enumerate(('a1', 'a2')):
+        play.start(node, f'{number:016x}')
+        play.list_runs(node)
+    play.now += 5.0
+    for node in lost:
+        play.lose(node, down_s=0.1)
+    for node in set(play.born) - set(lost):
+        play.list_runs(node)
+    task = play.start('a0')
+    play.state.remove_run(task.attempts[0])
+    task.crashes = (_crash(1, True), _crash(2, False))
+    task.retry_at = play.now
+    policy = _round.Policy(
+        lambda name: _cluster.QUEUE, frozenset(), _interference.PairFactors()
+    )
+    placed = _round.place(play.state, policy, play.now, UNIX_NOW)
+    nodes = [item.node for item in placed if item.task is task]
+    assert nodes and set(nodes) <= set(expected)
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -103,7 +103,7 @@
         self._rng = rng
         self._max_lease_s = max_lease_s
         self._stop_s = stop_s
-        self._down_s = down_s
+        self.down_s = down_s
         self._nursery: trio.Nursery | None = None
         self._incarnation = 0
         self._reset_state()
@@ -132,7 +132,7 @@
             return
         self._lose_runs()
         self.faults.down = True
-        await trio.sleep(self._down_s)
+        await trio.sleep(self.down_s)
         self._reset_state()
         self.faults.down = False
 
