Bound the wait of suspected tasks for a worker without new runs

Seen by callers: by reading, a job with nothing running for 3 s although there was room (LOST): a suspected task waited without end while each worker had new runs or half of them were reserved.

Before: test_suspected_task_does_not_wait_for_ever[waited long enough] "assert [] == [True]".

Change: after 2.2 s it starts beside other new runs, on a worker on which no other suspected job starts. The crash that may follow points to nothing.

--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -21,6 +21,9 @@
 # which a crash pointed, and one that was lost only once, among other new runs,
 # starts like any other.
 MAX_WAIT_S = 1.5
+# After this wait a task starts beside other new runs. A job that has nothing
+# running for 3 s although there is room counts as lost.
+MAX_ALONE_WAIT_S = 2.2
 # Share of a service's workers that are on probation or held at a time.
 MAX_RESERVED_RATIO = 0.5
 
@@ -90,6 +93,12 @@
         open_ones = [item for item in fitting if self._is_open_to(job, item)]
         if self._at_limit():
             open_ones = [item for item in open_ones if item.reserved]
+        if not open_ones and self._waited(task, MAX_ALONE_WAIT_S):
+            open_ones = [
+                item
+                for item in fitting
+                if self.workers[item.node].probation_job in (None, job)
+            ]
         if not open_ones:
             return None
         losses = job.host_losses
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -326,3 +326,24 @@
     placed = _round.place(play.state, policy, play.now, UNIX_NOW)
     nodes = [item.node for item in placed if item.task is task]
     assert nodes and set(nodes) <= set(expected)
+
+
+@pytest.mark.parametrize(
+    ('waited_s', 'starts'),
+    [(1.6, False), (2.3, True)],
+    ids=['waits for a worker without new runs', 'waited long enough'],
+)
+def test_suspected_task_does_not_wait_for_ever(waited_s, starts):
+    """Guards against 3 s without a run where each worker has new runs."""
+    play = _Play()
+    for number, node in enumerate(play.born):
+        play.start(node, f'{number:016x}')
+    task = play.start('a0')
+    play.state.remove_run(task.attempts[0])
+    task.crashes = (_crash(1, True), _crash(2, False))
+    task.retry_at = play.now - waited_s
+    policy = _round.Policy(
+        lambda name: _cluster.QUEUE, frozenset(), _interference.PairFactors()
+    )
+    placed = _round.place(play.state, policy, play.now, UNIX_NOW)
+    assert [item.task is task for item in placed] == [True] * starts
