Log and count why tasks are suspected and jobs shown as failed

Seen by operators: CR1750 and a counter of tasks that were given up, but no line that tells a job failed for its crashes from one failed for its runs, why a loss pointed to nothing, where and after which wait a suspected task started, or that a task was cleared.

Change: events CR1751 (cleared), CR1752 (start of a suspected task), CR1753 (loss that points to nothing, with the reason), CR1754 (job failed, with the evidence), and the counter citronrail_workflow_jobs_failed_total by cause.

Before: test_log_tells_why_a_task_is_suspected_and_given_up needs the new names and could not run.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -132,6 +132,29 @@
 TASK_GIVEN_UP = _events.EventKind(
     1750, 'ERROR', 'task {task} is given up, it crashed workers {workers}'
 )
+TASK_CLEARED = _events.EventKind(
+    1751,
+    'INFO',
+    'task {task} is not suspected any more after {crashes} crashes, its run '
+    '{run} lasted on worker {worker}',
+)
+SUSPECT_PLACED = _events.EventKind(
+    1752,
+    'INFO',
+    'suspected task {task} starts on {node} after {seconds} s, {alone}; the '
+    'host was lost {losses} times lately',
+)
+CRASH_UNCLEAR = _events.EventKind(
+    1753,
+    'INFO',
+    'loss of worker {worker} on {node} points to none of its {runs} new runs: '
+    '{reason}',
+)
+JOB_FAILED = _events.EventKind(
+    1754,
+    'WARNING',
+    'job {job} is shown as failed for its {evidence}: {detail}',
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -210,6 +210,14 @@
             return
         attempt.lasted = True
         task = attempt.task
+        if task.crashes:
+            observability.emit(
+                events.TASK_CLEARED,
+                task=task.name,
+                crashes=len(task.crashes),
+                run=attempt.number,
+                worker=attempt.worker_id,
+            )
         if task.crashes or self._scheduler_state.host_losses.any(
             view.listed_at
         ):
@@ -225,9 +233,17 @@
         ]
         suspected = any(attempt.task.crashes for attempt in loss.runs)
         jobs = {attempt.task.stage.job for attempt in loss.runs}
-        sole = loss.near_start and loss.on_sound_host and len(jobs) == 1
+        reason = _why_unclear(loss, len(jobs))
+        if loss.runs and reason:
+            observability.emit(
+                events.CRASH_UNCLEAR,
+                worker=loss.life[0],
+                node=loss.node,
+                runs=len(loss.runs),
+                reason=reason,
+            )
         for attempt in loss.runs:
-            self._add(attempt, sole=sole)
+            self._add(attempt, sole=not reason)
         if not suspected:
             self._unexplained.append(loss)
         for attempt in loss.runs:
@@ -281,8 +297,17 @@
         self._scheduler_state.host_losses.forgive(
             crash.life for crash in task.crashes
         )
-        job.failed = True
-        self._scheduler_state.end_job(job, unix_now, 'the job is given up')
+        detail = f'{len(task.crashes)} crashes under {task.name}'
+        self._scheduler_state.fail_job(job, 'crashes', detail, unix_now)
+
+
+def _why_unclear(loss: _Loss, job_count: int) -> str:
+    """Return why a loss points to no job, '' if it points to one."""
+    if not loss.near_start:
+        return 'it was not seen to follow a start'
+    if job_count != 1:
+        return f'runs of {job_count} jobs were new'
+    return '' if loss.on_sound_host else 'its host was lost shortly before'
 
 
 def _is_new(attempt: _job.Attempt, view: _worker_view.WorkerView) -> bool:
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -17,6 +17,11 @@
     'Jobs that ended, by status',
     ['status'],
 )
+JOBS_FAILED = prometheus_client.Counter(
+    'citronrail_workflow_jobs_failed',
+    'Jobs that ended as failed, by cause: failed runs, or crashes',
+    ['cause'],
+)
 JOB_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_job_seconds',
     'Time from the acceptance of a job to its end, by status',
--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -10,6 +10,8 @@
 import collections.abc
 import dataclasses
 
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
 from citronrail.workflow import _placement
@@ -111,6 +113,14 @@
             ),
         )
         view = self.workers[chosen.node]
+        observability.emit(
+            events.SUSPECT_PLACED,
+            task=task.name,
+            node=chosen.node,
+            seconds=round(self.now - task.retry_at, 2),
+            alone='beside new runs' if view.new_run_count else 'alone',
+            losses=losses.count(chosen.node, self.now),
+        )
         view.probation_job = job
         view.held_until = 0.0
         chosen.reserved = True
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -78,6 +78,23 @@
             job.cancelled = True
             self.end_job(job, unix_now, 'the job was cancelled')
 
+    def fail_job(
+        self, job: _job.Job, cause: str, detail: str, unix_now: float
+    ) -> None:
+        """End a job as failed.
+
+        :param job: an open job.
+        :param cause: kind of evidence, for metrics.
+        :param detail: the evidence, for the log.
+        :param unix_now: Unix time in seconds.
+        """
+        job.failed = True
+        metrics.JOBS_FAILED.labels(cause).inc()
+        observability.emit(
+            events.JOB_FAILED, job=job.job_id, evidence=cause, detail=detail
+        )
+        self.end_job(job, unix_now, f'the job has failed for its {cause}')
+
     def end_job(self, job: _job.Job, unix_now: float, reason: str) -> None:
         """Mark a job as ended and stop its remaining runs."""
         job.ended_at = unix_now
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -6,10 +6,13 @@
 
 from citronrail.model import messages
 from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _crashes
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _reports
 from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
@@ -347,3 +350,29 @@
     )
     placed = _round.place(play.state, policy, play.now, UNIX_NOW)
     assert [item.task is task for item in placed] == [True] * starts
+
+
+def _count_failed(cause) -> float:
+    sample = metrics.JOBS_FAILED.labels(cause).collect()[0].samples[0]
+    return sample.value
+
+
+def test_log_tells_why_a_task_is_suspected_and_given_up():
+    """Guards against jobs shown as failed without a line that says why."""
+    recorder = observability.Recorder('e0')
+    observability.use_recorder(recorder)
+    before = _count_failed('crashes')
+    play = _Play()
+    task = play.start('a0')
+    play.lose('a0', seen=False)
+    play.state.remove_run(task.attempts[0])
+    task.crashes = tuple(_crash(number, False) for number in range(4))
+    play.start('a1')
+    play.lose('a1')
+    records = {item.number: item.fields for item in recorder.records()}
+    unclear = records[events.CRASH_UNCLEAR.number]
+    assert unclear['reason'] == 'it was not seen to follow a start'
+    failed = records[events.JOB_FAILED.number]
+    assert (failed['job'], failed['evidence']) == (JOB, 'crashes')
+    assert failed['detail'] == f'5 crashes under {task.name}'
+    assert _count_failed('crashes') == before + 1
