Count jobs that fail for their runs by that cause

The job that fails for max_attempts ends `failed` gets CR1754 and the counter by cause, as one that fails for crashes does. One call in _reports.py.

Before: test_ends_are_counted_once "assert 0.0 == (0.0 + 1)". Its case "repeated" held before as well, but for the counter: an end that is listed again to the same scheduler, or to a successor that has the stored progress, isn't counted twice.

--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -341,8 +341,8 @@
         if stage.spec.gang:
             failures = max(member.failures for member in stage.tasks)
         if failures >= queue.max_attempts and job.open:
-            job.failed = True
-            self._scheduler_state.end_job(job, unix_now, 'the job has failed')
+            detail = f'{failures} failed runs of {task.name}'
+            self._scheduler_state.fail_job(job, 'runs', detail, unix_now)
 
 
 def _update_from_row(
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -376,3 +376,31 @@
     assert (failed['job'], failed['evidence']) == (JOB, 'crashes')
     assert failed['detail'] == f'5 crashes under {task.name}'
     assert _count_failed('crashes') == before + 1
+
+
+@pytest.mark.parametrize('repeated', [False, True], ids=['once', 'repeated'])
+def test_ends_are_counted_once(repeated):
+    """Guards against a job that fails for one end that was listed twice.
+
+    A worker lists an end until it is acknowledged, also to an agent that was
+    restarted in between and to the next scheduler.
+    """
+    before = _count_failed('runs')
+    play = _Play()
+    for number in range(1, _cluster.QUEUE.max_attempts + 1):
+        task = play.start('a0')
+        assert task.stage.job.open
+        end = messages.EndRow(number, task.name, number, 'failed', '')
+        play.report('a0', ended=(end,))
+        if repeated:
+            play.report('a0', ended=(end,))
+            successor = _Play()
+            record = task.stage.job.record
+            successor.state.progress[JOB] = task.stage.job.progress()
+            successor.state.add_job(record, NOW, UNIX_NOW)
+            successor.report('a0', ended=(end,))
+            (restored,) = successor.state.jobs[JOB].stages[0].tasks
+            assert restored.failures == task.failures
+    assert task.failures == _cluster.QUEUE.max_attempts
+    assert not task.stage.job.open
+    assert _count_failed('runs') == before + 1
