Count an inherited run whose worker stays away as a possible crash

Seen: by reading. A run that a predecessor had assigned, on a worker that isn't heard of until all leases have expired, was discarded and its task placed again without a record, so that a task that crashes its workers could be started a sixth time (BUDGET).

Before: test_inherited_run_on_a_worker_that_stays_away_is_counted[new] "assert False is not False" (the job wasn't given up).

Change: such runs are recorded as those on a silent worker are, unless they had lasted. One call in _reports.py.

--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -49,6 +49,8 @@
         for view in self._scheduler_state.workers.values():
             if view.leases_expired(now):
                 self._crash_log.on_leases_expired(view, now)
+        if now > self._scheduler_state.inherited_end_at:
+            self._crash_log.on_inherited_runs_expired(now)
         self._scheduler_state.expire_leases(now)
 
     def take(
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -404,3 +404,29 @@
     assert task.failures == _cluster.QUEUE.max_attempts
     assert not task.stage.job.open
     assert _count_failed('runs') == before + 1
+
+
+@pytest.mark.parametrize('lasted', [False, True], ids=['new', 'lasted'])
+def test_inherited_run_on_a_worker_that_stays_away_is_counted(lasted):
+    """Guards against a crash that no scheduler counts (BUDGET).
+
+    The scheduling entry is replaced after the crash, and the worker isn't
+    heard of until the leases of its runs have expired.
+    """
+    play = _Play(nodes=('a1',))
+    attempt = documents.AttemptRecord(1, 'a0', 'w0', 1, UNIX_NOW, lasted)
+    record = documents.TaskRecord(
+        last_run=1,
+        attempts=(attempt,),
+        crashes=tuple(_crash(number, False) for number in range(4)),
+    )
+    play.state.progress[JOB] = documents.ProgressRecord(
+        'running', stages=((record,),)
+    )
+    spec = _cluster.one_step()
+    play.state.add_job(
+        documents.JobRecord(JOB, 'q', 'pool', 0.0, spec), NOW, UNIX_NOW
+    )
+    play.state.inherited_end_at = NOW + 10.0
+    play.reports.expire_leases(NOW + 11.0)
+    assert play.state.jobs[JOB].failed is not lasted
