--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -68,7 +68,7 @@
     worker_id: bounded.Name
     born_ms: bounded.UnixMs
     node: bounded.Name  # agent on the worker's host
-    sole: bool  # no other job had a new run there
+    sole: bool  # it points to this job and to nothing else
 
     @property
     def life(self) -> tuple[str, int]:
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -53,6 +53,8 @@
         for view in self._scheduler_state.workers.values():
             if view.leases_expired(now):
                 self._crash_log.on_leases_expired(view, now)
+        if now > self._scheduler_state.inherited_end_at:
+            self._crash_log.on_inherited_runs_expired(now)
         self._scheduler_state.expire_leases(now)
 
     def take(
@@ -375,8 +377,8 @@
         if stage.spec.gang:
             failures = max(member.failures for member in stage.tasks)
         if failures >= queue.max_attempts and job.open:
-            job.failed = True
-            self._scheduler_state.end_job(job, unix_now, 'the job has failed')
+            detail = f'{failures} failed runs of {task.name}'
+            self._scheduler_state.fail_job(job, 'runs', detail, unix_now)
 
 
 def _log_unknown(view: _worker_view.WorkerView, row: messages.RunRow) -> None:
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -9,6 +9,7 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _health
+from citronrail.workflow import _host_losses
 from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _worker_view
@@ -34,6 +35,7 @@
         self.queue_named = queue_named
         self.jobs: dict[str, _job.Job] = {}
         self.workers: dict[str, _worker_view.WorkerView] = {}
+        self.host_losses = _host_losses.HostLosses()
         self.dirty: set[_job.Job] = set()
         self.pending_cancels: set[str] = set()
         # By agent: runs of an earlier scheduler whose worker has not reported
@@ -52,6 +54,7 @@
             return
         age_s = min(600.0, max(0.0, unix_now - record.accepted_at))
         job = _job.Job(record, now - age_s)
+        job.host_losses = self.host_losses
         self.jobs[record.job_id] = job
         progress = self.progress.pop(record.job_id, None)
         if progress is not None:
@@ -76,6 +79,23 @@
             job.cancelled = True
             self.end_job(job, unix_now, 'the job was cancelled')
 
+    def fail_job(
+        self, job: _job.Job, cause: str, detail: str, unix_now: float
+    ) -> None:
+        """End a job as failed.
+
+        :param job: an open job.
+        :param cause: kind of evidence, for metrics.
+        :param detail: the evidence, for the log.
+        :param unix_now: Unix time in seconds.
+        """
+        job.failed = True
+        metrics.JOBS_FAILED.labels(cause).inc()
+        observability.emit(
+            events.JOB_FAILED, job=job.job_id, evidence=cause, detail=detail
+        )
+        self.end_job(job, unix_now, f'the job has failed for its {cause}')
+
     def end_job(self, job: _job.Job, unix_now: float, reason: str) -> None:
         """Mark a job as ended and stop its remaining runs."""
         job.ended_at = unix_now
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -6,10 +6,15 @@
 
 from citronrail.model import messages
 from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail.workflow import _crashes
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _reports
+from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.tests import _cluster
 
@@ -266,3 +271,162 @@
     assert (not task.crashes) is cleared
     play.lose('a0')
     assert not task.crashes or not cleared
+
+
+@pytest.mark.parametrize(
+    ('up_s', 'sole'),
+    [(0.5, False), (10.0, True)],
+    ids=['lost shortly before', 'settled'],
+)
+def test_only_a_sound_host_gives_evidence(up_s, sole):
+    """Guards against blaming a task for a worker that flaps."""
+    play = _Play()
+    play.lose('a0')
+    play.now += up_s
+    task = play.start('a0')
+    play.lose('a0')
+    assert [crash.sole for crash in task.crashes] == [sole]
+
+
+def test_one_host_is_no_proof():
+    """Guards against giving up work that one unstable host has lost."""
+    crashes = [
+        documents.CrashRecord('w0', number, 'a0', True) for number in range(4)
+    ]
+    assert not _crashes.is_proved(crashes, 0.0)
+
+
+@pytest.mark.parametrize(
+    ('lost', 'expected'),
+    [
+        (('a0',), ('a1', 'a2')),
+        (('a0', 'a1', 'a2'), ('a0', 'a1', 'a2')),
+    ],
+    ids=['another host is sound', 'none is sound'],
+)
+def test_suspected_task_starts_on_a_sound_host(lost, expected):
+    """Guards against a worker that flaps and draws the same task each time.
+
+    A worker that has just come back has the fewest runs. Where all have, the
+    task starts at once.
+    """
+    play = _Play()
+    for number, node in enumerate(('a1', 'a2')):
+        play.start(node, f'{number:016x}')
+        play.list_runs(node)
+    play.now += 5.0
+    for node in lost:
+        play.lose(node, down_s=0.1)
+    for node in set(play.born) - set(lost):
+        play.list_runs(node)
+    task = play.start('a0')
+    play.state.remove_run(task.attempts[0])
+    task.crashes = (_crash(1, True), _crash(2, False))
+    task.retry_at = play.now
+    policy = _round.Policy(
+        lambda name: _cluster.QUEUE, frozenset(), _interference.PairFactors()
+    )
+    placed = _round.place(play.state, policy, play.now, UNIX_NOW)
+    nodes = [item.node for item in placed if item.task is task]
+    assert nodes and set(nodes) <= set(expected)
+
+
+@pytest.mark.parametrize(
+    ('waited_s', 'starts'),
+    [(1.6, False), (2.3, True)],
+    ids=['waits for a worker without new runs', 'waited long enough'],
+)
+def test_suspected_task_does_not_wait_for_ever(waited_s, starts):
+    """Guards against 3 s without a run where each worker has new runs."""
+    play = _Play()
+    for number, node in enumerate(play.born):
+        play.start(node, f'{number:016x}')
+    task = play.start('a0')
+    play.state.remove_run(task.attempts[0])
+    task.crashes = (_crash(1, True), _crash(2, False))
+    task.retry_at = play.now - waited_s
+    policy = _round.Policy(
+        lambda name: _cluster.QUEUE, frozenset(), _interference.PairFactors()
+    )
+    placed = _round.place(play.state, policy, play.now, UNIX_NOW)
+    assert [item.task is task for item in placed] == [True] * starts
+
+
+def _count_failed(cause) -> float:
+    sample = metrics.JOBS_FAILED.labels(cause).collect()[0].samples[0]
+    return sample.value
+
+
+def test_log_tells_why_a_task_is_suspected_and_given_up():
+    """Guards against jobs shown as failed without a line that says why."""
+    recorder = observability.Recorder('e0')
+    observability.use_recorder(recorder)
+    before = _count_failed('crashes')
+    play = _Play()
+    task = play.start('a0')
+    play.lose('a0', seen=False)
+    play.state.remove_run(task.attempts[0])
+    task.crashes = tuple(_crash(number, False) for number in range(4))
+    play.start('a1')
+    play.lose('a1')
+    records = {item.number: item.fields for item in recorder.records()}
+    unclear = records[events.CRASH_UNCLEAR.number]
+    assert unclear['reason'] == 'it was not seen to follow a start'
+    failed = records[events.JOB_FAILED.number]
+    assert (failed['job'], failed['evidence']) == (JOB, 'crashes')
+    assert failed['detail'] == f'5 crashes under {task.name}'
+    assert _count_failed('crashes') == before + 1
+
+
+@pytest.mark.parametrize('repeated', [False, True], ids=['once', 'repeated'])
+def test_ends_are_counted_once(repeated):
+    """Guards against a job that fails for one end that was listed twice.
+
+    A worker lists an end until it is acknowledged, also to an agent that was
+    restarted in between and to the next scheduler.
+    """
+    before = _count_failed('runs')
+    play = _Play()
+    for number in range(1, _cluster.QUEUE.max_attempts + 1):
+        task = play.start('a0')
+        assert task.stage.job.open
+        end = messages.EndRow(number, task.name, number, 'failed', '')
+        play.report('a0', ended=(end,))
+        if repeated:
+            play.report('a0', ended=(end,))
+            successor = _Play()
+            record = task.stage.job.record
+            successor.state.progress[JOB] = task.stage.job.progress()
+            successor.state.add_job(record, NOW, UNIX_NOW)
+            successor.report('a0', ended=(end,))
+            (restored,) = successor.state.jobs[JOB].stages[0].tasks
+            assert restored.failures == task.failures
+    assert task.failures == _cluster.QUEUE.max_attempts
+    assert not task.stage.job.open
+    assert _count_failed('runs') == before + 1
+
+
+@pytest.mark.parametrize('lasted', [False, True], ids=['new', 'lasted'])
+def test_inherited_run_on_a_worker_that_stays_away_is_counted(lasted):
+    """Guards against a crash that no scheduler counts (BUDGET).
+
+    The scheduling entry is replaced after the crash, and the worker isn't
+    heard of until the leases of its runs have expired.
+    """
+    play = _Play(nodes=('a1',))
+    attempt = documents.AttemptRecord(1, 'a0', 'w0', 1, UNIX_NOW, lasted)
+    record = documents.TaskRecord(
+        last_run=1,
+        attempts=(attempt,),
+        crashes=tuple(_crash(number, False) for number in range(4)),
+    )
+    play.state.progress[JOB] = documents.ProgressRecord(
+        'running', stages=((record,),)
+    )
+    spec = _cluster.one_step()
+    play.state.add_job(
+        documents.JobRecord(JOB, 'q', 'pool', 0.0, spec), NOW, UNIX_NOW
+    )
+    play.state.inherited_end_at = NOW + 10.0
+    play.reports.expire_leases(NOW + 11.0)
+    assert play.state.jobs[JOB].failed is not lasted
