Answer a question for a job's state before the caller's deadline

Callers saw: no answer in time to a GET with a short Deadline-Ms while the scheduling entry was silent, slow or disconnected. Cause: the entry waited LEADER_REPLY_TIMEOUT_S (0.4 s) for the scheduling entry whatever the caller's deadline was, and then read the store with a deadline that had passed. Sending the query could wait for 0.25 s more while the peer's queue was full. Evidence: test_state_is_shown_within_a_short_deadline fails before for deadlines of 0.1 and 0.3 s (answer after 0.40 s, outcome unknown) and holds for 0.6 s. Change: the query, its sending included, takes at most half of the time that is left, so that the rest is left for the store. Conclusion: the three cases hold; callers of 0.8 s and more see no change.

--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -30,6 +30,8 @@
 from citronrail.workflow.overload import _backlog_view
 
 LEADER_REPLY_TIMEOUT_S = 0.4
+# The number of waiting jobs is only known by the scheduling entry.
+MAX_PENDING_WAIT_S = 2 * LEADER_REPLY_TIMEOUT_S
 # A job that fits no worker may be submitted again after the fleet has changed.
 UNFIT_RETRY_AFTER_S = 60
 # For the read before a rejection; a slow store answers after 344 ms. Without
@@ -342,9 +344,9 @@
             or leader is None
             or not self._relay.ring.is_silent(leader)
         ):
-            state = (await self._query_leader(job_id=job_id)).state
-            if state:
-                return Reply(Verdict.DONE, state)
+            shown = await self._query_leader(deadline, job_id=job_id)
+            if shown.state:
+                return Reply(Verdict.DONE, shown.state)
         if self._relay is None:
             return await self._requests.stored_state(job_id, deadline)
 
@@ -358,7 +360,9 @@
 
     async def pending(self, queue: workflows.Queue) -> Reply:
         """Return the number of jobs of a queue that have not started."""
-        count = (await self._query_leader(queue=queue.name)).pending
+        deadline = trio.current_time() + MAX_PENDING_WAIT_S
+        shown = await self._query_leader(deadline, queue=queue.name)
+        count = shown.pending
         if count < 0:
             return Reply(Verdict.NOT_RUN)
         return Reply(Verdict.DONE, pending=count)
@@ -487,9 +491,12 @@
         return None if leader is None else identifiers.NodeId(leader.node_id)
 
     async def _query_leader(
-        self, job_id: str = '', queue: str = ''
+        self, deadline: float, job_id: str = '', queue: str = ''
     ) -> messages.JobStateReply:
-        """Query the scheduling entry; returns an empty reply on failure."""
+        """Query the scheduling entry; returns an empty reply on failure.
+
+        Half of the time until the deadline is left for the store.
+        """
         empty = messages.JobStateReply(0)
         term = self._election.term
         if term is not None:
@@ -500,9 +507,12 @@
         query = messages.JobStateQuery(next(self._ids), job_id, queue)
         send, receive = trio.open_memory_channel[messages.JobStateReply](1)
         self._pending_queries[query.query_id] = send
+        wait_s = min(
+            LEADER_REPLY_TIMEOUT_S, (deadline - trio.current_time()) / 2
+        )
         try:
-            await self._hub.send(leader, query)
-            with trio.move_on_after(LEADER_REPLY_TIMEOUT_S):
+            with trio.move_on_after(max(0.0, wait_s)):
+                await self._hub.send(leader, query)
                 return await receive.receive()
         except errors.PeerUnreachable:
             return empty
--- a/citronrail/workflow/tests/test_caller_service.py
+++ b/citronrail/workflow/tests/test_caller_service.py
@@ -159,6 +159,21 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('wait_s', [0.1, 0.3, 0.6])
+async def test_state_is_shown_within_a_short_deadline(
+    wait_s, autojump_clock, nursery
+):
+    """Guards against answers that come after the caller's deadline because
+    the scheduling entry is silent.
+    """
+    _, other = await _start_with_silent_leader(nursery)
+    began_at = trio.current_time()
+    reply = await other.service.state(JOB, began_at + wait_s)
+    assert trio.current_time() - began_at <= wait_s
+    assert (reply.verdict, reply.state) == (workflow.Verdict.DONE, 'running')
+    nursery.cancel_scope.cancel()
+
+
 async def test_unreadable_progress_is_no_answer(autojump_clock, nursery):
     """Guards against an error of the process, or a wrong state, from bytes
     of another writer.
