Delete the keys of an ended job in one transaction and before other writes

Callers saw: a job that had ended was queued again and ran again, or nothing was committed any more. Cause: a commit writes 28 documents a transaction, and the three keys of a job were placed after the changed jobs, across that limit. A leader that was lost between two transactions left a job without its progress, which the next one starts from the beginning. A job that was changed and deleted in one round (the end of its last run arrived after its retention) had its progress both written and deleted in one transaction, which stores may reject; the commit would be repeated without end. Evidence: test_keys_of_a_job_are_deleted_together fails before (progress and jobs in the store differ between two transactions), and test_no_key_is_written_twice_in_a_commit too (4 keys, 3 different ones). Change: deletions come first, at most nine jobs a commit, the next nine with the next commit; a deleted job is no longer marked as changed. Conclusion: both tests hold. How the users' store treats a key that is written twice wasn't tried.

--- a/citronrail/workflow/_commit_chain.py
+++ b/citronrail/workflow/_commit_chain.py
@@ -52,6 +52,11 @@
         self._commit_count = 0
         self._revision = 0
 
+    @property
+    def revision(self) -> int:
+        """Revision of the last commit, 0 without one."""
+        return self._revision
+
     async def open(self) -> None:
         """Read the revision of the last commit.
 
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -18,6 +18,16 @@
 FIRST_SHAPES_DELAY_S = 6.0
 SHAPES_INTERVAL_S = 1.0
 RETENTION_RATIO = 1.5  # of the time for which ended jobs have to be kept
+# A job has three keys. All of them are deleted by the first transaction of a
+# commit, which holds 28 documents.
+MAX_JOBS_DELETED = 9
+# For longer than a listing that shows a deleted job can be under way.
+DELETION_REMEMBERED_S = 60.0
+_JOB_KEY_PREFIXES = (
+    documents.PROGRESS_PREFIX,
+    documents.JOB_PREFIX,
+    documents.CANCEL_PREFIX,
+)
 UnixClock = collections.abc.Callable[[], float]
 
 
@@ -50,17 +60,51 @@
         self._next_shapes_at = 0.0
         self._next_cleanup_at = 0.0
         self._next_factors_at = 0.0
+        self._last_commit: collections.abc.Callable[[], int] = int
+        # By job ID: revision before which it was stored, and local time.
+        self._deleted: dict[str, tuple[int, float]] = {}
+
+    def follow_commits(
+        self, last_commit: collections.abc.Callable[[], int]
+    ) -> None:
+        """Set the function that tells deleted jobs from later ones.
+
+        :param last_commit: returns the revision of the last commit.
+        """
+        self._last_commit = last_commit
+
+    def was_deleted(self, job_id: str) -> bool:
+        """Whether a job was deleted recently and not accepted again.
+
+        :param job_id: ID of the job.
+        """
+        return job_id in self._deleted
+
+    def on_job_seen(self, job_id: str, revision: int) -> None:
+        """Record that the store shows a job; it may be a later one.
+
+        The end of the deleted job was committed before its deletion was.
+
+        :param job_id: ID of the job.
+        :param revision: revision at which it was stored.
+        """
+        stored_before, _ = self._deleted.get(job_id, (revision, 0.0))
+        if revision > stored_before:
+            del self._deleted[job_id]
 
     def due_writes(self) -> list[ports.Put | ports.Delete]:
         """Return the writes that are due; the jobs remain marked as dirty."""
-        due_writes: list[ports.Put | ports.Delete] = [
+        due_writes: list[ports.Put | ports.Delete] = []
+        # First, since a key may be written once only, and since the keys of a
+        # job have to be deleted together.
+        due_writes += self._expired_job_deletes()
+        due_writes += [
             ports.Put(
                 documents.PROGRESS_PREFIX + job.job_id,
                 documents.encode(job.progress()),
             )
             for job in self._scheduler_state.dirty
         ]
-        due_writes += self._expired_job_deletes()
         due_writes += self._factor_writes(bool(due_writes))
         due_writes += self._shape_writes()
         acknowledges = any(
@@ -128,24 +172,28 @@
         ended_before = (
             self._unix_clock() - RETENTION_RATIO * self._bounds.keep_ended_s
         )
-        deletes = []
+        for job_id, (_, deleted_at) in list(self._deleted.items()):
+            if now - deleted_at > DELETION_REMEMBERED_S:
+                del self._deleted[job_id]
+        deletes: list[ports.Delete] = []
         for job in list(self._scheduler_state.jobs.values()):
+            if len(deletes) >= MAX_JOBS_DELETED * len(_JOB_KEY_PREFIXES):
+                self._next_cleanup_at = now
+                break
             if not job.ended_at or job.ended_at > ended_before:
                 continue
             if any(True for _ in job.attempts()):
                 continue
             del self._scheduler_state.jobs[job.job_id]
             self._scheduler_state.dirty.discard(job)
+            self._scheduler_state.pending_cancels.discard(job.job_id)
+            self._deleted[job.job_id] = (self._last_commit(), now)
             for stage in job.stages:
                 self._factors.forget_load(stage.name)
                 if self._run_times is not None:
                     self._run_times.forget_step(stage.name)
             deletes += [
                 ports.Delete(prefix + job.job_id)
-                for prefix in (
-                    documents.PROGRESS_PREFIX,
-                    documents.JOB_PREFIX,
-                    documents.CANCEL_PREFIX,
-                )
+                for prefix in _JOB_KEY_PREFIXES
             ]
         return deletes
