Ignore listings that show a job after its deletion

Callers saw: jobs shown as completed were queued again, and all of their tasks ran again, beside waiting work. Cause: the inbox is listed again after each loss of its watch, in pages. Jobs that the leader deleted meanwhile were added from the pages as new ones, as were those that a repeated submission named in JobAccepted during the deletion. Evidence: test_late_listing_does_not_restart_a_deleted_job (flags off and on) and test_notice_of_a_deleted_job_does_not_restart_it fail before ('started after an acknowledged end'). Change: Inbox stands between the follower and the term. It leaves out jobs that were deleted in the last minute, unless the item is newer than the last commit before the deletion: that is a job accepted again, and it runs.

--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -16,6 +16,7 @@
 from citronrail.workflow import _admission
 from citronrail.workflow import _commit_chain
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _inbox
 from citronrail.workflow import _interference
 from citronrail.workflow import _leadership
 from citronrail.workflow import _load_stops
@@ -187,6 +188,8 @@
     def _add_job(self, job_id: str, value: bytes) -> None:
         if job_id in self.scheduler_state.jobs:
             return
+        if self._writer.was_deleted(job_id):
+            return  # the inbox shows whether it was accepted again
         key = documents.JOB_PREFIX + job_id
         record = _scheduler_state.decode_item(key, value, documents.JobRecord)
         if record is not None:
@@ -309,6 +312,7 @@
 
     async def _load(self, nursery: trio.Nursery) -> None:
         began_at = trio.current_time()
+        self._writer.follow_commits(lambda: self._chain.revision)
         if self._fast:
             nursery.start_soon(self._follow_inbox)
         self.scheduler_state.inherited_end_at = (
@@ -398,7 +402,7 @@
         await _prefix_follower.follow(
             self._store,
             documents.INBOX_PREFIX,
-            self,
+            _inbox.Inbox(self, self._writer),
             max_retry_s=(
                 _prefix_follower.FAST_MAX_RETRY_S
                 if self._fast
--- a/citronrail/workflow/tests/test_deleted_jobs.py
+++ b/citronrail/workflow/tests/test_deleted_jobs.py
@@ -6,6 +6,7 @@
 import trio
 
 from citronrail.model import load_settings
+from citronrail.model import messages
 from citronrail.workflow import _commit_chain
 from citronrail.workflow import _documents as documents
 from citronrail.workflow.tests import _cluster
@@ -99,6 +100,26 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('load', [load_settings.OFF, FAST], ids=['off', 'on'])
+async def test_late_listing_does_not_restart_a_deleted_job(
+    load, unix_clock, autojump_clock, nursery
+):
+    """Guards against ended jobs that run again from the start.
+
+    The listing of a watch that is restored is read before the deletion and
+    arrives after it.
+    """
+    cluster = await _run_jobs(nursery, JOBS[:6], load)
+    flaws = cluster.store.flaws
+    flaws.page_items, flaws.page_s = 4, 60.0
+    cluster.store.drop_watches()
+    await cluster.until(lambda: not _stored(cluster, PREFIXES[0]), 90.0)
+    await trio.sleep(70.0)
+    assert cluster.history.violations == []
+    assert not _stored(cluster, documents.PROGRESS_PREFIX)
+    nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('lost_watch', [False, True])
 async def test_job_is_accepted_again_after_its_deletion(
     lost_watch, unix_clock, autojump_clock, nursery
@@ -114,3 +135,18 @@
     await cluster.until(lambda: starts[-1] > began_at, 3.0)
     await cluster.until_state(JOBS[0], 'completed', 5.0)
     nursery.cancel_scope.cancel()
+
+
+async def test_notice_of_a_deleted_job_does_not_restart_it(
+    unix_clock, autojump_clock, nursery
+):
+    """Guards against a repeated submission that meets the deletion."""
+    cluster = await _run_jobs(nursery, JOBS[:1])
+    item = cluster.store.state.get(documents.JOB_PREFIX + JOBS[0])
+    await cluster.until(lambda: not _stored(cluster, PREFIXES[0]), 90.0)
+    term = cluster.leader.election.term
+    message = messages.JobAccepted(JOBS[0], item.value)
+    term.on_job_accepted(message.job_id, message.record)
+    await trio.sleep(5.0)
+    assert cluster.history.violations == []
+    nursery.cancel_scope.cancel()
