Forget after a minute that a submission was acknowledged

Callers saw: 2xx for a job that isn't stored and never runs, if it was submitted again at the same entry after it had ended and been deleted. Cause: with the relay on, an entry remembers its last 4,096 acknowledged submissions without a limit in time, and repeats the acknowledgement where its own calls have the outcome 'not run' or 'unfit'. Evidence: test_earlier_acknowledgement_is_not_repeated_for_ever fails before in both cases (store unreachable, job that fits no worker): the verdict is DONE with the key deleted 200 s after the first acknowledgement. Change: an acknowledgement holds for 60 s; after that the outcome is unknown, and the caller repeats it elsewhere. 60 s are more than the attempts of a caller take and half of the shortest retention. Conclusion: both cases and the other tests of the relay hold.

--- a/citronrail/workflow/_request_attempts.py
+++ b/citronrail/workflow/_request_attempts.py
@@ -18,6 +18,9 @@
 PEER_TRIES = 1
 # Submissions of several minutes at the highest rate of a customer.
 SUBMISSIONS_REMEMBERED = 4096
+# Longer than a caller repeats a submission, and shorter than an ended job is
+# kept. Whether the job is stored isn't known after this time.
+ACKNOWLEDGED_S = 60.0
 Verdict = _verdict.Verdict
 
 
@@ -62,7 +65,8 @@
 
     def __init__(self) -> None:
         self._in_progress: collections.Counter[str] = collections.Counter()
-        self._ended: collections.OrderedDict[str, Verdict] = (
+        # Outcome and the local time from which it may no longer hold.
+        self._ended: collections.OrderedDict[str, tuple[Verdict, float]] = (
             collections.OrderedDict()
         )
 
@@ -89,7 +93,7 @@
         """
         if verdict in (Verdict.DONE, Verdict.UNKNOWN):
             self._remember(job_id, verdict)
-        earlier = self._ended.get(job_id)
+        earlier = self._remembered(job_id)
         if earlier is Verdict.DONE:
             return Verdict.DONE
         if verdict in (Verdict.NOT_RUN, Verdict.UNFIT) and (
@@ -98,8 +102,20 @@
             return Verdict.UNKNOWN
         return verdict
 
+    def _remembered(self, job_id: str) -> Verdict | None:
+        if job_id not in self._ended:
+            return None
+        verdict, holds_until = self._ended[job_id]
+        if trio.current_time() >= holds_until:
+            return Verdict.UNKNOWN
+        return verdict
+
     def _remember(self, job_id: str, verdict: Verdict) -> None:
-        if self._ended.get(job_id) is not Verdict.DONE:
-            self._ended[job_id] = verdict
+        holds_until = trio.current_time() + ACKNOWLEDGED_S
+        if (
+            verdict is Verdict.DONE
+            or self._remembered(job_id) is not Verdict.DONE
+        ):
+            self._ended[job_id] = (verdict, holds_until)
         if len(self._ended) > SUBMISSIONS_REMEMBERED:
             self._ended.popitem(last=False)
--- a/citronrail/workflow/tests/test_relay.py
+++ b/citronrail/workflow/tests/test_relay.py
@@ -7,6 +7,7 @@
 
 from citronrail.model import load_settings
 from citronrail.model import messages
+from citronrail import ports
 from citronrail import workflow
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _entry_ring
@@ -263,6 +264,32 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('unfit', [False, True])
+async def test_earlier_acknowledgement_is_not_repeated_for_ever(
+    unfit, autojump_clock, nursery
+):
+    """Guards against a 2xx for a job that isn't stored any more.
+
+    It ended, its keys were deleted, and then it is submitted once more.
+    """
+    cluster = await _start(nursery, entries=1, cpu_millis=1000)
+    entry = cluster.entries['e0']
+    reply, _ = await _submit(entry)
+    assert reply.verdict is workflow.Verdict.DONE
+    await trio.sleep(200.0)
+    key = documents.JOB_PREFIX + JOB
+    await cluster.store.txn([], [ports.Delete(key)])
+    spec = _cluster.one_step(1, cpu_millis=9000 if unfit else 100)
+    if not unfit:
+        entry.link.set_fault(Fault.REFUSED)
+        await trio.sleep(1.0)
+    reply = await entry.service.submit(
+        _cluster.QUEUE, JOB, spec, trio.current_time() + 2.5
+    )
+    assert reply.verdict is not workflow.Verdict.DONE
+    nursery.cancel_scope.cancel()
+
+
 async def test_cancellation_and_state_are_relayed(autojump_clock, nursery):
     """Guards against jobs that can't be cancelled or seen in a cut."""
     cluster = await _start(nursery, entries=4)
