End a term once a listing shows that there is no leader

Callers saw: an accepted job with nothing running for 7.5 s after an outage of the store, on deployments without fast takeover. Cause: the lease expires in the outage, and all watches are lost with it. The listing afterwards shows no leader key, but keeps the revision that was seen last, which isn't above that of the own claim. The term therefore went on without permission to act until 8 s after the end of its lease, and no entry claimed the leadership meanwhile. Change: the term also ends if the view has seen the own claim and shows no leader now.

--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -383,9 +383,14 @@
         """End the term once the store shows another leader or none."""
         while True:
             changed = self._view.changed
-            if self._view.revision > revision:
+            # A listing without the key keeps the revision at which this
+            # entry's own claim was seen.
+            if self._view.revision > revision or (
+                self._view.revision == revision and self._view.leader is None
+            ):
                 raise errors.Fenced(
-                    'the store shows another leader', step='workflow.term'
+                    'the store shows another leader or none',
+                    step='workflow.term',
                 )
             await changed.wait()
 
--- a/citronrail/workflow/tests/test_fast_takeover.py
+++ b/citronrail/workflow/tests/test_fast_takeover.py
@@ -334,3 +334,25 @@
 def test_only_a_predecessor_at_the_own_address_is_dead(leader, dead):
     """Guards against ending the lease of a leader that may live."""
     assert _takeover.holds_dead_claim(leader, OWN) is dead
+
+
+@pytest.mark.parametrize('load', [load_settings.OFF, FAST], ids=['off', 'on'])
+async def test_term_ends_once_a_listing_shows_no_leader(
+    load, autojump_clock, nursery
+):
+    """Guards against accepted jobs that wait for a leader that isn't one.
+
+    The lease expires in an outage, and the only entry learns of it from a
+    listing, as all watches were lost.
+    """
+    cluster = _cluster.SimulatedCluster(entries=1, load=load)
+    await cluster.start(nursery)
+    await cluster.submit(JOBS[0], _cluster.one_step(1))
+    await cluster.until_state(JOBS[0], 'completed')
+    cluster.store.set_faults(outage=True)
+    await trio.sleep(2.5)
+    cluster.store.set_faults(outage=False)
+    await cluster.submit(JOBS[1], _cluster.one_step(1))
+    took_s = await _time_of_first_start(cluster, JOBS[1])
+    assert took_s <= 3.0
+    nursery.cancel_scope.cancel()
