--- a/citronrail/workflow/tests/test_deleted_jobs.py
+++ b/citronrail/workflow/tests/test_deleted_jobs.py
@@ -59,7 +59,9 @@
     return {item.key.removeprefix(prefix) for item in items}
 
 
-async def test_keys_of_a_job_are_deleted_together(unix_clock, autojump_clock, nursery):
+async def test_keys_of_a_job_are_deleted_together(
+    unix_clock, autojump_clock, nursery
+):
     """Guards against a job without its progress, which would run again."""
     cluster = await _run_jobs(nursery, JOBS)
     seen = set()
