Tell the variants of a lost job apart in logs and metrics

Cause: 'no such job', answers after the deadline, states that can't be shown and jobs that the leader learned of late all looked the same afterwards. Change: CR1727 names who said that there is no such job, CR1728 tells why a state isn't shown, CR1729 tells how late an answer was, CR1719 names a job that only a later listing showed; a counter for each.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -55,6 +55,12 @@
     'INFO',
     'ended lease {lease} of a dead process at the address of this entry',
 )
+JOB_FOUND_LATE = _events.EventKind(
+    1719,
+    'WARNING',
+    'job {job} was found by a listing {seconds} s after its acceptance; '
+    'neither the watch nor an entry had reported it',
+)
 JOB_ACCEPTED = _events.EventKind(
     1720, 'INFO', 'job {job} accepted on {queue} with {tasks} tasks'
 )
@@ -76,6 +82,20 @@
 RELAY_REFUSED = _events.EventKind(
     1726, 'WARNING', 'relay of {peer} refused: {reason}'
 )
+JOB_ABSENT = _events.EventKind(
+    1727, 'INFO', 'no such job {job}: {source} has no record of it'
+)
+STATE_NOT_SHOWN = _events.EventKind(
+    1728,
+    'WARNING',
+    'state of job {job} not shown after {seconds} s: {result}; '
+    'leader {leader}',
+)
+REQUEST_LATE = _events.EventKind(
+    1729,
+    'WARNING',
+    '{request} of job {job} answered {seconds} s after the deadline',
+)
 RUN_ASSIGNED = _events.EventKind(
     1730, 'INFO', 'run {task}#{run} assigned to {worker}: {reason}'
 )
--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -43,6 +43,8 @@
 # A request is relayed as well after this time without an answer.
 RELAY_DELAY_S = 0.4
 GIVE_UP_CHECK_S = 0.05
+# Answers are due this long before the caller gives up; less isn't reported.
+LATE_S = 0.1
 Reply = _verdict.Reply
 Verdict = _verdict.Verdict
 OwnCalls = collections.abc.Callable[
@@ -134,6 +136,7 @@
         ):
             self._unsettled.pop(job_id, None)
         _record_request('submit', reply.verdict, began_at)
+        _report_late('submit', job_id, deadline)
         return reply
 
     async def _submit(
@@ -311,6 +314,7 @@
             )
         outcome = reply.verdict
         _record_request('cancel', outcome, began_at)
+        _report_late('cancel', job_id, deadline)
         observability.emit(events.JOB_CANCEL, job=job_id, result=outcome.value)
         return reply
 
@@ -335,6 +339,17 @@
         began_at = trio.current_time()
         reply = await self._state(job_id, deadline)
         _record_request('state', reply.verdict, began_at)
+        _report_late('state', job_id, deadline)
+        if reply.verdict not in (Verdict.DONE, Verdict.ABSENT):
+            leader = self._view.leader
+            metrics.STATES_NOT_SHOWN.labels(reply.verdict.value).inc()
+            observability.emit(
+                events.STATE_NOT_SHOWN,
+                job=job_id,
+                seconds=round(trio.current_time() - began_at, 3),
+                result=reply.verdict.value,
+                leader='not known' if leader is None else leader.node_id,
+            )
         return reply
 
     async def _state(self, job_id: str, deadline: float) -> Reply:
@@ -348,14 +363,17 @@
             if shown.state:
                 return Reply(Verdict.DONE, shown.state)
         if self._relay is None:
-            return await self._requests.stored_state(job_id, deadline)
+            found = await self._requests.stored_state(job_id, deadline)
+            _report_absent(job_id, found.verdict, 'store')
+            return found
 
         async def own(attempt: _request_attempts.Attempt) -> Reply:
             return await self._requests.stored_state(job_id, deadline, attempt)
 
-        reply, _ = await self._own_or_relay(
+        reply, relayed = await self._own_or_relay(
             self._relay, own, 'state', job_id, b'', deadline
         )
+        _report_absent(job_id, reply.verdict, 'peer' if relayed else 'store')
         return reply
 
     async def pending(self, queue: workflows.Queue) -> Reply:
@@ -583,6 +601,24 @@
     )
 
 
+def _report_late(kind: str, job_id: str, deadline: float) -> None:
+    late_s = trio.current_time() - deadline
+    if late_s > LATE_S:
+        metrics.REQUESTS_LATE.labels(kind).inc()
+        observability.emit(
+            events.REQUEST_LATE,
+            request=kind,
+            job=job_id,
+            seconds=round(late_s, 3),
+        )
+
+
+def _report_absent(job_id: str, verdict: Verdict, source: str) -> None:
+    if verdict is Verdict.ABSENT:
+        metrics.JOBS_ABSENT.labels(source).inc()
+        observability.emit(events.JOB_ABSENT, job=job_id, source=source)
+
+
 def _state_reply(
     term: _term.Term, query: messages.JobStateQuery
 ) -> messages.JobStateReply:
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -12,6 +12,25 @@
     'Time that a request of a caller took, by kind',
     ['kind'],
 )
+JOBS_ABSENT = prometheus_client.Counter(
+    'citronrail_workflow_jobs_absent',
+    'Questions for a state answered with "no such job", by source',
+    ['source'],
+)
+STATES_NOT_SHOWN = prometheus_client.Counter(
+    'citronrail_workflow_states_not_shown',
+    'Questions for a state that could not be answered, by result',
+    ['result'],
+)
+REQUESTS_LATE = prometheus_client.Counter(
+    'citronrail_workflow_requests_late',
+    "Requests answered after the caller's deadline, by kind",
+    ['kind'],
+)
+JOBS_FOUND_LATE = prometheus_client.Counter(
+    'citronrail_workflow_jobs_found_late',
+    'Jobs that the scheduling entry learned of only by a later listing',
+)
 JOBS_ENDED = prometheus_client.Counter(
     'citronrail_workflow_jobs_ended',
     'Jobs that ended, by status',
