List the inbox every 10 s beside its watch

Callers saw: a job that stays queued and never runs although it is stored. Cause: the scheduling entry learns of a job from JobAccepted and from its watch. If the notice is lost and the watch leaves the change out without an error, nothing looks again until the next leader. Evidence: test_job_that_no_watch_shows_is_found fails before, flags off and on ('not so after 11.0 s'). A watch that fails or is silent is listed again after 3.2 s at most, so that this needs a wrong answer of the store or of our client. Change: the term lists the inbox every 10 s. This costs one read for 500 jobs, a tenth of a read a second. Conclusion: the job runs within 11 s; tests of deletion hold with it.

--- a/citronrail/workflow/_inbox.py
+++ b/citronrail/workflow/_inbox.py
@@ -1,13 +1,28 @@
 """What the scheduling entry reads of the inbox: jobs and cancellations."""
 
 import collections.abc
+import contextlib
+import time
 import typing
 
+import trio
+
+from citronrail import errors
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _prefix_follower
+from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _state_writer
 
+# Bounds how long a job that neither the watch nor an entry reports stays
+# unknown. With 500 jobs in the store this is a tenth of a read a second.
+RECONCILE_S = 10.0
+# A job in a listing may have been stored just before it.
+LATE_S = 1.0
+
 
 class _Item(typing.Protocol):
     """An item of a listing or an event."""
@@ -39,24 +54,64 @@
 
     :param listener: receives the jobs and cancellations.
     :param writer: knows the deleted jobs.
+    :param jobs: IDs of the known jobs.
     """
 
     def __init__(
         self,
         listener: _prefix_follower.PrefixListener,
         writer: _state_writer.StateWriter,
+        jobs: collections.abc.Container[str],
     ) -> None:
         self._listener = listener
         self._writer = writer
+        self._jobs = jobs
+        self._listed = False
 
     def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
         """Pass on a listing."""
-        self._listener.on_listing(self._current(items))
+        current = self._current(items)
+        if self._listed:
+            for item in current:
+                if item.key.startswith(documents.JOB_PREFIX):
+                    self._report_late(item)
+        self._listed = True
+        self._listener.on_listing(current)
 
     def on_events(self, changes: tuple[ports.WatchEvent, ...]) -> None:
         """Pass on changes."""
         self._listener.on_events(self._current(changes))
 
+    async def reconcile(self, store: ports.KeyValueStore) -> None:
+        """List the inbox from time to time until cancelled.
+
+        A watch may miss a change without an error.
+
+        :param store: the store.
+        """
+        while True:
+            await trio.sleep(RECONCILE_S)
+            with contextlib.suppress(errors.CitronrailError):
+                listing = await store.list(documents.INBOX_PREFIX)
+                self.on_listing(listing.items)
+
+    def _report_late(self, item: ports.KeyValue) -> None:
+        if _job_id(item.key) in self._jobs:
+            return
+        record = _scheduler_state.decode_item(
+            item.key, item.value, documents.JobRecord
+        )
+        if record is None:
+            return
+        age_s = time.time() - record.accepted_at
+        if age_s >= LATE_S:
+            metrics.JOBS_FOUND_LATE.inc()
+            observability.emit(
+                events.JOB_FOUND_LATE,
+                job=record.job_id,
+                seconds=round(age_s, 2),
+            )
+
     def _current(self, items: tuple[T, ...]) -> tuple[T, ...]:
         """Return the items that don't belong to deleted jobs."""
         for item in items:
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -399,16 +399,19 @@
         return listing, factors[0]
 
     async def _follow_inbox(self) -> None:
-        await _prefix_follower.follow(
-            self._store,
-            documents.INBOX_PREFIX,
-            _inbox.Inbox(self, self._writer),
-            max_retry_s=(
-                _prefix_follower.FAST_MAX_RETRY_S
-                if self._fast
-                else _prefix_follower.MAX_RETRY_S
-            ),
-        )
+        inbox = _inbox.Inbox(self, self._writer, self.scheduler_state.jobs)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(inbox.reconcile, self._store)
+            await _prefix_follower.follow(
+                self._store,
+                documents.INBOX_PREFIX,
+                inbox,
+                max_retry_s=(
+                    _prefix_follower.FAST_MAX_RETRY_S
+                    if self._fast
+                    else _prefix_follower.MAX_RETRY_S
+                ),
+            )
 
     def _apply_early_items(self) -> None:
         self._progress_applied = True
--- a/citronrail/workflow/tests/_flawed_store.py
+++ b/citronrail/workflow/tests/_flawed_store.py
@@ -24,6 +24,7 @@
     :param late_share: share of writes that get no answer and are executed
         1 to 6 s later, if their condition holds then.
     :param deaf: watches receive nothing, and fail after a time-out.
+    :param skip_events: watches leave out all changes, without an error.
     :param page_items: items of a page of a listing, 0 for all; other calls
         take effect between two pages.
     :param page_s: seconds between two pages.
@@ -31,6 +32,7 @@
 
     late_share: float = 0.0
     deaf: bool = False
+    skip_events: bool = False
     page_items: int = 0
     page_s: float = 0.1
 
@@ -98,4 +100,4 @@
                     raise errors.StoreOutcomeUnknown(
                         'no answer', step='store.watch'
                     )
-            yield batch
+            yield () if self.flaws.skip_events else batch
--- a/citronrail/workflow/tests/test_caller_service.py
+++ b/citronrail/workflow/tests/test_caller_service.py
@@ -1,18 +1,25 @@
 """Tests of the service for callers."""
 
+import time
+
 import pytest
 import trio
 
+from citronrail.model import load_settings
 from citronrail.model import messages
 from citronrail import ports
 from citronrail import workflow
 from citronrail.workflow import _admission
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _inbox
+from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _operator_view
 from citronrail.workflow import _store_requests
 from citronrail.workflow.tests import _cluster
+from citronrail.workflow.tests import _flawed_store
 
 JOB = '00000000000000a1'
+FAST = load_settings.LoadSettings(fast_takeover=True)
 
 
 @pytest.mark.parametrize(
@@ -208,3 +215,54 @@
     await cluster.until_state(JOB, 'completed')
     assert (await entry.service.pending(_cluster.QUEUE)).pending == 0
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('load', [load_settings.OFF, FAST], ids=['off', 'on'])
+async def test_job_that_no_watch_shows_is_found(
+    load, autojump_clock, nursery, monkeypatch
+):
+    """Guards against an accepted job that the scheduler never learns of."""
+    monkeypatch.setattr(time, 'time', autojump_clock.current_time)
+    cluster = _cluster.SimulatedCluster(load=load)
+    cluster.store = _flawed_store.FlawedStore(cluster.rng)
+    await cluster.start(nursery)
+    other = next(e for e in cluster.entries.values() if e != cluster.leader)
+    cluster.cut(other.name)
+    cluster.store.flaws.skip_events = True
+    found = metrics.JOBS_FOUND_LATE._value.get()
+    deadline = trio.current_time() + 3.0
+    reply = await other.service.submit(
+        _cluster.QUEUE, JOB, _cluster.one_step(), deadline
+    )
+    assert reply.verdict is workflow.Verdict.DONE
+    await cluster.until(
+        lambda: f'{JOB}.0.0.0' in cluster.history.tasks,
+        _inbox.RECONCILE_S + 1.0,
+    )
+    assert metrics.JOBS_FOUND_LATE._value.get() == found + 1
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ('wait_s', 'absent', 'not_shown', 'late'),
+    [(1.0, 1, 0, 0), (-5.0, 0, 1, 1)],
+    ids=['absent', 'late'],
+)
+async def test_variants_of_a_loss_are_counted(
+    wait_s, absent, not_shown, late, autojump_clock, nursery
+):
+    """Guards against losses whose cause no figure shows."""
+    cluster = _cluster.SimulatedCluster()
+    await cluster.start(nursery)
+    entry = next(iter(cluster.entries.values()))
+    counters = (
+        metrics.JOBS_ABSENT.labels('store'),
+        metrics.STATES_NOT_SHOWN.labels('unknown'),
+        metrics.REQUESTS_LATE.labels('state'),
+    )
+    before = [counter._value.get() for counter in counters]
+    await entry.service.state('f' * 16, trio.current_time() + wait_s)
+    after = [counter._value.get() for counter in counters]
+    counted = [b - a for a, b in zip(before, after)]
+    assert counted == [absent, not_shown, late]
+    nursery.cancel_scope.cancel()
