Answer malformed calls of the worker stand-in with 400 again

Found by reading; no test of the stand-in sends a malformed call. The tests of the stand-in and of its client pass.

--- a/standins/worker/_service.py
+++ b/standins/worker/_service.py
@@ -203,7 +203,7 @@
             return _json({'refused': exc.message}, 409)
         except errors.WorkerOutcomeUnknown as exc:
             return _json({'lost': exc.message}, 502)
-        except (msgspec.DecodeError, TypeError) as exc:
+        except (errors.Undecodable, msgspec.DecodeError, TypeError) as exc:
             return _json({'refused': str(exc)}, 400)
 
     app.add_url_rule(path, path, respond, methods=[method])
