--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -201,7 +201,7 @@
         'tcp://127.0.0.1:-1',
         'tcp://127.0.0.1',
         'tcp://:7000',
-        'ipc:///tmp/x',
+        'ipc://peer',
         'tcp://127.0.0.1:1;127.0.0.1:7000',
         'tcp://127.0.0.1:70\x0000',
         '\u20ac',
