Let a claim replace a leader record that names no leader

What callers saw (other operators' report): one odd entry of another writer stops a service for good. Cause: a record that can't be read counts as no leader, but a claim was made on condition that there is no record. Every entry would have claimed in vain every 0.2 s, and nobody would have scheduled. Change: the claim is made on condition of the revision of that record. Evidence: test_odd_leader_record_is_replaced, both cases 'not so after 5.0 s' before, passing now.

--- a/citronrail/workflow/_election.py
+++ b/citronrail/workflow/_election.py
@@ -45,6 +45,9 @@
     def __init__(self) -> None:
         self.leader: documents.LeaderRecord | None = None
         self.revision = 0
+        # Revision of a record that names no leader; 0 if there is none. A
+        # claim replaces it, as it would never be vacant otherwise.
+        self.unreadable_revision = 0
         # Lease of the leader's key; 0 if it isn't known, since changes of a
         # key are reported without its lease.
         self.lease_id = 0
@@ -92,6 +95,8 @@
                 node=leader.node_id,
                 address=leader.address,
             )
+        unreadable = value is not None and leader is None
+        self.unreadable_revision = revision if unreadable else 0
         self.leader = leader
         self.revision = revision
         self.lease_id = lease_id
@@ -262,7 +267,11 @@
         try:
             await self._lease.grant()
             result = await self._store.txn(
-                [ports.Compare(documents.LEADER_KEY, 0)],
+                [
+                    ports.Compare(
+                        documents.LEADER_KEY, self._view.unreadable_revision
+                    )
+                ],
                 [
                     ports.Put(
                         documents.LEADER_KEY,
--- a/citronrail/workflow/tests/test_takeover.py
+++ b/citronrail/workflow/tests/test_takeover.py
@@ -7,6 +7,9 @@
 import pytest
 import trio
 
+from citronrail.model import load_settings
+from citronrail import ports
+from citronrail.workflow import _documents as documents
 from citronrail.workflow.tests import _cluster
 from standins import task_worker
 
@@ -278,3 +281,17 @@
     await cluster.submit('a' * 16, _cluster.one_step())
     await cluster.until_state('a' * 16, 'completed', 30.0)
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('fast', [False, True])
+async def test_odd_leader_record_is_replaced(fast, autojump_clock, nursery):
+    """Guards against a service without a leader because of another writer."""
+    load = load_settings.LoadSettings(fast_takeover=fast)
+    cluster = _cluster.SimulatedCluster(seed=1, load=load)
+    await cluster.start(nursery)
+    await cluster.store.txn([], [ports.Put(documents.LEADER_KEY, b'\x93\x01')])
+    await cluster.until(lambda: cluster.leader is None, 5.0)
+    await cluster.until(lambda: cluster.leader is not None, 5.0)
+    await cluster.submit('b' * 16, _cluster.one_step(1))
+    await cluster.until_state('b' * 16, 'completed', 10.0)
+    nursery.cancel_scope.cancel()
