Signal only the draining process in the soak of stops

The plans with a second SIGTERM or a SIGHUP within the drain reached the next process while its interpreter started, where both end it by default, and counted that as a process that ended by itself.

--- a/soak/_stops.py
+++ b/soak/_stops.py
@@ -159,20 +159,25 @@
     await run.stop(node)
 
 
-async def _reload_within(run: _Run, node: _deployment.Node) -> None:
+async def _signal_within(
+    run: _Run, node: _deployment.Node, number: signal.Signals, limit_s: float
+) -> None:
+    """Send a signal during the drain, but not to the next process."""
+    process = node.process
     async with trio.open_nursery() as nursery:
         nursery.start_soon(run.stop, node)
-        await trio.sleep(run.rng.uniform(0.0, 3.0))
-        run.record(f'SIGHUP {node.name}')
-        node.send(signal.SIGHUP)
+        await trio.sleep(run.rng.uniform(0.1, limit_s))
+        if node.process is process and node.running:
+            run.record(f'{number.name} {node.name} during its drain')
+            node.send(number)
+
+
+async def _reload_within(run: _Run, node: _deployment.Node) -> None:
+    await _signal_within(run, node, signal.SIGHUP, 3.0)
 
 
 async def _stop_twice(run: _Run, node: _deployment.Node) -> None:
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(run.stop, node)
-        await trio.sleep(run.rng.uniform(0.1, 2.5))
-        run.record(f'second SIGTERM {node.name}')
-        node.send(signal.SIGTERM)
+    await _signal_within(run, node, signal.SIGTERM, 2.5)
 
 
 async def _configure_within(run: _Run, node: _deployment.Node) -> None:
