Bound the reports of an agent also after its restart

Cause: an agent that was restarted numbers its reports from 1, while the scheduler kept confirming the last number from before. The agent took all its reports for applied and sent them without bound until it had sent as many. Change: the scheduler forgets the numbers when the agent disconnects; an agent takes no report for confirmed that it has not sent.

--- a/citronrail/workflow/_report_flow.py
+++ b/citronrail/workflow/_report_flow.py
@@ -32,7 +32,12 @@
         self._sent += 1
 
     def confirm(self, number: int) -> None:
-        """Note that the scheduler has applied the reports up to a number."""
+        """Note that the scheduler has applied the reports up to a number.
+
+        :param number: a number that was not sent counts as the last one: it
+            was given by this agent before a restart.
+        """
+        number = min(number, self._sent)
         if number > self._confirmed:
             self._confirmed = number
             self._notify()
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -167,6 +167,8 @@
         view = self.workers.get(node)
         if view is not None:
             view.connected = False
+            # If the agent was restarted, its reports are counted anew.
+            view.reports_applied = view.reports_confirmed = 0
 
     def expire_leases(self, now: float) -> None:
         """Discard runs whose leases have certainly expired.
--- a/citronrail/workflow/tests/test_reports.py
+++ b/citronrail/workflow/tests/test_reports.py
@@ -5,6 +5,7 @@
 from citronrail.model import messages
 from citronrail.model import workflows
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _orders
 from citronrail.workflow import _reports
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.tests import _cluster
@@ -83,3 +84,29 @@
         'a0', messages.WorkerReport(TOKEN, next_life, clock_ms=1000), NOW, 0.0
     )
     assert scheduler_state.workers['a0'].usable(NOW)
+
+
+def test_reports_of_a_restarted_agent_are_confirmed():
+    """Guards against confirmations of reports that are not applied yet.
+
+    The scheduler kept confirming the last report before the restart, so that
+    the agent sent reports without bound until it had sent as many again.
+    """
+    scheduler_state = _scheduler_state.SchedulerState(
+        lambda name: _cluster.QUEUE
+    )
+    reports = _reports.Reports(scheduler_state, workflows.Bounds(), TOKEN)
+    life = messages.WorkerLife('w0', 1, 'pool', 'dc', 'ready', 4000, 8000, 0)
+
+    def confirmed(number) -> int:
+        report = messages.WorkerReport(
+            TOKEN, life, clock_ms=1000, token=TOKEN, number=number
+        )
+        reports.take('a0', report, NOW, 0.0)
+        view = scheduler_state.workers['a0']
+        due = _orders.due_orders(view, [], TOKEN, 8.0, NOW)
+        return due.orders.reports if due else 0
+
+    assert confirmed(500) == 500
+    scheduler_state.mark_disconnected('a0')
+    assert [confirmed(number) for number in (1, 2, 3, 4)] == [0, 2, 0, 4]
--- a/citronrail/workflow/tests/test_worker_agent.py
+++ b/citronrail/workflow/tests/test_worker_agent.py
@@ -225,3 +225,26 @@
     assert len(numbers) > 500 if confirms else 2 <= len(numbers) <= 12
     assert numbers == sorted(set(numbers))
     nursery.cancel_scope.cancel()
+
+
+async def test_reports_wait_after_a_restart_of_the_agent(
+    autojump_clock, nursery
+):
+    """Guards against a bound on reports that is off after a restart.
+
+    A late order confirms a report that the agent sent before its restart.
+    """
+    worker, hub = _EndingWorker(), _Hub()
+    numbers = []
+
+    async def send(peer, message, payload=None):
+        numbers.append(message.number)
+
+    hub.send = send
+    agent = workflow.WorkerAgent(worker, hub, 8.0)
+    await nursery.start(agent.run)
+    agent.announce(LIFE)
+    await hub.on_orders(LEADER, _orders(reports=500), b'')
+    await trio.sleep(10.0)
+    assert 2 <= len(numbers) <= 12
+    nursery.cancel_scope.cancel()
