Don't add a long poll to the wait for a confirmation

A worker gets no new run if its last list is over 2.5 s old, and no extension of its lease over 2 s. Cause: an agent that got no confirmation for 1.5 s then asked the worker for a list that waits up to 1.5 s for the end of a run. Change: after a confirmation that has not come the list doesn't wait.

--- a/citronrail/workflow/_report_flow.py
+++ b/citronrail/workflow/_report_flow.py
@@ -47,11 +47,16 @@
         self._sent = self._confirmed = 0
         self._notify()
 
-    async def wait(self) -> None:
-        """Wait until another report may be sent."""
+    async def wait(self) -> bool:
+        """Wait until another report may be sent.
+
+        :returns: False if the confirmation has not come in time.
+        """
         with trio.move_on_after(CONFIRMATION_TIMEOUT_S):
             while self._sent - self._confirmed >= MAX_UNCONFIRMED:
                 await self._changed.wait()
+            return True
+        return False
 
     def _notify(self) -> None:
         self._changed.set()
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -162,10 +162,16 @@
             self._nursery = nursery
             task_status.started()
             while True:
-                await self._flow.wait()
-                await self._list_once()
+                confirmed = await self._flow.wait()
+                await self._list_once(may_wait=confirmed)
 
-    async def _list_once(self) -> None:
+    async def _list_once(self, *, may_wait: bool) -> None:
+        """List and report the runs.
+
+        :param may_wait: whether the list may wait for a run to end; not after
+            a wait for a confirmation that has not come, since the scheduler's
+            last list would get too old.
+        """
         life = self._life
         if life is None or not self._fencing:
             with trio.move_on_after(1.0):
@@ -185,6 +191,7 @@
             self._confirmed_token != fencing
             or self._pending.refused
             or stopped
+            or not may_wait
         ):
             order = dataclasses.replace(order, wait_ms=0)
         if self._unreachable:
--- a/citronrail/workflow/tests/test_worker_agent.py
+++ b/citronrail/workflow/tests/test_worker_agent.py
@@ -1,6 +1,7 @@
 """Tests of the agent's calls to its worker."""
 
 import dataclasses
+import itertools
 
 import pytest
 import trio
@@ -9,6 +10,7 @@
 from citronrail.model import messages
 from citronrail import ports
 from citronrail import workflow
+from citronrail.workflow import _orders as worker_orders
 from citronrail.workflow import _worker_agent
 from citronrail.workflow.tests import _cluster
 from standins import task_worker
@@ -248,3 +250,30 @@
     await trio.sleep(10.0)
     assert 2 <= len(numbers) <= 12
     nursery.cancel_scope.cancel()
+
+
+async def test_unconfirmed_reports_keep_a_worker_usable(
+    autojump_clock, nursery
+):
+    """Guards against idle workers that get no work from a late scheduler.
+
+    The wait for a confirmation and the long poll of the list after it added
+    up to 3 s; with a list of more than 2.5 s nothing is started on a worker,
+    with one of more than 2 s its lease isn't renewed.
+    """
+    worker, hub = _SlowWorker(0.0), _Hub()
+    sent_at = []
+
+    async def send(peer, message, payload=None):
+        if message.clock_ms:
+            sent_at.append(trio.current_time())
+
+    hub.send = send
+    agent = workflow.WorkerAgent(worker, hub, 8.0)
+    await nursery.start(agent.run)
+    agent.announce(LIFE)
+    await hub.on_orders(LEADER, _orders(), b'')
+    await trio.sleep(20.0)
+    gaps = [later - at for at, later in itertools.pairwise(sent_at)]
+    assert max(gaps) < worker_orders.LEASE_RENEW_MAX_LIST_AGE_S
+    nursery.cancel_scope.cancel()
