Don't shorten leases by the clock in a late list

Cause: a lease is extended from the worker's clock in the last list, which was taken for the time at which the list was applied. A list that is 7 s late left 1 s of a lease of 8 s. Change: the clock is estimated from the reading that gives the latest time. A late one shows less than the clock surely has by an earlier one, at the maximum drift, and isn't used. Evidence: test_late_list_makes_no_lease_shorter fails without the change. A test of late lists and slow clocks shows that a lease still ends by the time that is waited for.

--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -27,8 +27,11 @@
         self.connected = True
         # Whether the worker has confirmed this scheduler's fencing token.
         self.token_confirmed = False
-        self.clock_ms = 0
-        self.clock_read_at = 0.0
+        self.clock_ms = 0  # time of the last list on the worker's clock
+        # The reading of the worker's clock from which it is estimated; not a
+        # late one, which would make leases shorter than they are meant to be.
+        self._reading_ms = 0
+        self._reading_at = 0.0
         self.listed_at = 0.0
         # When its agent first failed to reach it; 0 while it is reached.
         self.unreachable_since = 0.0
@@ -117,17 +120,21 @@
         if not self.clock_ms:
             return 0
         ends_at = now + lease_s
-        elapsed_s = (ends_at - self.clock_read_at) * (
-            1.0 - MAX_CLOCK_DRIFT_RATIO
-        )
         self.lease_ends_at = max(self.lease_ends_at, ends_at)
         self.renewed_at = now
-        self.lease_until_ms = self.clock_ms + int(elapsed_s * 1000)
+        self.lease_until_ms = self._least_clock_ms(ends_at)
         return self.lease_until_ms
 
+    def _least_clock_ms(self, at: float) -> int:
+        """Return what the worker's clock shows at a local time, or less."""
+        elapsed_s = (at - self._reading_at) * (1.0 - MAX_CLOCK_DRIFT_RATIO)
+        return self._reading_ms + int(elapsed_s * 1000)
+
     def record_list(self, clock_ms: int, now: float) -> None:
         """Record the arrival of a list made at ``clock_ms``."""
+        if not self.clock_ms or clock_ms >= self._least_clock_ms(now):
+            self._reading_ms = clock_ms
+            self._reading_at = now
         self.clock_ms = clock_ms
-        self.clock_read_at = now
         self.listed_at = now
         self.unreachable_since = 0.0
--- a/citronrail/workflow/tests/test_reports.py
+++ b/citronrail/workflow/tests/test_reports.py
@@ -8,6 +8,7 @@
 from citronrail.workflow import _orders
 from citronrail.workflow import _reports
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _worker_view
 from citronrail.workflow.tests import _cluster
 
 TOKEN = 9
@@ -110,3 +111,44 @@
     assert confirmed(500) == 500
     scheduler_state.mark_disconnected('a0')
     assert [confirmed(number) for number in (1, 2, 3, 4)] == [0, 2, 0, 4]
+
+
+def _view_with_lists(*lists) -> _worker_view.WorkerView:
+    """Return a view after lists, each a worker's clock and a local time."""
+    life = messages.WorkerLife('w0', 1, 'pool', 'dc', 'ready', 4000, 8000, 0)
+    view = _worker_view.WorkerView('a0', life)
+    for clock_ms, now in lists:
+        view.record_list(clock_ms, now)
+    return view
+
+
+def test_late_list_makes_no_lease_shorter():
+    """Guards against leases that end under work while lists are late.
+
+    The clock in a list that was applied 7 s late was taken for the present
+    time, so that a lease of 8 s ended after one second.
+    """
+    view = _view_with_lists((1000, NOW), (1500, NOW + 7.5))
+    lease_s = 8.0
+    true_end_ms = 1000 + 7500 + lease_s * 1000
+    until_ms = view.extend_lease(NOW + 7.5, lease_s)
+    assert 0.96 * true_end_ms < until_ms <= true_end_ms
+
+
+@pytest.mark.parametrize('clock_ratio', [0.98, 1.0, 1.02])
+def test_lease_ends_by_the_time_that_is_waited_for(clock_ratio):
+    """Guards against a second run beside one whose lease still holds (TWICE).
+
+    Lists are up to 6 s late, and the worker's clock may be slow.
+    """
+    view = _view_with_lists()
+    for number in range(400):
+        made_at = NOW + 0.5 * number
+        applied_at = made_at + (0.01, 2.0, 6.0, 0.3)[number // 10 % 4]
+        elapsed_ms = clock_ratio * 0.5 * number * 1000
+        view.record_list(1000 + int(elapsed_ms), applied_at)
+        until_ms = view.extend_lease(applied_at, 8.0)
+        local_end = NOW + (until_ms - 1000) / 1000 / clock_ratio
+        assert local_end <= view.lease_ends_at
+        # It is no shorter than one from this reading alone.
+        assert local_end >= made_at + 0.97 * 8.0 / clock_ratio - 0.01
