--- a/citronrail/workflow/_report_flow.py
+++ b/citronrail/workflow/_report_flow.py
@@ -32,7 +32,12 @@
         self._sent += 1
 
     def confirm(self, number: int) -> None:
-        """Note that the scheduler has applied the reports up to a number."""
+        """Note that the scheduler has applied the reports up to a number.
+
+        :param number: a number that was not sent counts as the last one: it
+            was given by this agent before a restart.
+        """
+        number = min(number, self._sent)
         if number > self._confirmed:
             self._confirmed = number
             self._notify()
@@ -42,11 +47,16 @@
         self._sent = self._confirmed = 0
         self._notify()
 
-    async def wait(self) -> None:
-        """Wait until another report may be sent."""
+    async def wait(self) -> bool:
+        """Wait until another report may be sent.
+
+        :returns: False if the confirmation has not come in time.
+        """
         with trio.move_on_after(CONFIRMATION_TIMEOUT_S):
             while self._sent - self._confirmed >= MAX_UNCONFIRMED:
                 await self._changed.wait()
+            return True
+        return False
 
     def _notify(self) -> None:
         self._changed.set()
