Measure the progress of runs between the times of their lists

Cause: a run is stopped as stuck or slow by the times at which the lists were applied. If the second of two lists waits for 5 s in a busy scheduler, a run whose percentage they share seems to have made no progress for 5 s. Change: the latest time at which a list can have been made is known from the estimate of the worker's clock, and used for progress and speed. Evidence: test_run_is_not_stuck_because_its_list_waited, case 'late', fails without the change; case 'stuck' passes with and without it. Two tests gave the worker's clock as 1000 in all lists, or set only the time of the last list, so that their lists seemed ever later. Their clock now runs; what they assert is the same.

--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -478,7 +478,7 @@
         for view in views:
             for attempt in view.attempts.values():
                 speed = _health.measured_speed(
-                    _progress_of(attempt), view.listed_at
+                    _progress_of(attempt), view.list_made_at
                 )
                 if speed is not None:
                     view.speed = _health.smooth_speed(view.speed, speed)
@@ -500,7 +500,7 @@
             if attempt.stop_reason or spec.gang or spec.fills:
                 continue
             progress = _progress_of(attempt)
-            speed = _health.measured_speed(progress, view.listed_at)
+            speed = _health.measured_speed(progress, view.list_made_at)
             if speed is None or speed > _health.MOVE_SPEED_RATIO:
                 continue
             if self._detect_long_tasks and _health.is_long_task(
@@ -547,7 +547,7 @@
         stuck = [
             attempt
             for attempt in view.attempts.values()
-            if _health.is_stuck(_progress_of(attempt), view.listed_at)
+            if _health.is_stuck(_progress_of(attempt), view.list_made_at)
         ]
         for attempt in stuck:
             if not attempt.stop_reason:
@@ -593,7 +593,7 @@
 ) -> list[float]:
     """Return the measured speeds of a worker's runs of other steps."""
     speeds = [
-        _health.measured_speed(_progress_of(other), view.listed_at)
+        _health.measured_speed(_progress_of(other), view.list_made_at)
         for other in view.attempts.values()
         if other.task.stage is not attempt.task.stage
     ]
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -32,7 +32,9 @@
         # late one, which would make leases shorter than they are meant to be.
         self._reading_ms = 0
         self._reading_at = 0.0
-        self.listed_at = 0.0
+        self.listed_at = 0.0  # when the last list was applied
+        # Latest time at which the last list can have been made.
+        self.list_made_at = 0.0
         # When its agent first failed to reach it; 0 while it is reached.
         self.unreachable_since = 0.0
         self.lease_ends_at = 0.0  # by then all runs have certainly ended
@@ -131,10 +133,18 @@
         return self._reading_ms + int(elapsed_s * 1000)
 
     def record_list(self, clock_ms: int, now: float) -> None:
-        """Record the arrival of a list made at ``clock_ms``."""
-        if not self.clock_ms or clock_ms >= self._least_clock_ms(now):
+        """Record the arrival of a list made at ``clock_ms``.
+
+        It may have waited in queues; by how long at least shows if an earlier
+        list took less time.
+        """
+        late_ms = 0
+        if self.clock_ms:
+            late_ms = max(0, self._least_clock_ms(now) - clock_ms)
+        if not late_ms:
             self._reading_ms = clock_ms
             self._reading_at = now
         self.clock_ms = clock_ms
         self.listed_at = now
+        self.list_made_at = now - late_ms / 1000
         self.unreachable_since = 0.0
--- a/citronrail/workflow/tests/_fleet.py
+++ b/citronrail/workflow/tests/_fleet.py
@@ -118,7 +118,7 @@
                     percent = int(100 * elapsed_s / spec.estimate_s)
                     rows.append(messages.RunRow(*key, 'c', percent, 1800.0))
             report = messages.WorkerReport(
-                TOKEN, life, 1000, tuple(rows), tuple(ended)
+                TOKEN, life, int(self.now * 1000), tuple(rows), tuple(ended)
             )
             self.reports.take(f'a{number}', report, self.now, 0.0)
 
--- a/citronrail/workflow/tests/test_overdue.py
+++ b/citronrail/workflow/tests/test_overdue.py
@@ -124,7 +124,7 @@
     view = fleet.state.workers['a0']
     fleet.place()
     view.probation_job = fleet.state.jobs['suspected']
-    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    fleet.list_all = lambda: view.record_list(int(fleet.now * 1000), fleet.now)
     fleet.submit('fill', BATCH)
     assert _seconds_to_first_run(fleet) == float('inf')
 
@@ -168,7 +168,7 @@
     """Guards against a worker over its capacity by runs not counted."""
     fleet = _fleet.Fleet(workers=1)
     view = fleet.state.workers['a0']
-    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    fleet.list_all = lambda: view.record_list(int(fleet.now * 1000), fleet.now)
     view.unknown_run_stops[('unknown', 1)] = 0.0
     fleet.submit('fill', BATCH)
     assert _seconds_to_first_run(fleet) == float('inf')
@@ -391,7 +391,7 @@
     fleet.step()
     fleet.step()
     view = fleet.state.workers['a0']
-    fleet.list_all = lambda: setattr(view, 'listed_at', fleet.now)
+    fleet.list_all = lambda: view.record_list(int(fleet.now * 1000), fleet.now)
     (batch,) = fleet.state.jobs['batch'].attempts()
     for _ in range(18):  # 9 s without progress of the fills
         batch.moved_at = fleet.now
--- a/citronrail/workflow/tests/test_run_supervisor.py
+++ b/citronrail/workflow/tests/test_run_supervisor.py
@@ -30,7 +30,7 @@
         self.run_supervisor = _run_supervisor.RunSupervisor(
             self.scheduler_state, self.factors
         )
-        self._reports = _reports.Reports(
+        self.reports = _reports.Reports(
             self.scheduler_state, workflows.Bounds(), TOKEN
         )
         self.report()
@@ -54,7 +54,7 @@
     def report(self, rows=()) -> None:
         """Apply a report with a list of the worker's runs."""
         report = messages.WorkerReport(TOKEN, LIFE, 1000, rows)
-        self._reports.take('a0', report, self.now, 0.0)
+        self.reports.take('a0', report, self.now, 0.0)
 
     def list_with(self, tail_ms: float) -> None:
         """Advance the time by LIST_S and apply the next list."""
@@ -98,3 +98,22 @@
         worker.list_with(15.0)
     assert worker.fill.pace == 100
     assert not worker.fill.pace_due
+
+
+@pytest.mark.parametrize(
+    ('clock_ms', 'stops'), [(1300, False), (6000, True)], ids=['late', 'stuck']
+)
+def test_run_is_not_stuck_because_its_list_waited(clock_ms, stops):
+    """Guards against stops of running work while lists are late.
+
+    Two lists made 0.3 s apart, of which a busy scheduler applied the second
+    one 5 s later, showed a run without progress for 5 s.
+    """
+    worker = _Worker()
+    name = worker.fill.task.name
+    for row_clock_ms, now in ((1000, 101.0), (clock_ms, 106.0)):
+        row = messages.RunRow(name, 1, '', 30, 2000.0)
+        report = messages.WorkerReport(TOKEN, LIFE, row_clock_ms, (row,))
+        worker.reports.take('a0', report, now, 0.0)
+    worker.run_supervisor.run(106.0)
+    assert bool(worker.fill.stop_reason) is stops
