Don't drop a peer whose messages may wait unread

Cause: a link is closed if no message was read from it for 3 s. A process that is short of processor time, but never suspended for a second, may have its messages waiting in the socket's queue all the while. Losing the connection drops them, marks the worker as disconnected and costs two Hellos. Change: silence counts until the socket was last seen empty. A peer whose connection is gone is noticed by zmq's own heartbeats as before.

--- a/citronrail/adapters/_peer_links.py
+++ b/citronrail/adapters/_peer_links.py
@@ -64,6 +64,13 @@
             self.last_sent_at = trio.current_time()
         return sent
 
+    def silent_s(self) -> float:
+        """Return for how long the peer has certainly sent nothing.
+
+        Messages that may still wait unread on the socket are no silence.
+        """
+        return self._sock.drained_at - self.last_received_at
+
     def close(self, reason: str) -> None:
         """Stop using the connection.
 
--- a/citronrail/adapters/_zmq_peers.py
+++ b/citronrail/adapters/_zmq_peers.py
@@ -261,7 +261,7 @@
                 for link in self._table.links():
                     link.last_received_at = now
             for link in self._table.links():
-                if now - link.last_received_at > self._limits.silence_s:
+                if link.silent_s() > self._limits.silence_s:
                     link.close('no message for too long')
                 elif now - link.last_sent_at > self._limits.keep_alive_s:
                     self._probe(link, now)
--- a/citronrail/adapters/_zmq_sockets.py
+++ b/citronrail/adapters/_zmq_sockets.py
@@ -57,6 +57,7 @@
 
     def __init__(self, sock: zmq.Socket[bytes]) -> None:
         self.zmq = sock
+        self._drained_at = trio.current_time()
         self._wait_scope: trio.CancelScope | None = None
 
     @property
@@ -64,6 +65,13 @@
         """Whether a message is waiting."""
         return self._readable()
 
+    @property
+    def drained_at(self) -> float:
+        """Local time at which no message was last known to wait."""
+        if not self._readable():
+            self._drained_at = trio.current_time()
+        return self._drained_at
+
     async def receive(self) -> list[zmq.Frame]:
         """Wait for the next message.
 
@@ -75,7 +83,7 @@
             try:
                 return self.zmq.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.Again:
-                pass
+                self._drained_at = trio.current_time()
             if self._readable():
                 continue
             with trio.CancelScope() as self._wait_scope:
@@ -94,6 +102,7 @@
             try:
                 yield self.zmq.recv_multipart(zmq.NOBLOCK, copy=False)
             except zmq.Again:
+                self._drained_at = trio.current_time()
                 return
 
     def send(self, frames: list[bytes]) -> bool:
--- a/citronrail/adapters/tests/test_zmq_peers.py
+++ b/citronrail/adapters/tests/test_zmq_peers.py
@@ -14,6 +14,7 @@
 
 from citronrail import adapters
 from citronrail.adapters import _reconnect
+from citronrail.adapters import _zmq_sockets
 from citronrail.adapters.tests import path as paths
 from citronrail import errors
 from citronrail.model import messages
@@ -381,10 +382,10 @@
 MESSAGES = 150
 
 
-async def _keep_busy():
+async def _keep_busy(pass_s=PASS_S):
     """Take processor time in each pass of the event loop."""
     while True:
-        time.sleep(PASS_S)  # noqa: ASYNC251 - it has to block
+        time.sleep(pass_s)  # noqa: ASYNC251 - it has to block
         await trio.lowlevel.checkpoint()
 
 
@@ -421,3 +422,35 @@
             nursery.cancel_scope.cancel()
     assert numbers == list(range(MESSAGES))
     assert trio.current_time() - began_at < MESSAGES * PASS_S / 4
+
+
+async def test_busy_process_drops_no_peer_whose_messages_wait(monkeypatch):
+    """Guards against a peer that is dropped because its messages wait unread.
+
+    A pass of the loop takes 0.05 s and reads one message, as on a host where
+    each takes longer than a batch may. The messages of 16 peers then wait
+    for longer than a peer may be silent.
+    """
+    monkeypatch.setattr(_zmq_sockets, 'MAX_BATCH', 1)
+    lost = []
+    async with hubs() as entry:
+        with contextlib.ExitStack() as stack:
+            socks = []
+            for number in range(16):
+                hello = paths.hello(f'peer-{number}', 'agent')()
+                routing_id = f'peer-{number}/{hello.boot_id}'.encode()
+                sock = stack.enter_context(
+                    raw_dealer(entry.address, routing_id)
+                )
+                socks.append((sock, hello))
+            entry.listen(lambda peer: None, lost.append)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_keep_busy, 0.05)
+                for sock, hello in socks:
+                    sock.send(messages.pack(hello))
+                    for _ in range(7):  # the queue of a peer has 8
+                        sock.send(messages.pack(messages.Credit('r', 1, 1)))
+                await trio.sleep(4.0)  # the last is read after 6.4 s
+                nursery.cancel_scope.cancel()
+            assert len(entry.peers('agent')) == len(socks)
+            assert not lost
