Wake the reader of a socket whose events were looked at

Found when the merge was read: the check of silent links looks at the events of a socket, which consumes the edge of its descriptor. A reader that was waiting then could have slept until the next message. It is woken, as after a send.

--- a/citronrail/adapters/_zmq_sockets.py
+++ b/citronrail/adapters/_zmq_sockets.py
@@ -70,6 +70,8 @@
         """Local time at which no message was last known to wait."""
         if not self._readable():
             self._drained_at = trio.current_time()
+        elif self._wait_scope is not None:
+            self._wait_scope.cancel()  # the look at it has consumed the edge
         return self._drained_at
 
     async def receive(self) -> list[zmq.Frame]:
