Don't delay urgent lists by the wait for a confirmation

Cause: a lease is passed on to the worker by the next list call, and an agent with two unconfirmed reports delayed that call by up to 1.5 s, even where the lease was about to run out. So it did with the first list of a new incarnation. Change: both end the wait. Evidence: test_unconfirmed_reports_delay_no_urgent_list fails in both cases without the change.

--- a/citronrail/workflow/_report_flow.py
+++ b/citronrail/workflow/_report_flow.py
@@ -20,6 +20,7 @@
     def __init__(self) -> None:
         self._sent = 0
         self._confirmed = 0
+        self._urgent = False
         self._changed = trio.Event()
 
     @property
@@ -47,16 +48,25 @@
         self._sent = self._confirmed = 0
         self._notify()
 
+    def skip_wait(self) -> None:
+        """End the present wait, or the next one, at once."""
+        self._urgent = True
+        self._notify()
+
     async def wait(self) -> bool:
         """Wait until another report may be sent.
 
         :returns: False if the confirmation has not come in time.
         """
         with trio.move_on_after(CONFIRMATION_TIMEOUT_S):
-            while self._sent - self._confirmed >= MAX_UNCONFIRMED:
+            while not (self._may_send or self._urgent):
                 await self._changed.wait()
-            return True
-        return False
+        self._urgent = False
+        return self._may_send
+
+    @property
+    def _may_send(self) -> bool:
+        return self._sent - self._confirmed < MAX_UNCONFIRMED
 
     def _notify(self) -> None:
         self._changed.set()
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -148,6 +148,7 @@
         self._reported_end = 0
         self._pending = _Pending([], [])
         self._list_scope.cancel()
+        self._flow.skip_wait()
 
     # List of runs
 
@@ -366,6 +367,7 @@
             )
         if self._lease.runs_out():
             self._list_scope.cancel()
+            self._flow.skip_wait()
 
     def _refuse_starts(
         self, starts: tuple[messages.StartOrder, ...], reason: str
--- a/citronrail/workflow/tests/test_worker_agent.py
+++ b/citronrail/workflow/tests/test_worker_agent.py
@@ -277,3 +277,44 @@
     gaps = [later - at for at, later in itertools.pairwise(sent_at)]
     assert max(gaps) < worker_orders.LEASE_RENEW_MAX_LIST_AGE_S
     nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('case', ['lease', 'incarnation'])
+async def test_unconfirmed_reports_delay_no_urgent_list(
+    case, autojump_clock, nursery
+):
+    """Guards against leases that end while an agent waits for a confirmation.
+
+    A lease is extended by the next list call, which had to wait for up to
+    1.5 s. So had the first list of a new incarnation, before which nothing
+    is started there.
+    """
+    worker, hub = _SlowWorker(0.0), _Hub()
+    calls = []
+    list_runs = worker.list_runs
+
+    async def recording(life, order):
+        calls.append((trio.current_time(), life.born_ms, order.lease_until_ms))
+        return await list_runs(life, order)
+
+    worker.list_runs = recording
+    agent = workflow.WorkerAgent(worker, hub, 8.0)
+    await nursery.start(agent.run)
+    agent.announce(LIFE)
+    short = dataclasses.replace(_orders(), lease_until_ms=4000)
+    await hub.on_orders(LEADER, short, b'')
+    for _ in range(10):
+        await trio.sleep(0.37)
+        until_ms = 3900 + int(trio.current_time() * 1000)
+        began_at, calls[:] = trio.current_time(), []
+        if case == 'lease':
+            longer = dataclasses.replace(short, lease_until_ms=until_ms)
+            await hub.on_orders(LEADER, longer, b'')
+            wanted = (1, until_ms)
+        else:
+            born_ms = agent.life.born_ms + 1
+            agent.announce(dataclasses.replace(LIFE, born_ms=born_ms))
+            wanted = (born_ms, 0)
+        await trio.sleep(0.1)
+        assert [wanted] == [call[1:] for call in calls[:1]], began_at
+    nursery.cancel_scope.cancel()
