Start no second runs while an agent waits for a confirmation

Cause: since agents wait up to 1.5 s for a late confirmation, lists are over 1.5 s apart where a scheduler is late. After 1.5 s without a list a second run of each speculative task was started, which makes the scheduler busier. Change: the limit is 2 s. Evidence: test_late_messages_start_no_second_runs (orders and reports 1 s late) fails before, and passes before with agents that don't wait. A scheduler that applies lists more than 0.5 s unevenly still starts second runs.

--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -32,8 +32,10 @@
 THROTTLED_START_BELOW_PERCENT = 90
 # A speculative run starts if the worker has sent no list for
 # SPECULATE_SILENT_S, or if the run has exceeded its estimate by the ratio
-# plus a constant for short tasks and is below SPECULATE_BELOW_PERCENT.
-SPECULATE_SILENT_S = 1.5
+# plus a constant for short tasks and is below SPECULATE_BELOW_PERCENT. Lists
+# of an agent that waits for a late confirmation are 1.5 s apart; with that
+# limit each task of a busy scheduler was started twice.
+SPECULATE_SILENT_S = 2.0
 SPECULATE_AFTER_RATIO = 1.6
 SPECULATE_EXTRA_S = 0.5
 SPECULATE_BELOW_PERCENT = 60
--- a/citronrail/workflow/tests/test_late_reports.py
+++ b/citronrail/workflow/tests/test_late_reports.py
@@ -52,3 +52,25 @@
     assert starts == [1] * (JOBS * TASKS)
     assert not cluster.history.violations
     nursery.cancel_scope.cancel()
+
+
+async def test_late_messages_start_no_second_runs(autojump_clock, nursery):
+    """Guards against second runs since agents wait for a late confirmation.
+
+    Their lists are then 1.5 s apart. A worker that was silent for longer was
+    taken for lost, so that each speculative task started twice.
+    """
+    cluster = _cluster.SimulatedCluster(seed=1, entries=1, workers=4)
+    cluster.default_plan = task_worker.TaskPlan(work_s=WORK_S)
+    await cluster.start(nursery)
+    await trio.sleep(3.0)
+    _set_lag(cluster, reports_s=1.0, orders_s=1.0)
+    jobs = [f'{number:016x}' for number in range(JOBS)]
+    for job_id in jobs:
+        spec = _cluster.one_step(TASKS, estimate_s=WORK_S, speculative=True)
+        await cluster.submit(job_id, spec)
+    for job_id in jobs:
+        await cluster.until_state(job_id, 'completed')
+    starts = [len(record.starts) for record in cluster.history.tasks.values()]
+    assert starts == [1] * (JOBS * TASKS)
+    nursery.cancel_scope.cancel()
