Measure how long a run lasted by the clock of its worker

Cause: a run clears its task of suspected crashes if it was listed for 0.5 s, by the times at which the lists were applied. With late lists, a run of 0.1 s cleared its task, and one of 5 s did not if both lists were applied at once, so that a good job may be given up. Change: both times are on the worker's clock. Evidence: test_run_lasts_between_the_times_of_its_lists fails in both cases without the change. The clock in the reports of the other tests now runs, it was 1000 in all of them; what they assert is the same.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -194,7 +194,7 @@
         """
         if attempt.lasted or not attempt.listed_at:
             return
-        if view.listed_at - attempt.listed_at < LASTED_S:
+        if view.clock_ms - attempt.listed_clock_ms < LASTED_S * 1000:
             return
         attempt.lasted = True
         task = attempt.task
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -24,6 +24,7 @@
         'from_start',
         'lasted',
         'listed_at',
+        'listed_clock_ms',
         'listed_percent',
         'load',
         'missing_from_ms',
@@ -69,6 +70,7 @@
         # Number of the start order; 0 if another scheduler sent it.
         self.order_number = 0
         self.listed_at = 0.0  # first time on the worker's list
+        self.listed_clock_ms = 0  # that time on the worker's clock
         # Whether it was listed for long enough to show that its start did
         # not crash the worker.
         self.lasted = False
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -252,7 +252,7 @@
                     view.unknown_run_stops[key] = 0.0
                     _log_unknown(view, row)
                 continue
-            _update_from_row(attempt, row, now, view.list_made_at)
+            _update_from_row(attempt, row, now, view)
             self._crash_log.on_listed(attempt, view)
         for key in [
             key for key in view.unknown_run_stops if key not in listed
@@ -393,18 +393,19 @@
     attempt: _job.Attempt,
     row: messages.RunRow,
     now: float,
-    made_at: float,
+    view: _worker_view.WorkerView,
 ) -> None:
     attempt.missing_from_ms = None
     if not attempt.listed_at:
         attempt.task.stage.job.begun = True
         attempt.listed_at = now
+        attempt.listed_clock_ms = view.clock_ms
         attempt.listed_percent = row.percent
-        attempt.steady_since = made_at
+        attempt.steady_since = view.list_made_at
         attempt.steady_percent = row.percent
     if row.percent != attempt.percent:
         attempt.percent = row.percent
-        attempt.moved_at = made_at
+        attempt.moved_at = view.list_made_at
     attempt.load = row.load
     if row.checkpoint:
         if row.checkpoint != attempt.task.checkpoint:
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -160,7 +160,9 @@
         life = messages.WorkerLife(
             node, self.born[node], 'pool', 'dc', 'ready', 4000, 8000, 0
         )
-        report = messages.WorkerReport(TOKEN, life, clock_ms=1000)
+        report = messages.WorkerReport(
+            TOKEN, life, clock_ms=int(self.now * 1000)
+        )
         if fields.get('unreachable'):
             report = messages.WorkerReport(0, life, unreachable=True)
         elif fields:
@@ -266,3 +268,27 @@
     assert (not task.crashes) is cleared
     play.lose('a0')
     assert not task.crashes or not cleared
+
+
+@pytest.mark.parametrize(
+    ('listed_ms', 'applied_s', 'cleared'),
+    [(100, 5.0, False), (5000, 0.1, True)],
+    ids=['the second list waited', 'the first list waited'],
+)
+def test_run_lasts_between_the_times_of_its_lists(
+    listed_ms, applied_s, cleared
+):
+    """Guards against wrong charges by a scheduler that applies lists late.
+
+    A run that had lasted for 5 s was charged with the loss of its worker, as
+    both lists were applied at once; a run of 0.1 s cleared its task.
+    """
+    play = _Play()
+    task = play.start('a0')
+    task.crashes = (_crash(1, True), _crash(2, False))
+    row = messages.RunRow(task.name, 1, '', 0, 0.0)
+    first_ms = int(play.now * 1000)
+    play.report('a0', running=(row,), clock_ms=first_ms)
+    play.now += applied_s
+    play.report('a0', running=(row,), clock_ms=first_ms + listed_ms)
+    assert (not task.crashes) is cleared
