--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -30,6 +30,7 @@
         self.began = time.monotonic()
         self.fence = 0
         self.lease_ms = 0
+        self.lapsed = False
         self.runs = {}  # (task, run) -> dict
         self.ends = []  # [N, task, run, how, saved]
         self.end_count = 0
@@ -73,6 +74,9 @@
     def tick(self, elapsed_s):
         """Let the runs work."""
         lapsed = self.clock_ms() > self.lease_ms
+        if lapsed and not self.lapsed and self.lease_ms:
+            self.note('lease lapsed')
+        self.lapsed = lapsed
         now = time.monotonic()
         for key, run in list(self.runs.items()):
             run['done_ms'] += elapsed_s * 1000 * run['pace'] / 100
