--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -164,6 +164,7 @@
         self.roles = tomllib.loads(
             (ROOT / 'deploy' / 'system.toml').read_text()
         )['roles']
+        self.labels = [['a', f'r1-{n + 1}'] for n in range(agents)]
         self.worker_cpu = cpu
         self.worker_mem_mb = mem_mb
 
@@ -271,7 +272,7 @@
             'zone': ZONES[number % 3],
             'cpu': cpu or self.worker_cpu,
             'memMb': self.worker_mem_mb,
-            'labels': labels or ['a', f'r1-{number + 1}'],
+            'labels': labels or self.labels[number],
             'app': f'{ip}:{APP_PORT}',
             'control': f'{ip}:{CONTROL_PORT}',
             'events': str(self.events_path),
