Let the worker confirm an announced incarnation before it counts

Callers saw tasks run twice at once (TWICE): one heartbeat of another writer made all runs of a sound worker start again elsewhere while they went on, and the worker got no more work.

Cause: an announcement alone ended an incarnation. The agent replaced the one that it knew by whatever had the later time of birth, and reported that to the scheduling entry, which discarded the runs of the worker without waiting for their leases.

Change: the agent asks the worker itself, by a list call that names the announced incarnation, which any other refuses with 421. It takes the incarnation up once the worker has answered as that one, with the time of birth that was announced. A true restart under a new ID costs one more call on the host itself.

--- a/citronrail/errors.py
+++ b/citronrail/errors.py
@@ -120,6 +120,10 @@
     outcome = outcomes.Outcome.NOT_RUN
 
 
+class AnotherIncarnation(WorkerRefused):
+    """The worker is another incarnation than the one that was addressed."""
+
+
 class CheckpointUnknown(WorkerRefused):
     """The platform no longer has the checkpoint that a start resumes from."""
 
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -146,6 +146,12 @@
 ANNOUNCEMENT_REFUSED = _events.EventKind(
     1745, 'WARNING', 'announcement refused: {reason}'
 )
+INCARNATION_REFUSED = _events.EventKind(
+    1738,
+    'WARNING',
+    'worker {worker} born {born} was announced, but is not the worker of this '
+    'host: {reason}',
+)
 ORDERS_REFUSED = _events.EventKind(
     1746,
     'WARNING',
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -16,7 +16,7 @@
 TARGET_HEADER = 'Target-Instance'
 _MISDIRECTED_STATUS = 421
 # Statuses of calls that had no effect on the worker.
-_REFUSAL_STATUSES = (400, 404, 409, 421, 429, 503)
+_REFUSAL_STATUSES = (400, 404, 409, 429, 503)
 
 
 class _RunRow(msgspec.Struct, frozen=True, array_like=True):
@@ -173,6 +173,10 @@
             ) from exc
         if res.status_code == 200:
             return res
+        if res.status_code == _MISDIRECTED_STATUS:
+            raise errors.AnotherIncarnation(
+                'another life', step=step, peer=life.worker_id
+            )
         if res.status_code in _REFUSAL_STATUSES:
             raise errors.WorkerRefused(
                 _refusal_reason(res), step=step, peer=life.worker_id
@@ -183,8 +187,6 @@
 
 
 def _refusal_reason(res: typing.Any) -> str:
-    if res.status_code == _MISDIRECTED_STATUS:
-        return 'another life'
     try:
         response = codec.from_json(res.content, _RefusalResponse)
     except errors.Undecodable:
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -99,6 +99,10 @@
     'Errors of listeners of the store, which are skipped, by prefix',
     ['prefix'],
 )
+INCARNATIONS_REFUSED = prometheus_client.Counter(
+    'citronrail_workflow_incarnations_refused',
+    'Announced incarnations that the worker itself did not confirm',
+)
 RECORDS_REFUSED = prometheus_client.Counter(
     'citronrail_workflow_records_refused',
     'Stored records that were skipped as malformed or out of range, by type',
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -11,6 +11,7 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
 from citronrail.workflow import _agent_lease
+from citronrail.workflow import _incarnation_checks
 from citronrail.workflow import _order_numbers
 from citronrail.workflow import _report_flow
 
@@ -85,38 +86,56 @@
         self._report_scheduled = False
         self._unreachable = False
         self._stopping: set[tuple[str, int]] = set()
+        self._checks = _incarnation_checks.IncarnationChecks(
+            worker, lambda: self._fencing, self._begin_incarnation
+        )
         hub.subscribe(messages.WorkerOrders, self._on_orders)
 
     # Announcements
 
     @property
     def life(self) -> messages.WorkerLife | None:
-        """The worker's current incarnation, None before its announcement."""
+        """The worker's current incarnation, None before it is confirmed."""
         return self._life
 
     def announce(self, life: messages.WorkerLife) -> bool:
-        """Handle an announcement of the worker.
+        """Handle an announcement, which may come from another writer.
+
+        A new incarnation ends what is believed of the runs of the one before,
+        so that it counts only once the worker itself has confirmed it.
 
         :param life: the announced incarnation.
         :returns: False if it is an earlier incarnation than the current one.
         """
+        if self._life is not None and life.born_ms < self._life.born_ms:
+            return False
+        if self._is_current(life.worker_id, life.born_ms):
+            self._set_life(life)
+        else:
+            self._checks.add(life)
+        return True
+
+    def _begin_incarnation(self, life: messages.WorkerLife) -> None:
+        """Take up a confirmed incarnation."""
         if self._life is not None:
             if life.born_ms < self._life.born_ms:
-                return False
-            if not self._is_current(life.worker_id, life.born_ms):
-                self._reset_for_new_incarnation()
+                return
+            self._reset_for_new_incarnation()
+        self._set_life(life)
+
+    def _set_life(self, life: messages.WorkerLife) -> None:
         if life != self._life:
             self._log(life)
             self._life = life
             self._wake.set()
             self._schedule_report()
-        return True
 
     def leave(self, worker_id: str) -> None:
         """Mark the worker as draining."""
+        self._checks.remove(worker_id)
         life = self._life
         if life is not None and life.worker_id == worker_id:
-            self.announce(dataclasses.replace(life, state='draining'))
+            self._set_life(dataclasses.replace(life, state='draining'))
 
     def _log(self, life: messages.WorkerLife) -> None:
         old = self._life
@@ -161,6 +180,7 @@
         self._lease.begin()
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._checks.run)
             task_status.started()
             while True:
                 confirmed = await self._flow.wait()
@@ -223,7 +243,7 @@
         if worker_list.born_ms and worker_list.born_ms != life.born_ms:
             # A new incarnation with the same ID; its announcement follows.
             if worker_list.born_ms > life.born_ms:
-                self.announce(
+                self._begin_incarnation(
                     dataclasses.replace(life, born_ms=worker_list.born_ms)
                 )
             return
@@ -324,6 +344,7 @@
                 self._flow.reset()
             self._fencing = orders.fencing
             self._scheduler = peer.node_id
+            self._checks.wake()
             self._wake.set()
             self._list_scope.cancel()
             self._schedule_report()
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -276,7 +276,9 @@
         if self.faults.refusing:
             raise self._refusal('unhealthy')
         if life.worker_id != self.worker_id:
-            raise self._refusal('another life')
+            raise errors.AnotherIncarnation(
+                'another life', step='worker', peer=self.worker_id
+            )
 
     def _refusal(self, reason: str) -> errors.WorkerRefused:
         return errors.WorkerRefused(reason, step='worker', peer=self.worker_id)
