Refuse a heartbeat with odd fields that the agent doesn't use

Callers saw tasks run twice (TWICE): a heartbeat of another writer, with a service that isn't named or a field missing, was taken for one of the worker.

Cause: the agent decoded seven of the fields of a heartbeat and checked neither the others nor the service. PROTOCOL.md says that a heartbeat with fields missing or of another type, or with a state or service that isn't named, names no worker to use. A second fault lay beside it: each accepted heartbeat of an unknown incarnation made the agent forget the last sequence number of its worker, so that a late heartbeat could restore a capacity that had shrunk.

Change: all fields of the page are required with their types, but those that only some heartbeats have; the service has to be the one that the settings name. The last sequence numbers of 16 incarnations are kept.

The bodies of earlier tests had too few fields to be heartbeats; they have all of them now.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -1,5 +1,6 @@
 """HTTP application for the announcements of the worker on this host."""
 
+import collections
 import typing
 
 import msgspec
@@ -19,6 +20,9 @@
 from citronrail import workflow
 
 STATES = ('ready', 'draining')
+# Incarnations whose last sequence number is kept. Those that another writer
+# announces must not displace the one of the worker.
+MAX_SEQUENCES = 16
 _Labels = typing.Annotated[
     tuple[bounded.Name, ...], msgspec.Meta(max_length=256)
 ]
@@ -31,25 +35,60 @@
 
 
 class _Heartbeat(msgspec.Struct, frozen=True):
+    """A heartbeat, which is refused as a whole.
+
+    The fields that are not used show whether it is one of a worker.
+    """
+
     service: bounded.Name
+    addr: bounded.Name
     zone: bounded.Name
+    version: bounded.Name
+    slots: bounded.Amount
     state: bounded.Name
+    coldLeftMs: bounded.SignedNumber  # noqa: N815 - name on the wire
     # A greater one would make all later announcements old, like a time of
     # birth in the far future.
     seq: bounded.Amount
     capacity: _Capacity
-    labels: _Labels = ()
+    labels: _Labels
+    clockMs: bounded.Count = 0  # noqa: N815 - name on the wire
     born: bounded.UnixMs = 0
     drainRemainingMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
 
 
-def announcement_app(agent: workflow.WorkerAgent) -> applications.Starlette:
+class _Sequences:
+    """Finds announcements that were overtaken by a later one."""
+
+    def __init__(self) -> None:
+        self._last: collections.OrderedDict[tuple[str, int], int] = (
+            collections.OrderedDict()
+        )
+
+    def is_late(self, worker_id: str, body: _Heartbeat) -> bool:
+        """Return whether a later one of the same incarnation was taken."""
+        return body.seq <= self._last.get((worker_id, body.born), -1)
+
+    def record(self, worker_id: str, body: _Heartbeat) -> None:
+        """Record an announcement that was taken."""
+        key = (worker_id, body.born)
+        self._last[key] = body.seq
+        self._last.move_to_end(key)
+        if len(self._last) > MAX_SEQUENCES:
+            self._last.popitem(last=False)
+
+
+def announcement_app(
+    agent: workflow.WorkerAgent, service: str
+) -> applications.Starlette:
     """Create the application for the worker on this host.
 
     :param agent: receives the announced incarnations and states.
+    :param service: service of the worker; announcements with another one are
+        refused. '' if the settings don't name it.
     :returns: an ASGI application.
     """
-    last_seq: dict[tuple[str, int], int] = {}
+    sequences = _Sequences()
 
     async def heartbeat(req: requests.Request) -> responses.Response:
         worker_id = req.path_params['worker_id']
@@ -65,13 +104,15 @@
             return _refuse(
                 worker_id, f'unknown state {worker_heartbeat.state!r}'
             )
-        key = (worker_id, worker_heartbeat.born)
+        if service and worker_heartbeat.service != service:
+            return _refuse(
+                worker_id, f'another service {worker_heartbeat.service[:40]!a}'
+            )
         life = _worker_life(worker_id, worker_heartbeat)
-        if worker_heartbeat.seq > last_seq.get(key, -1) and agent.announce(
-            life
-        ):
-            last_seq.clear()
-            last_seq[key] = worker_heartbeat.seq
+        if not sequences.is_late(
+            worker_id, worker_heartbeat
+        ) and agent.announce(life):
+            sequences.record(worker_id, worker_heartbeat)
         return _http_apps.json_response(200, {})
 
     async def leave(req: requests.Request) -> responses.Response:
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -276,7 +276,7 @@
     worker = _worker.PlatformWorker(cfg.worker_address)
     agent = workflow.WorkerAgent(worker, process.hub, cfg.bounds.max_lease_s)
     port = process.port(
-        _announcement_app.announcement_app(agent),
+        _announcement_app.announcement_app(agent, cfg.service),
         cfg.announcements_address,
         'announcements',
     )
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -238,7 +238,7 @@
 async def test_announcements_are_accepted_in_order():
     """Guards against a delayed announcement that overwrites a newer one."""
     agent = _Agent()
-    client = _client(_announcement_app.announcement_app(agent))
+    client = _client(_announcement_app.announcement_app(agent, 's'))
     assert (await _send_heartbeat(client)).status_code == 200
     assert (
         await _send_heartbeat(client, state='draining', seq=6)
@@ -257,7 +257,7 @@
     newest sequence number, so that it accepted an older one of the present.
     """
     agent = _Agent()
-    client = _client(_announcement_app.announcement_app(agent))
+    client = _client(_announcement_app.announcement_app(agent, 's'))
     small = {'cpu': 1000, 'memMb': 1000}
     assert HEARTBEAT['capacity']['cpu'] > small['cpu']
     await _send_heartbeat(client, seq=5, capacity=small)
@@ -266,19 +266,68 @@
     assert [life.cpu_millis for life in agent.lives] == [1000]
 
 
+async def test_many_announcements_hide_no_late_one():
+    """Guards against starts on a worker whose capacity has shrunk (LIMIT).
+
+    Announcements of other writers made the agent forget the newest sequence
+    number of its worker.
+    """
+    agent = _Agent()
+    agent.announce = lambda life: agent.lives.append(life) or True
+    client = _client(_announcement_app.announcement_app(agent, 's'))
+    small = {'cpu': 1000, 'memMb': 1000}
+    await _send_heartbeat(client, seq=5, capacity=small)
+    for number in range(1, 16):
+        await _send_heartbeat(client, born=HEARTBEAT['born'] + number)
+    await _send_heartbeat(client, seq=4)
+    assert [life.born_ms for life in agent.lives].count(HEARTBEAT['born']) == 1
+
+
 @pytest.mark.parametrize(
     'changes',
-    [{'state': 'asleep'}, {'capacity': 'large'}, {'seq': 'four'}],
-    ids=['state', 'capacity', 'seq'],
+    [
+        {'state': 'asleep'},
+        {'capacity': 'large'},
+        {'seq': 'four'},
+        {'service': 'billing'},
+        {'addr': 7},
+        {'version': None},
+        {'slots': 'eight'},
+        {'coldLeftMs': []},
+        {'clockMs': [1]},
+        {'born': '1700000000000'},
+        {'labels': 7},
+        {'service': 'billing', 'state': 'draining'},
+    ],
+    ids=str,
 )
 async def test_malformed_announcement_is_rejected(changes):
-    """Guards against accepting a malformed announcement."""
+    """Guards against an announcement that names no worker to use (TWICE).
+
+    Those with a service that isn't named, or with an odd value in a field
+    that the agent doesn't use, replaced a sound worker.
+    """
     agent = _Agent()
-    client = _client(_announcement_app.announcement_app(agent))
+    client = _client(_announcement_app.announcement_app(agent, 's'))
     assert (await _send_heartbeat(client, **changes)).status_code == 400
     assert agent.lives == []
 
 
+@pytest.mark.parametrize(
+    'field', sorted(HEARTBEAT.keys() - {'clockMs', 'born'})
+)
+async def test_announcement_without_a_field_is_rejected(field):
+    """Guards against an announcement that names no worker to use (TWICE)."""
+    agent = _Agent()
+    client = _client(_announcement_app.announcement_app(agent, 's'))
+    body = {key: HEARTBEAT[key] for key in HEARTBEAT if key != field}
+    res = await client.post(
+        '/Instances.Heartbeat/i-1', content=msgspec.json.encode(body)
+    )
+    assert res.status_code == 400
+    assert agent.lives == []
+
+
 async def test_response_deadline_is_before_the_callers(autojump_clock):
     """Guards against responses after the caller's deadline."""
     now = trio.current_time()
--- a/citronrail/platform/tests/test_mutated_data.py
+++ b/citronrail/platform/tests/test_mutated_data.py
@@ -39,8 +39,12 @@
 ITEM = {'key': 'k', 'value': 'eA==', 'rev': 4, 'lease': 7}
 HEARTBEAT = {
     'service': 'pool',
+    'addr': '127.0.0.1:1',
     'zone': 'dc',
+    'version': 'v1',
+    'slots': 8,
     'state': 'ready',
+    'coldLeftMs': 0,
     'seq': 1,
     'capacity': {'cpu': 4000, 'memMb': 4096, 'gpu': 0},
     'labels': ['a'],
--- a/citronrail/platform/tests/test_odd_data.py
+++ b/citronrail/platform/tests/test_odd_data.py
@@ -29,8 +29,12 @@
 LIFE = messages.WorkerLife('w', 1, 'p', 'dc', 'ready', 1, 1, 0)
 HEARTBEAT = {
     'service': 'pool',
+    'addr': '127.0.0.1:1',
     'zone': 'dc',
+    'version': 'v1',
+    'slots': 8,
     'state': 'ready',
+    'coldLeftMs': 0,
     'seq': 1,
     'capacity': {'cpu': 4000, 'memMb': 4096, 'gpu': 0},
     'labels': ['a'],
@@ -52,7 +56,9 @@
 
 
 async def _announce(agent, body: bytes, worker_id='w') -> int:
-    transport = httpx.ASGITransport(_announcement_app.announcement_app(agent))
+    transport = httpx.ASGITransport(
+        _announcement_app.announcement_app(agent, 'pool')
+    )
     async with httpx.AsyncClient(
         transport=transport, base_url='http://a'
     ) as client:
@@ -60,6 +66,14 @@
         return (await client.post(path, content=body)).status_code
 
 
+async def test_sound_announcement_is_accepted():
+    """Guards the tests below against a body that is refused anyhow."""
+    agent = _Agent()
+    body = msgspec.json.encode(HEARTBEAT)
+    assert await _announce(agent, body) == 200
+    assert [life.worker_id for life in agent.lives] == ['w']
+
+
 async def test_deeply_nested_announcement_is_refused():
     """Guards against an announcement that ends in an unhandled error."""
     agent = _Agent()
