Use a worker that starts again under its ID as it announces itself

Callers saw accepted jobs that never ran (LOST): a worker that had ended as planned and started again under its ID got no more work until another entry led. A smaller one was filled like the one before (LIMIT).

Cause: an agent may learn of the new incarnation from the time of birth in a list, before its first heartbeat. It then took state, capacity and labels of the incarnation before for those of the new one. A worker that had been draining was reported as draining again, and the scheduling entry rightly holds that a worker never takes its announced stop back.

Change: an incarnation that only a list has shown has the state 'starting'. Its runs of before are given up at once, as they were, but nothing is started on it until it has announced itself. Only 'draining' is kept for good.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -10,14 +10,16 @@
 class WorkerLife:
     """One incarnation of a worker, as it last announced itself.
 
-    ``born_ms`` distinguishes incarnations with the same ``worker_id``.
+    ``born_ms`` distinguishes incarnations with the same ``worker_id``. The
+    state is ``ready``, ``draining``, or ``starting`` for one that a list has
+    shown before its first announcement; its other fields may be outdated.
     """
 
     worker_id: bounded.Name
     born_ms: bounded.UnixMs
     service: bounded.Name
     data_centre: bounded.Name
-    state: str  # 'ready' or 'draining'
+    state: str
     cpu_millis: bounded.Amount
     memory_mb: bounded.Amount
     accelerators: bounded.Amount
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -123,6 +123,23 @@
             self._reset_for_new_incarnation()
         self._set_life(life)
 
+    def _begin_unannounced(
+        self, life: messages.WorkerLife, born_ms: int
+    ) -> None:
+        """Take up an incarnation with the same ID that a list has shown.
+
+        State, capacity and labels are those of the one before, which may have
+        been draining or of another kind. They follow with its announcement.
+
+        :param life: the incarnation before.
+        :param born_ms: time of birth of the present one.
+        """
+        self._begin_incarnation(
+            dataclasses.replace(
+                life, born_ms=born_ms, state='starting', drain_left_s=0.0
+            )
+        )
+
     def _set_life(self, life: messages.WorkerLife) -> None:
         if life != self._life:
             self._log(life)
@@ -241,11 +258,8 @@
             return
         self._unreachable = False
         if worker_list.born_ms and worker_list.born_ms != life.born_ms:
-            # A new incarnation with the same ID; its announcement follows.
             if worker_list.born_ms > life.born_ms:
-                self._begin_incarnation(
-                    dataclasses.replace(life, born_ms=worker_list.born_ms)
-                )
+                self._begin_unannounced(life, worker_list.born_ms)
             return
         self._confirmed_token = fencing
         self._lease.read_clock(worker_list.clock_ms)
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -81,7 +81,7 @@
     @property
     def draining(self) -> bool:
         """Whether the worker has announced that it will stop."""
-        return self.life.state != 'ready'
+        return self.life.state == 'draining'
 
     def matches(self, worker_id: str, born_ms: int) -> bool:
         """Whether this is the given incarnation of the given worker."""
@@ -94,7 +94,7 @@
         return (
             self.connected
             and self.token_confirmed
-            and not self.draining
+            and self.life.state == 'ready'
             and not self.unreachable_since
             and now - self.listed_at < MAX_LIST_AGE_S
         )
--- /dev/null
+++ b/citronrail/workflow/tests/test_unannounced_incarnation.py
@@ -0,0 +1,93 @@
+"""Tests of workers that start again under their ID."""
+
+import dataclasses
+
+import pytest
+import trio
+
+from citronrail.workflow.tests import _cluster
+from citronrail.workflow.tests import test_incarnation_checks
+from standins import task_worker
+
+LIFE = test_incarnation_checks.LIFE
+JOB = 'b' * 16
+
+
+async def test_list_of_a_new_incarnation_keeps_no_old_state(
+    autojump_clock, nursery
+):
+    """Guards against a restarted worker that counts as draining for good.
+
+    Its list is answered before its first announcement (LOST).
+    """
+    worker = test_incarnation_checks._Worker(LIFE)
+    agent = await test_incarnation_checks._begin(nursery, worker)
+    agent.announce(LIFE)
+    await trio.sleep(0.1)
+    agent.announce(dataclasses.replace(LIFE, state='draining'))
+    worker.life = dataclasses.replace(LIFE, born_ms=9)
+    await trio.sleep(3.0)
+    assert agent.life is not None
+    assert (agent.life.born_ms, agent.life.state) == (9, 'starting')
+    assert agent.announce(worker.life)
+    assert agent.life == worker.life
+    nursery.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize('smaller', [False, True])
+async def test_restarted_worker_is_used_as_announced(
+    autojump_clock, nursery, smaller
+):
+    """Guards against work that waits for a worker that is up (LOST, LIMIT).
+
+    The worker drains, ends and starts again under its ID before it announces
+    itself; a smaller one was filled like the one before.
+    """
+    cluster = _cluster.SimulatedCluster(seed=1, entries=1, workers=1)
+    cluster.default_plan = task_worker.TaskPlan(work_s=1.0, cpu_millis=1000)
+    (worker,) = cluster.workers
+    await cluster.start(nursery)
+    await cluster.submit(JOB, _cluster.one_step())
+    await cluster.until_state(JOB, 'completed')
+    worker.state = 'draining'
+    await trio.sleep(2.0)
+    (agent,) = cluster.agents.values()
+    announce = agent.agent.announce
+    agent.agent.announce = lambda life: True
+    worker.simulate_restart()
+    worker.state = 'ready'
+    if smaller:
+        worker.cpu_millis = 1000
+    await cluster.submit('c' * 16, _cluster.one_step(8, cpu_millis=1000))
+    await trio.sleep(3.0)
+    agent.agent.announce = announce
+    await cluster.until_state('c' * 16, 'completed')
+    assert cluster.history.violations == []
+    nursery.cancel_scope.cancel()
+
+
+async def test_crashed_worker_is_filled_by_its_new_capacity(
+    autojump_clock, nursery
+):
+    """Guards against starts on a smaller worker than the one before (LIMIT).
+
+    It crashed and is of another kind now, which it has not announced yet.
+    """
+    cluster = _cluster.SimulatedCluster(seed=1, entries=1, workers=1)
+    cluster.default_plan = task_worker.TaskPlan(work_s=1.0, cpu_millis=1000)
+    (worker,) = cluster.workers
+    await cluster.start(nursery)
+    await cluster.submit(JOB, _cluster.one_step())
+    await cluster.until_state(JOB, 'completed')
+    (agent,) = cluster.agents.values()
+    announce = agent.agent.announce
+    agent.agent.announce = lambda life: True
+    worker.cpu_millis = 1000
+    worker.simulate_restart()
+    await trio.sleep(2.0)
+    await cluster.submit('c' * 16, _cluster.one_step(4, cpu_millis=1000))
+    await trio.sleep(2.0)
+    agent.agent.announce = announce
+    await cluster.until_state('c' * 16, 'completed')
+    assert cluster.history.violations == []
+    nursery.cancel_scope.cancel()
