Take no run for missing while a worker holds more ends than it lists

Cause: a list shows at most 500 ends that are not acknowledged. A run whose end comes after these stands neither among the running nor among the ended runs. The scheduling entry took it for one that had never started, asked for a stop, and discarded the run as "stopped before it started" once the stop was confirmed. Its task was placed again and started, if the next list did not show its end in time.

Change: the client of the worker, which knows the length of its lists, tells whether there may be more ends. While there are, nothing is concluded from the absence of a run: it neither counts as missing, nor is it discarded for a confirmed stop. The stop is asked for again later if it is still needed.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -124,7 +124,8 @@
     call failed. ``received`` is the highest number of the orders under
     ``token`` that had arrived; those up to ``settled`` had been carried out
     before the list was requested. ``number`` counts the reports to one
-    scheduler.
+    scheduler. ``has_more_ends`` is set if the worker may hold ends that the
+    list doesn't show, so that a run in neither list may have ended.
     """
 
     fencing: bounded.Id
@@ -141,6 +142,7 @@
     received: int = 0
     settled: int = 0
     number: int = 0
+    has_more_ends: bool = False
 
 
 @_registry.message
--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -12,6 +12,8 @@
 from citronrail import ports
 
 CALL_TIMEOUT_S = 1.0
+# A list shows the oldest ends that are not acknowledged, up to so many.
+MAX_LISTED_ENDS = 500
 PEER = 'worker'
 TARGET_HEADER = 'Target-Instance'
 _MISDIRECTED_STATUS = 421
@@ -93,6 +95,7 @@
             response.clockMs,
             tuple(_run_row(row) for row in response.running),
             tuple(messages.EndRow(*row) for row in response.ended),
+            has_more_ends=len(response.ended) >= MAX_LISTED_ENDS,
         )
 
     async def start(
--- a/citronrail/ports/task_worker.py
+++ b/citronrail/ports/task_worker.py
@@ -28,13 +28,15 @@
     """Snapshot of a worker's running and ended runs.
 
     ``clock_ms`` is the worker's monotonic clock; ``born_ms`` identifies
-    its incarnation.
+    its incarnation. ``has_more_ends`` is set if the worker may hold ends that
+    it shows only once these have been acknowledged.
     """
 
     born_ms: int
     clock_ms: int
     running: tuple[messages.RunRow, ...]
     ended: tuple[messages.EndRow, ...]
+    has_more_ends: bool = False
 
 
 @dataclasses.dataclass(frozen=True)
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -260,6 +260,23 @@
             key for key in view.unknown_run_stops if key not in listed
         ]:
             del view.unknown_run_stops[key]
+        if not report.has_more_ends:
+            self._update_absent(view, report, listed, now)
+
+    def _update_absent(
+        self,
+        view: _worker_view.WorkerView,
+        report: messages.WorkerReport,
+        listed: set[tuple[str, int]],
+        now: float,
+    ) -> None:
+        """Handle runs that stand in neither list of a complete report.
+
+        :param view: the worker.
+        :param report: its lists, with all ends that it holds.
+        :param listed: keys of the running runs.
+        :param now: local time in seconds.
+        """
         stopped = {(item.task, item.run) for item in report.stopped}
         for key, attempt in list(view.attempts.items()):
             if key in listed or not attempt.ordered:
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -325,6 +325,7 @@
             received=self._received.last,
             settled=settled,
             number=self._flow.next_number,
+            has_more_ends=bool(worker_list and worker_list.has_more_ends),
         )
         try:
             await self._hub.send(scheduler, report)
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -12,6 +12,7 @@
 from standins.task_worker import _history
 
 POLL_INTERVAL_S = 0.05
+MAX_LISTED_ENDS = 500  # unacknowledged ones on a list
 CRASH_DELAY_S = 0.01  # from a start to the crash that it causes
 
 
@@ -104,6 +105,7 @@
         self._max_lease_s = max_lease_s
         self._stop_s = stop_s
         self.down_s = down_s
+        self.max_listed_ends = MAX_LISTED_ENDS
         self._nursery: trio.Nursery | None = None
         self._incarnation = 0
         self._reset_state()
@@ -192,11 +194,13 @@
         if self.faults.silent:
             await self._time_out()
         self._advance()
+        ends = self._unacknowledged_ends[: self.max_listed_ends]
         return ports.WorkerList(
             self._incarnation,
             self.clock_ms(),
             tuple(self._run_row(key) for key in self._runs),
-            tuple(end for end, _ in self._unacknowledged_ends[:500]),
+            tuple(end for end, _ in ends),
+            has_more_ends=len(ends) >= self.max_listed_ends,
         )
 
     async def start(
