Count only crashes that a task causes against its starts in the soak

Cause: the check counted each loss of a worker under a task. The rule that it stands for is about "a task that crashes the workers that start it"; good work on workers that crash for other reasons must not be given up, and has to be started again.

Change: the limit of starts holds for tasks that crash their workers. In exchange the other half of the rule is checked more strictly: a job that is shown as failed needs a task that crashes workers and has crashed two of them. Until now two restarts of workers beside any of its tasks were enough.

--- a/soak/_callers.py
+++ b/soak/_callers.py
@@ -145,11 +145,15 @@
                 )
 
     def _check_given_up(self, job_id: str) -> None:
+        """Check that a task of a failed job has crashed two workers.
+
+        Good work on workers that are lost for other reasons is not given up.
+        """
         records = self._system.history.tasks
         crashes = [
             len(records[task].crashes)
             for task in self.jobs[job_id].tasks(job_id)
-            if task in records
+            if task in records and self._system.make_plan(task).crashes
         ]
         if max(crashes, default=0) < MIN_CRASHES_TO_GIVE_UP:
             self.violations.append(f'{job_id} has failed without a cause')
@@ -179,7 +183,11 @@
             return
         if not record.starts:
             return
-        if len(record.crashes) >= MAX_CRASHES:
+        # Other tasks may run again as often as a worker is lost under them.
+        if (
+            self._system.make_plan(name).crashes
+            and len(record.crashes) >= MAX_CRASHES
+        ):
             last_counted_at = record.crashes[MAX_CRASHES - 1]
             later = sum(at > last_counted_at for at in record.starts)
             if later > MAX_STARTS_AFTERWARDS:
--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -90,6 +90,7 @@
     ) -> None:
         self.directory = directory
         self._hard_load = hard_load
+        self.make_plan = make_plan
         # A separate loopback subnet keeps concurrent runs from sharing ports.
         self._subnet = f'127.{1 + os.getpid() % 200}.{rng.randrange(250)}'
         self.store = key_value.MemoryStore()
