Send heartbeats of another writer in the soak

Change: another writer sends malformed heartbeats to random agents, two a second, under the ID of the worker beside the agent or under an unknown one.

--- a/soak/_deployment.py
+++ b/soak/_deployment.py
@@ -178,17 +178,8 @@
                     continue
                 sequence += 1
                 announced = worker.life()
-                body = {
-                    'service': SERVICE,
-                    'zone': 'dc',
-                    'state': announced.state,
-                    'seq': sequence,
-                    'capacity': {
-                        'cpu': announced.cpu_millis,
-                        'memMb': announced.memory_mb,
-                    },
-                    'born': announced.born_ms,
-                }
+                address = f'{node.ip}:{WORKER_PROXY_PORT}'
+                body = platform_standin.heartbeat(announced, address, sequence)
                 # The agent may be down or paused; the next one may reach it.
                 with contextlib.suppress(httpx.HTTPError):
                     await client.post(url + announced.worker_id, json=body)
--- a/soak/_run.py
+++ b/soak/_run.py
@@ -9,6 +9,7 @@
 from soak import _callers
 from soak import _deployment
 from soak import _faults
+from soak import _other_writer
 from standins import task_worker
 
 START_TIMEOUT_S = 20.0  # for the first job to be accepted
@@ -48,6 +49,9 @@
     system = _deployment.Deployment(directory, rng, make_plan)
     callers = _callers.Callers(system, random.Random(f'{seed} callers'))
     injector = _faults.FaultInjector(system, random.Random(f'{seed} faults'))
+    writer = _other_writer.OtherWriter(
+        system, random.Random(f'{seed} other writer')
+    )
     unfinished: list[str] = []
     try:
         async with trio.open_nursery() as nursery:
@@ -56,6 +60,7 @@
             async with trio.open_nursery() as load_nursery:
                 load_nursery.start_soon(callers.run, seconds)
                 load_nursery.start_soon(injector.run, seconds)
+                load_nursery.start_soon(writer.run, seconds)
             injector.clear_faults()
             unfinished = await _wait_until_finished(callers)
             nursery.cancel_scope.cancel()
--- a/soak/tests/test_short_soak.py
+++ b/soak/tests/test_short_soak.py
@@ -18,6 +18,7 @@
 REGRESSION_SEEDS: dict[int, tuple[float, str]] = {
     7: (6.0, 'a replaced scheduler reported outdated job states'),
     100: (12.0, 'a run started across a worker restart was taken as lapsed'),
+    101: (12.0, 'a malformed heartbeat of another writer replaced a worker'),
 }
 
 
