Bound the learned factors in the store and in memory

Callers saw jobs of short steps with nothing running for 3 s and more, again and again (LOST), once many images ran beside one another.

Cause: the factors of all pairs of images are one value in the store, in the same commit as the progress of jobs, and nothing bounded it. Beyond the longest value of the store, 1 MiB, each commit was refused with 400. The scheduling entry repeated it until its leadership ended; the next one read the last record, learned the same pairs again and stood still 2 s later. New names of images, as registries give them with each digest, lead there in time even without a burst.

Change: the most recently updated estimates are stored, within 256 KiB and half of the store's longest value, which is read from the settings. In memory 20,000 pairs and 2,000 images are kept. Run times had a bound already.

--- a/citronrail/model/workflows.py
+++ b/citronrail/model/workflows.py
@@ -137,3 +137,4 @@
     restore_s: float = 0.1  # to resume from a checkpoint
     harm_s: float = 4.0
     pace_s: float = 0.1
+    max_value_bytes: int = 1_048_576  # of a value in the store
--- a/citronrail/platform/_settings.py
+++ b/citronrail/platform/_settings.py
@@ -106,14 +106,16 @@
         advice_address=str(document.get('advice') or ''),
         processor_share=_number(limits.get('cpuShare', 1.0))
         * _number(limits.get('cores', 1)),
-        bounds=_bounds(document.get('bounds') or {}),
+        bounds=_bounds(document.get('bounds') or {}, document['platform']),
         load=load_settings.load(
             os.environ.get(LOAD_SETTINGS_VARIABLE, '')
         ).for_store(_number(document['platform'].get('writesPerS', 0.0))),
     )
 
 
-def _bounds(document: dict[str, typing.Any]) -> workflows.Bounds:
+def _bounds(
+    document: dict[str, typing.Any], store: dict[str, typing.Any]
+) -> workflows.Bounds:
     defaults = workflows.Bounds()
 
     def seconds(name: str, default_s: float) -> float:
@@ -135,6 +137,9 @@
         restore_s=seconds('restoreMs', defaults.restore_s),
         harm_s=seconds('harmMs', defaults.harm_s),
         pace_s=seconds('paceMs', defaults.pace_s),
+        max_value_bytes=int(
+            _number(store.get('valueBytes') or defaults.max_value_bytes)
+        ),
     )
 
 
--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -17,8 +17,10 @@
 enough, while noisy measurements hardly move a well-known factor.
 """
 
+import collections.abc
 import dataclasses
 import math
+import typing
 
 from citronrail.model import bounded
 from citronrail.model import workflows
@@ -29,6 +31,12 @@
 PRIOR_VARIANCE = 0.36
 FACTOR_VARIANCE_PER_S = 0.01  # growth of a factor's variance
 MAX_FACTOR = 6.0
+MAX_PAIRS = 20_000  # in memory; images may get new names for ever
+MAX_IMAGES = 2_000
+# Encoded size of a stored row beside its names, and of the length of a name.
+ROW_BYTES = 24
+NAME_BYTES = 5
+RATIO_BYTES_SHARE = 0.25  # of the stored estimates
 PRIOR_LOAD_VARIANCE = 0.04
 LOAD_VARIANCE_PER_S = 0.004  # growth of an own load's variance
 # Standard deviations of the measurement noise.
@@ -127,6 +135,9 @@
     return BestEffortTask(step.image, cpu_share, pace, measured_pace)
 
 
+_Row = typing.TypeVar('_Row', bound=tuple[str | float, ...])
+
+
 @dataclasses.dataclass
 class _Estimate:
     """A scalar estimate; ``updated_at`` is local time in seconds."""
@@ -182,10 +193,32 @@
     rest_ratios: tuple[tuple[str, bounded.SignedNumber], ...] = ()
 
 
+def _newest(
+    rows: collections.abc.Iterable[_Row], max_bytes: int
+) -> tuple[_Row, ...]:
+    """Return the first rows within a bound on their size, in reverse order.
+
+    :param rows: names and numbers, the newest row first.
+    :param max_bytes: bound on the encoded size of all rows.
+    """
+    chosen = []
+    for row in rows:
+        max_bytes -= ROW_BYTES + sum(
+            len(item.encode()) + NAME_BYTES
+            for item in row
+            if isinstance(item, str)
+        )
+        if max_bytes < 0:
+            break
+        chosen.append(row)
+    return tuple(reversed(chosen))
+
+
 class PairFactors:
     """Interference factors of pairs of images, and loads of serving tasks."""
 
     def __init__(self) -> None:
+        # In both, the least recently updated estimate is first.
         self._factors: dict[tuple[str, str], _Estimate] = {}
         self._own_loads: dict[str, _Estimate] = {}  # by group
         self._baseline_ratios: dict[str, float] = {}
@@ -204,7 +237,10 @@
         baseline = self.baseline_ratio(image)
         if ratio > 0:
             baseline = min(baseline, ratio * (1.0 - MIN_MEASURED_UTILISATION))
+            self._baseline_ratios.pop(image, None)
             self._baseline_ratios[image] = baseline
+            if len(self._baseline_ratios) > MAX_IMAGES:
+                del self._baseline_ratios[next(iter(self._baseline_ratios))]
         return ServingTask(image, utilisation(ratio, baseline), baseline)
 
     def factor(self, serving: str, best_effort: str) -> float:
@@ -268,14 +304,22 @@
             return unknown
         return max(0.0, 1.0 - sum(differences) / len(differences))
 
-    def snapshot(self) -> LearnedFactors:
-        """Return the estimates to store for the next scheduler."""
+    def snapshot(self, max_bytes: int) -> LearnedFactors:
+        """Return the estimates to store for the next scheduler.
+
+        :param max_bytes: bound on their encoded size. Those that were updated
+            longest ago are left out.
+        """
+        ratio_bytes = int(max_bytes * RATIO_BYTES_SHARE)
         return LearnedFactors(
-            tuple(
-                (*pair, value.mean, value.variance)
-                for pair, value in self._factors.items()
+            _newest(
+                (
+                    (*pair, value.mean, value.variance)
+                    for pair, value in reversed(self._factors.items())
+                ),
+                max_bytes - ratio_bytes,
             ),
-            tuple(self._baseline_ratios.items()),
+            _newest(reversed(self._baseline_ratios.items()), ratio_bytes),
         )
 
     def restore(self, learned: LearnedFactors, now: float) -> None:
@@ -351,10 +395,13 @@
     def _factor_estimate(
         self, serving: str, best_effort: str, now: float
     ) -> _Estimate:
-        found = self._factors.setdefault(
-            (serving, best_effort),
-            _Estimate(PRIOR_FACTOR, PRIOR_VARIANCE, now),
-        )
+        pair = (serving, best_effort)
+        found = self._factors.pop(pair, None)
+        if found is None:
+            found = _Estimate(PRIOR_FACTOR, PRIOR_VARIANCE, now)
+        self._factors[pair] = found
+        if len(self._factors) > MAX_PAIRS:
+            del self._factors[next(iter(self._factors))]
         found.grow_variance(FACTOR_VARIANCE_PER_S, PRIOR_VARIANCE, now)
         return found
 
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -14,6 +14,10 @@
 from citronrail.workflow.overload import _run_times
 
 FACTORS_INTERVAL_S = 2.0  # between writes of the learned factors
+# The learned factors accompany commits of jobs, which the store refuses as a
+# whole if one value is too large.
+MAX_LEARNED_BYTES = 262_144
+LEARNED_VALUE_SHARE = 0.5  # of the longest value, the rest is for run times
 CLEANUP_INTERVAL_S = 5.0
 FIRST_SHAPES_DELAY_S = 6.0
 SHAPES_INTERVAL_S = 1.0
@@ -126,7 +130,12 @@
         if now < self._next_factors_at or not has_other_writes:
             return []
         self._next_factors_at = now + FACTORS_INTERVAL_S
-        learned = self._factors.snapshot()
+        learned = self._factors.snapshot(
+            min(
+                MAX_LEARNED_BYTES,
+                int(LEARNED_VALUE_SHARE * self._bounds.max_value_bytes),
+            )
+        )
         if self._run_times is not None:
             learned = _run_times.LearnedState(
                 learned.factors,
--- a/citronrail/workflow/overload/tests/test_best_effort_limit.py
+++ b/citronrail/workflow/overload/tests/test_best_effort_limit.py
@@ -179,7 +179,7 @@
     :param spare_runs: harmful runs that a worker without serving tasks takes.
     """
     learned = _interference.PairFactors()
-    learned.restore(known.snapshot(), 100.0)
+    learned.restore(known.snapshot(10_000), 100.0)
     for worker in range(4):
         learned.learn(str(worker), _serving(0.5), (), 100.0)
     runs = [_Replayed(number // 6) for number in range(24)]
