Wait once for the leases of a vanished worker, whoever schedules

Each change of the scheduler began the wait anew. Besides, a scheduler took the same 18.3 s for the end of the leases of workers that had confirmed its token, so that a worker lost early in a term was waited for longer than its lease.

Change: while a scheduler waits it stores for how long, each second, in the record of the run; its successor goes on from there. The bound is withdrawn by a commit before any lease of a worker that is heard of again is extended. A worker that has confirmed the token takes no older calls, so that its leases end within the longest lease from then. The wait counts leases as schedulers give them (8 s), not as workers would grant them (10 s).

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -186,17 +186,19 @@
                 self._add(attempt, sole=False)
                 self._give_up_if_proved(attempt.task, unix_now)
 
-    def on_inherited_runs_expired(self, now: float) -> None:
+    def on_inherited_runs_expired(
+        self, attempts: list[_job.Attempt], now: float
+    ) -> None:
         """Suspect inherited runs whose workers were never heard of.
 
+        :param attempts: runs whose leases have ended.
         :param now: local time in seconds.
         """
         unix_now = now + self._unix_offset
-        for runs in self._scheduler_state.inherited_runs.values():
-            for attempt in runs:
-                if attempt in attempt.task.attempts and not attempt.lasted:
-                    self._add(attempt, sole=False)
-                    self._give_up_if_proved(attempt.task, unix_now)
+        for attempt in attempts:
+            if not attempt.lasted:
+                self._add(attempt, sole=False)
+                self._give_up_if_proved(attempt.task, unix_now)
 
     def on_worker_back(self, view: _worker_view.WorkerView) -> None:
         """Withdraw the suspicion against runs of a worker that lives on."""
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -60,6 +60,9 @@
     born_ms: bounded.UnixMs
     assigned_at: bounded.Number = 0.0  # Unix time in seconds
     lasted: bool = False  # its worker has lived on after its start
+    # All leases of its worker end within this time after the write of this
+    # record, in seconds; 0 if they may be extended.
+    lease_left_s: bounded.Number = 0.0
 
 
 class CrashRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -24,6 +24,8 @@
         'checkpoint_at',
         'from_start',
         'lasted',
+        'lease_left_s',
+        'leases_end_at',
         'listed_at',
         'listed_clock_ms',
         'listed_percent',
@@ -70,6 +72,10 @@
         self.order_sent_at = 0.0
         # Number of the start order; 0 if another scheduler sent it.
         self.order_number = 0
+        # Of an inherited run: bound on the end of its worker's leases that an
+        # earlier scheduler has stored, and what is to be stored of it.
+        self.leases_end_at = float('inf')
+        self.lease_left_s = 0.0
         self.listed_at = 0.0  # first time on the worker's list
         self.listed_clock_ms = 0  # that time on the worker's clock
         # Whether it was listed for long enough to show that its start did
@@ -207,6 +213,7 @@
                     item.born_ms,
                     item.assigned_at,
                     item.lasted,
+                    item.lease_left_s,
                 )
                 for item in self.attempts
             ),
@@ -391,6 +398,7 @@
         )
         attempt.ordered = True
         attempt.lasted = item.lasted
+        attempt.lease_left_s = item.lease_left_s
         task.attempts.append(attempt)
 
 
--- a/citronrail/workflow/_order_sender.py
+++ b/citronrail/workflow/_order_sender.py
@@ -40,7 +40,7 @@
         self._scheduler_state = scheduler_state
         self._leadership = leadership
         self._operators = operators
-        self._lease_s = min(max_lease_s, _orders.WORKER_LEASE_S)
+        self._lease_s = min(max_lease_s, _worker_view.WORKER_LEASE_S)
         self._pending_requests: list[tuple[identifiers.NodeId, object]] = []
         self._pending_starts: list[_job.Attempt] = []
         self._next_request_at = 0.0
--- a/citronrail/workflow/_orders.py
+++ b/citronrail/workflow/_orders.py
@@ -15,9 +15,6 @@
 # With an older list the lease isn't renewed, so that the runs of an
 # unreachable worker end by themselves.
 LEASE_RENEW_MAX_LIST_AGE_S = 2.0
-# Long enough to survive a failover of the scheduler or a short disconnection
-# of the agent, short enough to restart the runs of a lost worker soon.
-WORKER_LEASE_S = 8.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -78,6 +75,7 @@
 ) -> bool:
     if (
         not view.token_confirmed
+        or not view.may_extend_leases
         or now - view.listed_at > LEASE_RENEW_MAX_LIST_AGE_S
     ):
         return False
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -53,8 +53,8 @@
         for view in self._scheduler_state.workers.values():
             if view.leases_expired(now):
                 self._crash_log.on_leases_expired(view, now)
-        if now > self._scheduler_state.inherited_end_at:
-            self._crash_log.on_inherited_runs_expired(now)
+        expired = self._scheduler_state.expired_inherited_runs(now)
+        self._crash_log.on_inherited_runs_expired(expired, now)
         self._scheduler_state.expire_leases(now)
 
     def take(
@@ -89,7 +89,11 @@
             return
         if not view.token_confirmed:
             view.token_confirmed = True
-            self._attach_inherited_runs(view, now, unix_now)
+            # Earlier schedulers can extend no lease there any more.
+            ends_at = now + _worker_view.longest_lease_s(
+                self._bounds.max_lease_s
+            )
+            self._attach_inherited_runs(view, ends_at, now, unix_now)
         view.record_list(report.clock_ms, now)
         view.settled_order = report.settled
         self._crash_log.on_worker_back(view)
@@ -190,20 +194,38 @@
         ):
             return  # orders for an earlier incarnation may be carried out
         if not view.token_confirmed:
-            self._attach_inherited_runs(view, now, unix_now)
+            self._attach_inherited_runs(view, float('inf'), now, unix_now)
         ends_at = now + report.lease_left_s
         view.lease_ends_at = min(view.lease_ends_at, ends_at)
 
     def _attach_inherited_runs(
-        self, view: _worker_view.WorkerView, now: float, unix_now: float
+        self,
+        view: _worker_view.WorkerView,
+        leases_end_at: float,
+        now: float,
+        unix_now: float,
     ) -> None:
+        """Attach the runs of a worker that has been heard of.
+
+        :param view: the worker.
+        :param leases_end_at: local time by which the leases that earlier
+            schedulers extended have ended, as far as its report shows.
+        :param now: local time in seconds.
+        :param unix_now: Unix time in seconds.
+        """
         view.lease_ends_at = max(
-            view.lease_ends_at, self._scheduler_state.inherited_end_at
+            view.lease_ends_at,
+            min(leases_end_at, self._scheduler_state.inherited_end_at),
         )
         lost = []
         for attempt in self._scheduler_state.inherited_runs.pop(view.node, ()):
             if attempt not in attempt.task.attempts:
                 continue
+            if attempt.lease_left_s:
+                # A successor must not rely on it once leases are extended.
+                attempt.lease_left_s = 0.0
+                view.may_extend_leases = False
+                self._scheduler_state.dirty.add(attempt.task.stage.job)
             if view.matches(attempt.worker_id, attempt.born_ms):
                 view.attempts[attempt.key] = attempt
                 attempt.order_sent_at = now
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -17,6 +17,7 @@
 # A run that an earlier scheduler ordered is stopped if the lists of so long a
 # time, on the worker's clock, don't show it. Its start may be under way.
 INHERITED_GRACE_MS = 1200
+MIN_LEASE_LEFT_S = 0.001  # in a record; 0 has another meaning
 STOP_RETRY_S = 0.6  # interval at which a stop order is repeated
 
 QueueLookup = collections.abc.Callable[[str], workflows.Queue | None]
@@ -60,6 +61,8 @@
         if progress is not None:
             job.restore(progress)
             for attempt in job.attempts():
+                if attempt.lease_left_s:
+                    attempt.leases_end_at = now + attempt.lease_left_s
                 self.inherited_runs.setdefault(attempt.node, []).append(
                     attempt
                 )
@@ -190,6 +193,44 @@
             # If the agent was restarted, its reports are counted anew.
             view.reports_applied = view.reports_confirmed = 0
 
+    def inherited_leases_end_at(self, attempt: _job.Attempt) -> float:
+        """Return when all leases of an inherited run's worker have ended."""
+        return min(self.inherited_end_at, attempt.leases_end_at)
+
+    def expired_inherited_runs(self, now: float) -> list[_job.Attempt]:
+        """Return inherited runs whose leases have certainly ended.
+
+        :param now: local time in seconds.
+        """
+        return [
+            attempt
+            for attempts in self.inherited_runs.values()
+            for attempt in attempts
+            if attempt in attempt.task.attempts
+            and now > self.inherited_leases_end_at(attempt)
+        ]
+
+    def _discard_expired_inherited_runs(self, now: float) -> None:
+        for attempt in self.expired_inherited_runs(now):
+            attempts = self.inherited_runs[attempt.node]
+            attempts.remove(attempt)
+            if not attempts:
+                del self.inherited_runs[attempt.node]
+            self.discard_run(attempt, 'its lease has expired', now)
+
+    def update_leases_left(self, now: float) -> None:
+        """Let the next commit store when leases of silent workers end.
+
+        Otherwise each new scheduler would wait for them from its start.
+
+        :param now: local time in seconds.
+        """
+        for attempts in self.inherited_runs.values():
+            for attempt in attempts:
+                left_s = self.inherited_leases_end_at(attempt) - now
+                attempt.lease_left_s = max(MIN_LEASE_LEFT_S, left_s)
+                self.dirty.add(attempt.task.stage.job)
+
     def expire_leases(self, now: float) -> None:
         """Discard runs whose leases have certainly expired.
 
@@ -204,12 +245,7 @@
             for attempt in list(view.attempts.values()):
                 if attempt.ordered:
                     self.discard_run(attempt, 'its lease has expired', now)
-        if self.inherited_runs and now > self.inherited_end_at:
-            inherited_runs, self.inherited_runs = self.inherited_runs, {}
-            for attempts in inherited_runs.values():
-                for attempt in attempts:
-                    if attempt in attempt.task.attempts:
-                        self.discard_run(attempt, 'its lease has expired', now)
+        self._discard_expired_inherited_runs(now)
 
 
 def decode_item(
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -42,6 +42,7 @@
 # A leader that has heard of no worker for this long gives way; longer than
 # hosts that lost power together take to return.
 NO_CONTACT_S = 10.0
+LEASES_LEFT_INTERVAL_S = 1.0  # between writes for workers that are silent
 BACKLOG_INTERVAL_S = 0.5  # between summaries of the backlog
 MAX_SUMMARY_BYTES = 2048
 
@@ -144,6 +145,7 @@
         self.loaded = False
         self._has_stored_fleet = bool(shapes)
         self._contact_lost_at = float('inf')  # unless a list arrives before
+        self._next_leases_left_at = float('inf')
 
     def _queue_named(self, name: str) -> workflows.Queue | None:
         config = self._operators.config
@@ -282,6 +284,10 @@
                 for peer in self._hub.peers('agent'):
                     self.on_agent_connected(peer)
             self._contact_lost_at = trio.current_time() + NO_CONTACT_S
+            # Most agents report within the first interval.
+            self._next_leases_left_at = (
+                trio.current_time() + LEASES_LEFT_INTERVAL_S
+            )
             if self._load_settings.admission:
                 nursery.start_soon(self._send_backlog)
             while True:
@@ -324,8 +330,7 @@
         self.scheduler_state.inherited_end_at = (
             began_at
             + _leadership.EXTEND_AFTER_LOSS_S
-            + self._bounds.max_lease_s
-            * (1.0 + _worker_view.MAX_CLOCK_DRIFT_RATIO)
+            + _worker_view.longest_lease_s(self._bounds.max_lease_s)
         )
         while True:
             try:
@@ -443,6 +448,7 @@
     async def _work(self, now: float) -> None:
         if self._leadership.valid:
             self._reports.expire_leases(now)
+            self._update_leases_left(now)
             self._run_supervisor.run(now)
             self._load_stops.fit_shrunk_workers(now)
             self._place(now)
@@ -454,6 +460,11 @@
             raise errors.Fenced('the lease has ended', step='workflow.term')
         await self._sender.send()
 
+    def _update_leases_left(self, now: float) -> None:
+        if now >= self._next_leases_left_at:
+            self._next_leases_left_at = now + LEASES_LEFT_INTERVAL_S
+            self.scheduler_state.update_leases_left(now)
+
     def _place(self, now: float) -> None:
         policy = _round.Policy(
             self._queue_named,
@@ -531,6 +542,11 @@
             (view, view.applied)
             for view in self.scheduler_state.workers.values()
         ]
+        withdrawn = [
+            view
+            for view in self.scheduler_state.workers.values()
+            if not view.may_extend_leases
+        ]
         with trio.CancelScope() as scope:
             # After this time a successor may have taken over the workers, so
             # retrying the commit is pointless.
@@ -548,6 +564,8 @@
             job.committed_status = status
         for view, number in applied:
             view.acknowledged = max(view.acknowledged, number)
+        for view in withdrawn:
+            view.may_extend_leases = True
 
 
 def _backlog_s(backlog: messages.ServiceBacklog) -> float:
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -10,6 +10,18 @@
 # by the platform, and 1% for the local clock.
 MAX_CLOCK_DRIFT_RATIO = 0.03
 MAX_LIST_AGE_S = 2.5  # nothing is placed on a worker with an older list
+# Long enough to survive a failover of the scheduler or a short disconnection
+# of the agent, short enough to restart the runs of a lost worker soon.
+WORKER_LEASE_S = 8.0
+
+
+def longest_lease_s(max_lease_s: float) -> float:
+    """Return the longest time that a lease lasts after it was ordered.
+
+    :param max_lease_s: longest lease that workers grant, by their clocks.
+    :returns: seconds on the local clock.
+    """
+    return min(max_lease_s, WORKER_LEASE_S) * (1.0 + MAX_CLOCK_DRIFT_RATIO)
 
 
 class WorkerView:
@@ -40,6 +52,8 @@
         self.lease_ends_at = 0.0  # by then all runs have certainly ended
         # Orders for an earlier incarnation may still be carried out.
         self.may_hold_stale_orders = False
+        # Not before a commit has withdrawn a stored bound on their end.
+        self.may_extend_leases = True
         self.lease_until_ms = 0  # last ordered, on the worker's clock
         self.renewed_at = 0.0
         self.applied = 0  # ends up to this number are applied to the jobs
@@ -94,6 +108,7 @@
         return (
             self.connected
             and self.token_confirmed
+            and self.may_extend_leases
             and self.life.state == 'ready'
             and not self.unreachable_since
             and now - self.listed_at < MAX_LIST_AGE_S
--- a/citronrail/workflow/tests/test_reports.py
+++ b/citronrail/workflow/tests/test_reports.py
@@ -18,22 +18,44 @@
 MAX_LEASE_S = 18.0  # an earlier scheduler may have extended leases until then
 
 
-def _loaded_book() -> _scheduler_state.SchedulerState:
-    """Return a state with one inherited run, on incarnation 1."""
+def _loaded_book(
+    progress: documents.ProgressRecord | None = None, now: float = NOW
+) -> _scheduler_state.SchedulerState:
+    """Return a state with one inherited run, on incarnation 1.
+
+    :param progress: what was stored of its job.
+    :param now: when it is loaded.
+    """
     scheduler_state = _scheduler_state.SchedulerState(
         lambda name: _cluster.QUEUE
     )
-    scheduler_state.inherited_end_at = NOW + MAX_LEASE_S
+    scheduler_state.inherited_end_at = now + MAX_LEASE_S
     attempt = documents.AttemptRecord(1, 'a0', 'w0', 1)
     task = documents.TaskRecord(last_run=1, attempts=(attempt,))
-    scheduler_state.progress[JOB] = documents.ProgressRecord(
+    scheduler_state.progress[JOB] = progress or documents.ProgressRecord(
         'running', stages=((task,),)
     )
     record = documents.JobRecord(JOB, 'q', 'pool', 0.0, _cluster.one_step())
-    scheduler_state.add_job(record, NOW, 0.0)
+    scheduler_state.add_job(record, now, 0.0)
     return scheduler_state
 
 
+def listing_report():
+    """Return how to create the reports, and one with the inherited run."""
+    life = messages.WorkerLife('w0', 1, 'pool', 'dc', 'ready', 4000, 8000, 0)
+    row = messages.RunRow(f'{JOB}.0.0.0', 1, '', 50, 100.0)
+    report = messages.WorkerReport(TOKEN, life, 5000, (row,), token=TOKEN)
+    return (
+        lambda state: _reports.Reports(state, workflows.Bounds(), TOKEN),
+        report,
+    )
+
+
+def due_orders(view, now):
+    """Return the orders that are due for a worker, without starts."""
+    return _orders.due_orders(view, [], TOKEN, 6.0, now)
+
+
 @pytest.mark.parametrize(
     ('born_ms', 'token', 'waits'),
     [(1, TOKEN, False), (2, TOKEN, True), (1, TOKEN - 1, True)],
