Give a task up only when no further start of it is allowed

Callers saw a sound job shown as failed (LOST): three workers had crashed, each within 0.5 s of the start of its task.

Cause: three crashes, of which two on different hosts pointed to the task alone, were taken for a proof that it crashes its workers. On a quiet system each crash soon after a start does, whatever its cause. The users' rule allows two more starts after three crashes, and says that good work on workers that crash for other reasons is not given up.

Change: a task is given up at the fifth crash. The accounts of unexplained crashes, which served the earlier proof only, are removed.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -11,10 +11,9 @@
   :mod:`citronrail.workflow._probation`), so that a further crash points to its
   job alone. A crash points to a job only if an agent saw it right after the
   start, on such a host.
-* A task is given up after three crashes, of which those on two hosts point to
-  its job alone. Where workers also crash without suspected tasks, that can be
-  a coincidence: more are needed.
-* After five crashes it is given up in any case.
+* A task is given up after five crashes, and not before: the users allow it two
+  starts after three crashes, and fewer may be a coincidence even if each of
+  them points to the task.
 """
 
 import collections.abc
@@ -36,14 +35,6 @@
 # Runs that a predecessor assigned so long before a worker came back were
 # cleared when it was lost; workers are back within some seconds.
 INHERITED_NEW_S = 6.0
-# Crashes before a task is given up, and on how many hosts they must point to
-# it alone.
-MIN_CRASHES = 3
-MIN_SOLE_CRASHES = 2
-# One more must point to it if this share of the workers has crashed without
-# an explanation within UNEXPLAINED_WINDOW_S, two for twice the share.
-UNEXPLAINED_RATIO = 0.2
-UNEXPLAINED_WINDOW_S = 10.0
 # No task is started again after so many crashes, alone or not.
 MAX_CRASHES = 5
 MAX_LOGGED_RUNS = 8
@@ -51,35 +42,26 @@
 
 def is_proved(
     crashes: collections.abc.Sequence[documents.CrashRecord],
-    unexplained_ratio: float,
 ) -> bool:
-    """Whether crashes show that a task crashes its workers.
+    """Whether a task may not be started again for its crashes.
 
     :param crashes: crashes recorded for the task.
-    :param unexplained_ratio: recent crashes without suspected tasks as a
-        share of all workers.
     """
-    sole_count = len({crash.node for crash in crashes if crash.sole})
-    needed = MIN_SOLE_CRASHES + int(unexplained_ratio / UNEXPLAINED_RATIO)
-    return len(crashes) >= MAX_CRASHES or (
-        len(crashes) >= MIN_CRASHES and sole_count >= needed
-    )
+    return len(crashes) >= MAX_CRASHES
 
 
 @dataclasses.dataclass(frozen=True)
 class _Loss:
     """The end of a worker incarnation that nobody had announced.
 
-    ``runs`` are those that were new on it, ``at`` is the local time in
-    seconds. ``near_start`` tells whether it was seen to be lost right after
-    the start of one, ``on_sound_host`` whether its host had not lost a worker
-    shortly before.
+    ``runs`` are those that were new on it. ``near_start`` tells whether it was
+    seen to be lost right after the start of one, ``on_sound_host`` whether its
+    host had not lost a worker shortly before.
     """
 
     node: str
     life: tuple[str, int]
     runs: tuple[_job.Attempt, ...]
-    at: float
     near_start: bool = False
     on_sound_host: bool = False
 
@@ -95,8 +77,6 @@
     ) -> None:
         self._scheduler_state = scheduler_state
         self._unix_offset = 0.0  # from local to Unix time, in seconds
-        # Recent losses without new runs of suspected tasks.
-        self._unexplained: list[_Loss] = []
 
     def on_worker_lost(
         self, view: _worker_view.WorkerView, now: float, unix_now: float
@@ -130,7 +110,6 @@
             view.node,
             life,
             tuple(new),
-            now,
             near_start,
             not losses.count(view.node, now),
         )
@@ -164,7 +143,7 @@
         for life, runs in by_life.items():
             node = runs[0].node
             self._scheduler_state.host_losses.add(life, node, now)
-            self._attribute(_Loss(node, life, tuple(runs), now), unix_now)
+            self._attribute(_Loss(node, life, tuple(runs)), unix_now)
 
     def on_leases_expired(
         self, view: _worker_view.WorkerView, now: float
@@ -240,12 +219,6 @@
 
     def _attribute(self, loss: _Loss, unix_now: float) -> None:
         """Record a loss with its runs, and give up tasks that it proves."""
-        self._unexplained = [
-            item
-            for item in self._unexplained
-            if item.at > loss.at - UNEXPLAINED_WINDOW_S
-        ]
-        suspected = any(attempt.task.crashes for attempt in loss.runs)
         jobs = {attempt.task.stage.job for attempt in loss.runs}
         reason = _why_unclear(loss, len(jobs))
         if loss.runs and reason:
@@ -258,18 +231,9 @@
             )
         for attempt in loss.runs:
             self._add(attempt, sole=not reason)
-        if not suspected:
-            self._unexplained.append(loss)
         for attempt in loss.runs:
             self._give_up_if_proved(attempt.task, unix_now)
 
-    def _unexplained_without(self, task: _job.Task) -> list[_Loss]:
-        """Return the recent unexplained losses of workers without a task."""
-        own_lives = {crash.life for crash in task.crashes}
-        return [
-            item for item in self._unexplained if item.life not in own_lives
-        ]
-
     def _add(self, attempt: _job.Attempt, *, sole: bool) -> None:
         """Record a crash for a task; a known one never loses its weight."""
         task = attempt.task
@@ -296,10 +260,7 @@
 
     def _give_up_if_proved(self, task: _job.Task, unix_now: float) -> None:
         job = task.stage.job
-        ratio = len(self._unexplained_without(task)) / max(
-            1, len(self._scheduler_state.workers)
-        )
-        if not (job.open and is_proved(task.crashes, ratio)):
+        if not (job.open and is_proved(task.crashes)):
             return
         metrics.TASKS_GIVEN_UP.inc()
         observability.emit(
@@ -307,7 +268,6 @@
             task=task.name,
             workers=', '.join(crash.worker_id for crash in task.crashes),
         )
-        self._unexplained = self._unexplained_without(task)
         self._scheduler_state.host_losses.forgive(
             crash.life for crash in task.crashes
         )
