Let no suspected task start beside another before that has lasted

Cause: a suspected task starts as the only new run of its worker, and the worker was free for the next one as soon as the run was listed. A run counts as new until it has lasted 0.5 s. A deadly task that started in between took the sound one along, which was charged with that crash, too, and met the same deadly task at its next start.

Change: the probation of a worker ends when the suspected run has lasted, as the rule for a crash asks.

--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -2,7 +2,7 @@
 
 Answers a task that crashes each worker that starts it, beside other tasks
 that start all the time: a suspected task starts on a worker without other new
-runs, and nothing else starts there until it is listed. Where all workers have
+runs, and nothing else starts there until it has lasted. Where all workers have
 new runs, some are held until theirs are listed.
 """
 
@@ -32,15 +32,18 @@
 Workers = collections.abc.Mapping[str, _worker_view.WorkerView]
 
 
-def end_listed(workers: Workers) -> None:
-    """End the probation of workers that have listed the suspected runs.
+def end_lasted(workers: Workers) -> None:
+    """End the probation of workers on which the suspected runs have lasted.
+
+    A run that was only listed would be charged with the crash of the next
+    suspected task that starts beside it.
 
     :param workers: all workers.
     """
     for view in workers.values():
         job = view.probation_job
         if job is not None and not any(
-            attempt.task.stage.job is job and not attempt.listed_at
+            attempt.task.stage.job is job and not attempt.lasted
             for attempt in view.attempts.values()
         ):
             view.probation_job = None
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -333,6 +333,46 @@
     assert nodes and set(nodes) <= set(expected)
 
 
+@pytest.mark.parametrize(
+    ('listed_s', 'starts'),
+    [(0.1, False), (0.6, True)],
+    ids=['only listed', 'lasted'],
+)
+def test_suspected_tasks_don_t_start_beside_one_another(listed_s, starts):
+    """Guards against good work that is charged with crashes of a deadly task.
+
+    In the soak (seed 223) two sound tasks were given up after five crashes
+    each, always beside the same deadly one, which started on their worker as
+    soon as they were listed there.
+    """
+    play = _Play(('a0',))
+    policy = _round.Policy(
+        lambda name: _cluster.QUEUE, frozenset(), _interference.PairFactors()
+    )
+
+    def suspect(job_id) -> _job.Task:
+        task = play.start('a0', job_id)
+        play.state.remove_run(task.attempts[0])
+        task.crashes = (_crash(1, True), _crash(2, False))
+        task.retry_at = play.now
+        return task
+
+    def place() -> list[_job.Task]:
+        placed = _round.place(play.state, policy, play.now, UNIX_NOW)
+        for attempt in placed:
+            attempt.ordered = True
+            attempt.order_sent_at = play.now
+        return [attempt.task for attempt in placed]
+
+    first = suspect('1' * 16)
+    assert place() == [first]
+    play.list_runs('a0')
+    play.now += listed_s
+    play.list_runs('a0')
+    second = suspect('2' * 16)
+    assert place() == [second] * starts
+
+
 @pytest.mark.parametrize(
     ('waited_s', 'starts'),
     [(1.6, False), (2.3, True)],
