Bound the wait of a suspected task for one that has not lasted

Change: the probation ends when the run is listed, as it did. Another suspected task doesn't start beside a suspected run that hasn't lasted, unless it has waited for 0.3 s.

--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -2,8 +2,9 @@
 
 Answers a task that crashes each worker that starts it, beside other tasks
 that start all the time: a suspected task starts on a worker without other new
-runs, and nothing else starts there until it has lasted. Where all workers have
-new runs, some are held until theirs are listed.
+runs, and nothing else starts there until it is listed, no other suspected task
+until it has lasted. Where all workers have new runs, some are held until theirs
+are listed.
 """
 
 import collections
@@ -23,6 +24,10 @@
 # which a crash pointed, and one that was lost only once, among other new runs,
 # starts like any other.
 MAX_WAIT_S = 1.5
+# After this wait a task starts on a worker with a suspected run of another job
+# that is listed, but has not lasted. Where many hosts are lost, longer waits
+# bring the next loss closer.
+MAX_LASTING_WAIT_S = 0.3
 # After this wait a task starts beside other new runs. A job that has nothing
 # running for 3 s although there is room counts as lost.
 MAX_ALONE_WAIT_S = 2.2
@@ -32,18 +37,15 @@
 Workers = collections.abc.Mapping[str, _worker_view.WorkerView]
 
 
-def end_lasted(workers: Workers) -> None:
-    """End the probation of workers on which the suspected runs have lasted.
-
-    A run that was only listed would be charged with the crash of the next
-    suspected task that starts beside it.
+def end_listed(workers: Workers) -> None:
+    """End the probation of workers that have listed the suspected runs.
 
     :param workers: all workers.
     """
     for view in workers.values():
         job = view.probation_job
         if job is not None and not any(
-            attempt.task.stage.job is job and not attempt.lasted
+            attempt.task.stage.job is job and not attempt.listed_at
             for attempt in view.attempts.values()
         ):
             view.probation_job = None
@@ -96,6 +98,12 @@
         job = task.stage.job
         fitting = self._fitting(task)
         open_ones = [item for item in fitting if self._is_open_to(job, item)]
+        if not self._waited(task, MAX_LASTING_WAIT_S):
+            open_ones = [
+                item
+                for item in open_ones
+                if not self._may_crash_under(job, item)
+            ]
         if self._at_limit():
             open_ones = [item for item in open_ones if item.reserved]
         if not open_ones and self._waited(task, MAX_ALONE_WAIT_S):
@@ -201,6 +209,20 @@
             return view.probation_job is job
         return not view.new_run_count
 
+    def _may_crash_under(
+        self, job: _job.Job, candidate: _placement.WorkerCapacity
+    ) -> bool:
+        """Whether a suspected run of another job is still new on a worker.
+
+        Each of the two would be charged with a crash that the other causes.
+        """
+        return any(
+            attempt.task.crashes
+            and not attempt.lasted
+            and attempt.task.stage.job is not job
+            for attempt in self.workers[candidate.node].attempts.values()
+        )
+
     def _at_limit(self) -> bool:
         reserved = sum(candidate.reserved for candidate in self.candidates)
         limit = max(1, int(MAX_RESERVED_RATIO * len(self.candidates)))
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -175,7 +175,7 @@
     :param unix_now: Unix time in seconds.
     :returns: the new runs; they must be committed before they are ordered.
     """
-    _probation.end_lasted(scheduler_state.workers)
+    _probation.end_listed(scheduler_state.workers)
     ready = _ready_stages(scheduler_state, now, unix_now)
     checks_idle = policy.idle_jobs is not None and policy.idle_jobs.update(
         ready, scheduler_state.workers, now, unix_now
