Store the ends of silent workers' leases for 28 jobs at a time

At the size to design for, a data centre that is lost together with the scheduling entry takes 100 workers with runs of most jobs along. It writes 28 now, one transaction, those without a stored time or with the oldest one first. An outdated time is safe: a successor waits longer.

The new test fails without the bound.

--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -3,8 +3,8 @@
 Answers a task that crashes each worker that starts it, beside other tasks
 that start all the time: a suspected task starts on a worker without other new
 runs, and nothing else starts there until it is listed, no other suspected task
-until it has lasted. Where all workers have new runs, some are held until theirs
-are listed.
+until it has lasted. Where all workers have new runs, some are held until
+theirs are listed.
 """
 
 import collections
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -1,7 +1,8 @@
 """In-memory state of the scheduler: jobs, workers and runs."""
 
 import collections.abc
-
+import heapq
+import math
 
 from citronrail import errors
 from citronrail.model import workflows
@@ -17,6 +18,7 @@
 # A run that an earlier scheduler ordered is stopped if the lists of so long a
 # time, on the worker's clock, don't show it. Its start may be under way.
 INHERITED_GRACE_MS = 1200
+MAX_LEASES_LEFT_JOBS = 28  # as many as one transaction of a commit holds
 MIN_LEASE_LEFT_S = 0.001  # in a record; 0 has another meaning
 STOP_RETRY_S = 0.6  # interval at which a stop order is repeated
 
@@ -221,15 +223,28 @@
     def update_leases_left(self, now: float) -> None:
         """Let the next commit store when leases of silent workers end.
 
-        Otherwise each new scheduler would wait for them from its start.
+        Otherwise each new scheduler would wait for them from its start. An
+        outdated time is safe, only longer. Jobs whose time is missing or the
+        oldest go first, since a data centre has runs of most jobs.
 
         :param now: local time in seconds.
         """
+        silent: dict[_job.Job, list[_job.Attempt]] = {}
         for attempts in self.inherited_runs.values():
             for attempt in attempts:
+                silent.setdefault(attempt.task.stage.job, []).append(attempt)
+        oldest = heapq.nlargest(
+            MAX_LEASES_LEFT_JOBS,
+            silent,
+            key=lambda job: max(
+                item.lease_left_s or math.inf for item in silent[job]
+            ),
+        )
+        for job in oldest:
+            for attempt in silent[job]:
                 left_s = self.inherited_leases_end_at(attempt) - now
                 attempt.lease_left_s = max(MIN_LEASE_LEFT_S, left_s)
-                self.dirty.add(attempt.task.stage.job)
+            self.dirty.add(job)
 
     def expire_leases(self, now: float) -> None:
         """Discard runs whose leases have certainly expired.
--- a/citronrail/workflow/tests/test_reports.py
+++ b/citronrail/workflow/tests/test_reports.py
@@ -19,12 +19,15 @@
 
 
 def _loaded_book(
-    progress: documents.ProgressRecord | None = None, now: float = NOW
+    progress: documents.ProgressRecord | None = None,
+    now: float = NOW,
+    jobs: int = 1,
 ) -> _scheduler_state.SchedulerState:
-    """Return a state with one inherited run, on incarnation 1.
+    """Return a state with one inherited run a job, on incarnation 1.
 
-    :param progress: what was stored of its job.
+    :param progress: what was stored of each job.
     :param now: when it is loaded.
+    :param jobs: number of jobs.
     """
     scheduler_state = _scheduler_state.SchedulerState(
         lambda name: _cluster.QUEUE
@@ -32,11 +35,15 @@
     scheduler_state.inherited_end_at = now + MAX_LEASE_S
     attempt = documents.AttemptRecord(1, 'a0', 'w0', 1)
     task = documents.TaskRecord(last_run=1, attempts=(attempt,))
-    scheduler_state.progress[JOB] = progress or documents.ProgressRecord(
-        'running', stages=((task,),)
-    )
-    record = documents.JobRecord(JOB, 'q', 'pool', 0.0, _cluster.one_step())
-    scheduler_state.add_job(record, now, 0.0)
+    for number in range(jobs):
+        job_id = f'{int(JOB, 16) + number:016x}'
+        scheduler_state.progress[job_id] = (
+            progress or documents.ProgressRecord('running', stages=((task,),))
+        )
+        record = documents.JobRecord(
+            job_id, 'q', 'pool', 0.0, _cluster.one_step()
+        )
+        scheduler_state.add_job(record, now, 0.0)
     return scheduler_state
 
 
--- a/citronrail/workflow/tests/test_vanished_workers.py
+++ b/citronrail/workflow/tests/test_vanished_workers.py
@@ -6,6 +6,7 @@
 import trio
 
 from citronrail.workflow import _leadership
+from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _term
 from citronrail.workflow import _worker_view
 from citronrail.workflow.tests import _cluster
@@ -152,3 +153,16 @@
     left_s = test_reports.MAX_LEASE_S - 5.0
     assert second.expired_inherited_runs(now + 9.0 + left_s) == []
     assert second.expired_inherited_runs(now + 9.1 + left_s) != []
+
+
+def test_few_bounds_are_stored_at_a_time(monkeypatch):
+    """Guards against a write for each job each second as a zone is lost."""
+    monkeypatch.setattr(_scheduler_state, 'MAX_LEASES_LEFT_JOBS', 2)
+    state = test_reports._loaded_book(jobs=5)
+    seen = set()
+    for number in range(3):
+        state.dirty.clear()
+        state.update_leases_left(test_reports.NOW + number)
+        assert 0 < len(state.dirty) <= 2
+        seen |= state.dirty
+    assert len(seen) == 5
