Forget removed runs of silent workers

Found while reading the diff: a run of an earlier scheduler that is removed in another way, such as with a job that was deleted, stayed among those that wait for their worker.

Runs that are no longer runs of their task are neither stored nor kept.

--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -214,11 +214,13 @@
 
     def _discard_expired_inherited_runs(self, now: float) -> None:
         for attempt in self.expired_inherited_runs(now):
-            attempts = self.inherited_runs[attempt.node]
-            attempts.remove(attempt)
-            if not attempts:
-                del self.inherited_runs[attempt.node]
             self.discard_run(attempt, 'its lease has expired', now)
+        # Others may have been removed before, such as those of a deleted job.
+        for node, attempts in list(self.inherited_runs.items()):
+            kept = [item for item in attempts if item in item.task.attempts]
+            self.inherited_runs[node] = kept
+            if not kept:
+                del self.inherited_runs[node]
 
     def update_leases_left(self, now: float) -> None:
         """Let the next commit store when leases of silent workers end.
@@ -232,7 +234,9 @@
         silent: dict[_job.Job, list[_job.Attempt]] = {}
         for attempts in self.inherited_runs.values():
             for attempt in attempts:
-                silent.setdefault(attempt.task.stage.job, []).append(attempt)
+                if attempt in attempt.task.attempts:
+                    job = attempt.task.stage.job
+                    silent.setdefault(job, []).append(attempt)
         oldest = heapq.nlargest(
             MAX_LEASES_LEFT_JOBS,
             silent,
--- a/citronrail/workflow/tests/test_vanished_workers.py
+++ b/citronrail/workflow/tests/test_vanished_workers.py
@@ -166,3 +166,16 @@
         assert 0 < len(state.dirty) <= 2
         seen |= state.dirty
     assert len(seen) == 5
+
+
+def test_removed_run_is_not_stored_again():
+    """Guards against records of deleted jobs, and writes without end."""
+    state = test_reports._loaded_book()
+    (job,) = state.jobs.values()
+    (attempt,) = job.attempts()
+    state.remove_run(attempt)
+    state.dirty.clear()
+    state.update_leases_left(test_reports.NOW)
+    assert not state.dirty
+    state.expire_leases(test_reports.NOW)
+    assert not state.inherited_runs
