Begin an incarnation of the worker once

Found while reading the diff: if a list shows a new incarnation while its announcement is being confirmed, the agent began it twice. The second time it forgot the orders of the incarnation, so that its reports named too few as carried out.

The new test failed before.

--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -116,8 +116,10 @@
         return True
 
     def _begin_incarnation(self, life: messages.WorkerLife) -> None:
-        """Take up a confirmed incarnation."""
-        if self._life is not None:
+        """Take up a confirmed incarnation; a list may have shown it before."""
+        if self._life is not None and not self._is_current(
+            life.worker_id, life.born_ms
+        ):
             if life.born_ms < self._life.born_ms:
                 return
             self._reset_for_new_incarnation()
--- a/citronrail/workflow/tests/test_unannounced_incarnation.py
+++ b/citronrail/workflow/tests/test_unannounced_incarnation.py
@@ -91,3 +91,21 @@
     await cluster.until_state('c' * 16, 'completed')
     assert cluster.history.violations == []
     nursery.cancel_scope.cancel()
+
+
+async def test_incarnation_begins_once(autojump_clock, nursery):
+    """Guards against orders that count anew within an incarnation.
+
+    It is confirmed after a list has shown it already.
+    """
+    worker = test_incarnation_checks._Worker(LIFE)
+    agent = await test_incarnation_checks._begin(nursery, worker)
+    agent.announce(LIFE)
+    await trio.sleep(0.1)
+    worker.life = dataclasses.replace(LIFE, born_ms=9)
+    agent._begin_unannounced(LIFE, 9)
+    received = agent._received
+    agent._begin_incarnation(worker.life)
+    assert agent.life == worker.life
+    assert agent._received is received
+    nursery.cancel_scope.cancel()
