Keep the most recent entries of dictionaries by one function

All six call recency.put_last now, and the class that kept sequence numbers of announcements is a dictionary again. Behaviour is the same; tests of the callers are unchanged. make check and the tests of the callers pass.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -1,6 +1,5 @@
 """HTTP application for the announcements of the worker on this host."""
 
-import collections
 import typing
 
 import msgspec
@@ -13,6 +12,7 @@
 from citronrail.model import bounded
 from citronrail.model import codec
 from citronrail.model import messages
+from citronrail.model import recency
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail.platform import _http_apps
@@ -57,27 +57,6 @@
     drainRemainingMs: bounded.Number = 0.0  # noqa: N815 - name on the wire
 
 
-class _Sequences:
-    """Finds announcements that were overtaken by a later one."""
-
-    def __init__(self) -> None:
-        self._last: collections.OrderedDict[tuple[str, int], int] = (
-            collections.OrderedDict()
-        )
-
-    def is_late(self, worker_id: str, body: _Heartbeat) -> bool:
-        """Return whether a later one of the same incarnation was taken."""
-        return body.seq <= self._last.get((worker_id, body.born), -1)
-
-    def record(self, worker_id: str, body: _Heartbeat) -> None:
-        """Record an announcement that was taken."""
-        key = (worker_id, body.born)
-        self._last[key] = body.seq
-        self._last.move_to_end(key)
-        if len(self._last) > MAX_SEQUENCES:
-            self._last.popitem(last=False)
-
-
 def announcement_app(
     agent: workflow.WorkerAgent, service: str
 ) -> applications.Starlette:
@@ -88,7 +67,7 @@
         refused. '' if the settings don't name it.
     :returns: an ASGI application.
     """
-    sequences = _Sequences()
+    last_seq: dict[tuple[str, int], int] = {}
 
     async def heartbeat(req: requests.Request) -> responses.Response:
         worker_id = req.path_params['worker_id']
@@ -108,11 +87,14 @@
             return _refuse(
                 worker_id, f'another service {worker_heartbeat.service[:40]!a}'
             )
+        key = (worker_id, worker_heartbeat.born)
         life = _worker_life(worker_id, worker_heartbeat)
-        if not sequences.is_late(
-            worker_id, worker_heartbeat
-        ) and agent.announce(life):
-            sequences.record(worker_id, worker_heartbeat)
+        if worker_heartbeat.seq > last_seq.get(key, -1) and agent.announce(
+            life
+        ):
+            recency.put_last(
+                last_seq, key, worker_heartbeat.seq, MAX_SEQUENCES
+            )
         return _http_apps.json_response(200, {})
 
     async def leave(req: requests.Request) -> responses.Response:
--- a/citronrail/scheduling/_decision_state.py
+++ b/citronrail/scheduling/_decision_state.py
@@ -15,6 +15,7 @@
 from citronrail.model import estimates
 from citronrail.model import identifiers
 from citronrail.model import messages
+from citronrail.model import recency
 from citronrail.model import resources
 from citronrail.model import settings
 from citronrail.model import specs
@@ -260,10 +261,7 @@
         """
         if self.waited_s(task, now) > 0.0:
             return
-        self._deferred.pop(task.owner, None)
-        self._deferred[task.owner] = now
-        while len(self._deferred) > MAX_DEFERRED_JOBS:
-            del self._deferred[next(iter(self._deferred))]
+        recency.put_last(self._deferred, task.owner, now, MAX_DEFERRED_JOBS)
 
     def forget_host(self, node_id: identifiers.NodeId) -> None:
         """Drop the state of a host that left or was replaced.
--- a/citronrail/workflow/_incarnation_checks.py
+++ b/citronrail/workflow/_incarnation_checks.py
@@ -1,12 +1,12 @@
 """Asks the worker of this host which announced incarnation it is."""
 
-import collections
 import collections.abc
 
 import trio
 
 from citronrail import errors
 from citronrail.model import messages
+from citronrail.model import recency
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
@@ -41,9 +41,7 @@
         self._worker = worker
         self._fencing = fencing
         self._on_confirmed = on_confirmed
-        self._unconfirmed: collections.OrderedDict[
-            _Key, messages.WorkerLife
-        ] = collections.OrderedDict()
+        self._unconfirmed: dict[_Key, messages.WorkerLife] = {}
         self._wake = trio.Event()
 
     def add(self, life: messages.WorkerLife) -> None:
@@ -51,11 +49,8 @@
 
         :param life: its latest announcement.
         """
-        key = _key(life)
-        self._unconfirmed[key] = life
-        self._unconfirmed.move_to_end(key)
-        if len(self._unconfirmed) > MAX_UNCONFIRMED:
-            self._unconfirmed.popitem(last=False)
+        key = (life.worker_id, life.born_ms)
+        recency.put_last(self._unconfirmed, key, life, MAX_UNCONFIRMED)
         self.wake()
 
     def remove(self, worker_id: str) -> None:
@@ -107,7 +102,3 @@
             born=key[1],
             reason=reason,
         )
-
-
-def _key(life: messages.WorkerLife) -> _Key:
-    return life.worker_id, life.born_ms
--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -23,6 +23,7 @@
 import typing
 
 from citronrail.model import bounded
+from citronrail.model import recency
 from citronrail.model import workflows
 
 # More than half of the observed pairs have a factor of 1.0 to 1.5, the others
@@ -237,10 +238,9 @@
         baseline = self.baseline_ratio(image)
         if ratio > 0:
             baseline = min(baseline, ratio * (1.0 - MIN_MEASURED_UTILISATION))
-            self._baseline_ratios.pop(image, None)
-            self._baseline_ratios[image] = baseline
-            if len(self._baseline_ratios) > MAX_IMAGES:
-                del self._baseline_ratios[next(iter(self._baseline_ratios))]
+            recency.put_last(
+                self._baseline_ratios, image, baseline, MAX_IMAGES
+            )
         return ServingTask(image, utilisation(ratio, baseline), baseline)
 
     def factor(self, serving: str, best_effort: str) -> float:
@@ -396,12 +396,10 @@
         self, serving: str, best_effort: str, now: float
     ) -> _Estimate:
         pair = (serving, best_effort)
-        found = self._factors.pop(pair, None)
+        found = self._factors.get(pair)
         if found is None:
             found = _Estimate(PRIOR_FACTOR, PRIOR_VARIANCE, now)
-        self._factors[pair] = found
-        if len(self._factors) > MAX_PAIRS:
-            del self._factors[next(iter(self._factors))]
+        recency.put_last(self._factors, pair, found, MAX_PAIRS)
         found.grow_variance(FACTOR_VARIANCE_PER_S, PRIOR_VARIANCE, now)
         return found
 
--- a/citronrail/workflow/overload/_run_times.py
+++ b/citronrail/workflow/overload/_run_times.py
@@ -10,6 +10,7 @@
 from citronrail.model import bounded
 from citronrail.model import estimates
 from citronrail.model import identifiers
+from citronrail.model import recency
 from citronrail.model import resources
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
@@ -113,10 +114,9 @@
             estimates.Observed(size, run_s),
         ).samples
         class_key = _key(queue, image)
-        self._classes.pop(class_key, None)
-        self._classes[class_key] = observed[class_key]
-        while len(self._classes) > MAX_STORED_KEYS:
-            del self._classes[next(iter(self._classes))]
+        recency.put_last(
+            self._classes, class_key, observed[class_key], MAX_STORED_KEYS
+        )
         if name:
             self._steps[name] = observed[key]
 
