Look for expired inherited runs once a round

The change of the wait for vanished workers went three times through the runs of earlier schedulers in each round: for the crash log, to discard the expired ones, and to forget removed ones. After a takeover these are all runs. One pass returns the expired runs and forgets the others now. The tests call the reports, which discard them, in place of the state; their assertions are the same. make check and the tests of takeovers, reports and crashes pass.

--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -53,8 +53,12 @@
         for view in self._scheduler_state.workers.values():
             if view.leases_expired(now):
                 self._crash_log.on_leases_expired(view, now)
-        expired = self._scheduler_state.expired_inherited_runs(now)
+        expired = self._scheduler_state.take_expired_inherited_runs(now)
         self._crash_log.on_inherited_runs_expired(expired, now)
+        for attempt in expired:
+            self._scheduler_state.discard_run(
+                attempt, 'its lease has expired', now
+            )
         self._scheduler_state.expire_leases(now)
 
     def take(
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -199,28 +199,27 @@
         """Return when all leases of an inherited run's worker have ended."""
         return min(self.inherited_end_at, attempt.leases_end_at)
 
-    def expired_inherited_runs(self, now: float) -> list[_job.Attempt]:
-        """Return inherited runs whose leases have certainly ended.
+    def take_expired_inherited_runs(self, now: float) -> list[_job.Attempt]:
+        """Remove inherited runs that need not be waited for any more.
 
         :param now: local time in seconds.
+        :returns: those whose leases have certainly ended. Others were removed
+            before, such as those of a deleted job.
         """
-        return [
-            attempt
-            for attempts in self.inherited_runs.values()
-            for attempt in attempts
-            if attempt in attempt.task.attempts
-            and now > self.inherited_leases_end_at(attempt)
-        ]
-
-    def _discard_expired_inherited_runs(self, now: float) -> None:
-        for attempt in self.expired_inherited_runs(now):
-            self.discard_run(attempt, 'its lease has expired', now)
-        # Others may have been removed before, such as those of a deleted job.
+        expired = []
         for node, attempts in list(self.inherited_runs.items()):
-            kept = [item for item in attempts if item in item.task.attempts]
+            kept = []
+            for attempt in attempts:
+                if attempt not in attempt.task.attempts:
+                    continue
+                if now > self.inherited_leases_end_at(attempt):
+                    expired.append(attempt)
+                else:
+                    kept.append(attempt)
             self.inherited_runs[node] = kept
             if not kept:
                 del self.inherited_runs[node]
+        return expired
 
     def update_leases_left(self, now: float) -> None:
         """Let the next commit store when leases of silent workers end.
@@ -264,7 +263,6 @@
             for attempt in list(view.attempts.values()):
                 if attempt.ordered:
                     self.discard_run(attempt, 'its lease has expired', now)
-        self._discard_expired_inherited_runs(now)
 
 
 def decode_item(
--- a/citronrail/workflow/tests/test_reports.py
+++ b/citronrail/workflow/tests/test_reports.py
@@ -83,11 +83,11 @@
     report = messages.WorkerReport(0, life, token=token, lease_left_s=LEFT_S)
     reports.take('a0', report, NOW, 0.0)
     task = scheduler_state.jobs[JOB].stages[0].tasks[0]
-    scheduler_state.expire_leases(NOW + LEFT_S - 0.1)
+    reports.expire_leases(NOW + LEFT_S - 0.1)
     assert task.attempts
-    scheduler_state.expire_leases(NOW + LEFT_S + 0.1)
+    reports.expire_leases(NOW + LEFT_S + 0.1)
     assert bool(task.attempts) is waits
-    scheduler_state.expire_leases(NOW + MAX_LEASE_S + 0.1)
+    reports.expire_leases(NOW + MAX_LEASE_S + 0.1)
     assert not task.attempts
 
 
--- a/citronrail/workflow/tests/test_vanished_workers.py
+++ b/citronrail/workflow/tests/test_vanished_workers.py
@@ -151,8 +151,8 @@
     progress = job.progress()
     second = test_reports._loaded_book(progress, now + 9.0)
     left_s = test_reports.MAX_LEASE_S - 5.0
-    assert second.expired_inherited_runs(now + 9.0 + left_s) == []
-    assert second.expired_inherited_runs(now + 9.1 + left_s) != []
+    assert second.take_expired_inherited_runs(now + 9.0 + left_s) == []
+    assert second.take_expired_inherited_runs(now + 9.1 + left_s) != []
 
 
 def test_few_bounds_are_stored_at_a_time(monkeypatch):
@@ -177,5 +177,5 @@
     state.dirty.clear()
     state.update_leases_left(test_reports.NOW)
     assert not state.dirty
-    state.expire_leases(test_reports.NOW)
+    state.take_expired_inherited_runs(test_reports.NOW)
     assert not state.inherited_runs
