Give the stuck worker two tasks in test_job_that_was_delayed

It asks for the reason "the worker is slow", which a stuck worker with two runs gets. It got two of three tasks only if it announced itself first; since an announced incarnation is confirmed by a call, either may. With one run the reason is "it makes no progress", which is as true.

--- a/citronrail/cli/tests/test_explain.py
+++ b/citronrail/cli/tests/test_explain.py
@@ -65,7 +65,8 @@
 
     async def body(cluster):
         cluster.workers[0].faults.stuck = True
-        await cluster.submit(JOB, _cluster.one_step(3))
+        # Two tasks on each worker, whichever announces itself first.
+        await cluster.submit(JOB, _cluster.one_step(4))
         await cluster.until_state(JOB, 'completed')
 
     await _run_world(body, workers=2)
