Let an announcement override a late message that the worker ends

Callers saw accepted jobs that stay queued although the worker they need is up and empty (LOST).

Cause: the worker's message that it ends (Deregister) names its ID but no incarnation. One of an earlier incarnation that is read after the worker has started again under its ID, as by an agent that was suspended, marked the present one as draining. Each later announcement says 'ready', but the scheduling entry rightly holds that an announced stop is never taken back.

Change: after such a message the worker is 'leaving'. Nothing is started on it, as before, but its next announcement counts. A draining worker stays draining. A worker that has really ended announces nothing more.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -11,8 +11,14 @@
     """One incarnation of a worker, as it last announced itself.
 
     ``born_ms`` distinguishes incarnations with the same ``worker_id``. The
-    state is ``ready``, ``draining``, or ``starting`` for one that a list has
-    shown before its first announcement; its other fields may be outdated.
+    state is one of:
+
+    * ``ready``,
+    * ``draining``, which is never taken back,
+    * ``leaving`` after a message of the worker that it ends, which may be one
+      of an earlier incarnation, until its next announcement,
+    * ``starting`` for one that a list has shown before its first
+      announcement; its other fields may be outdated.
     """
 
     worker_id: bounded.Name
--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -87,7 +87,7 @@
         :param now: local time in seconds.
         :param unix_now: Unix time in seconds.
         """
-        if view.draining:
+        if view.leaving:
             return  # a planned end
         attempts = [*view.presumed_lost, *view.attempts.values()]
         attempts = [attempt for attempt in attempts if attempt.ordered]
@@ -156,7 +156,7 @@
         :param view: the worker.
         :param now: local time in seconds.
         """
-        if view.draining:
+        if view.leaving:
             return
         unix_now = now + self._unix_offset
         for attempt in list(view.attempts.values()):
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -468,7 +468,7 @@
             remaining_capacity(view)
             for view in scheduler_state.workers.values()
             if view.life.service == service
-            and not view.draining
+            and not view.leaving
             and not view.usable(now)
             and view.life.data_centre not in policy.evacuated
         ]
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -150,11 +150,21 @@
             self._schedule_report()
 
     def leave(self, worker_id: str) -> None:
-        """Mark the worker as draining."""
+        """Start nothing on a worker that has said that it ends.
+
+        The message names no incarnation. It may be a late one of an earlier
+        incarnation, so that the next announcement of the worker overrides it.
+
+        :param worker_id: ID of the worker.
+        """
         self._checks.remove(worker_id)
         life = self._life
-        if life is not None and life.worker_id == worker_id:
-            self._set_life(dataclasses.replace(life, state='draining'))
+        if (
+            life is not None
+            and life.worker_id == worker_id
+            and life.state != 'draining'
+        ):
+            self._set_life(dataclasses.replace(life, state='leaving'))
 
     def _log(self, life: messages.WorkerLife) -> None:
         old = self._life
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -97,6 +97,11 @@
         """Whether the worker has announced that it will stop."""
         return self.life.state == 'draining'
 
+    @property
+    def leaving(self) -> bool:
+        """Whether the worker is about to end as planned."""
+        return self.life.state in ('draining', 'leaving')
+
     def matches(self, worker_id: str, born_ms: int) -> bool:
         """Whether this is the given incarnation of the given worker."""
         return (
--- a/citronrail/workflow/tests/test_unannounced_incarnation.py
+++ b/citronrail/workflow/tests/test_unannounced_incarnation.py
@@ -111,3 +111,45 @@
     assert agent.life == worker.life
     assert agent._received is received
     nursery.cancel_scope.cancel()
+
+
+async def test_late_end_of_an_earlier_incarnation_stops_no_work(
+    autojump_clock, nursery
+):
+    """Guards against a restarted worker that counts as draining for good.
+
+    The message that the incarnation before ends is read after its first
+    announcement, such as by an agent that was suspended (LOST).
+    """
+    cluster = _cluster.SimulatedCluster(seed=1, entries=1, workers=1)
+    cluster.default_plan = task_worker.TaskPlan(work_s=1.0, cpu_millis=1000)
+    (worker,) = cluster.workers
+    await cluster.start(nursery)
+    worker.state = 'draining'
+    await trio.sleep(1.0)
+    worker.simulate_restart()
+    worker.state = 'ready'
+    await trio.sleep(1.0)
+    (agent,) = cluster.agents.values()
+    assert agent.agent.life == worker.life()
+    agent.agent.leave(worker.worker_id)
+    await trio.sleep(0.1)
+    await cluster.submit(JOB, _cluster.one_step(8, cpu_millis=1000))
+    await cluster.until_state(JOB, 'completed')
+    assert cluster.history.violations == []
+    nursery.cancel_scope.cancel()
+
+
+async def test_worker_that_has_left_gets_no_work(autojump_clock, nursery):
+    """Guards against starts on a worker that ends, and draining forgotten."""
+    worker = test_incarnation_checks._Worker(LIFE)
+    agent = await test_incarnation_checks._begin(nursery, worker)
+    agent.announce(LIFE)
+    await trio.sleep(0.1)
+    agent.leave(LIFE.worker_id)
+    assert agent.life is not None
+    assert agent.life.state == 'leaving'
+    agent.announce(dataclasses.replace(LIFE, state='draining'))
+    agent.leave(LIFE.worker_id)
+    assert agent.life.state == 'draining'
+    nursery.cancel_scope.cancel()
