Take up an incarnation of a worker with an earlier time of birth

Cause: agent and scheduling entry took the later time of birth for the later incarnation. The disruption is allowed: the time of day jumps 'on some machines', back and ahead (clock_step), and 'born ... is the Unix millisecond of its start'.

Evidence: both cases of the new test failed before: the job of the restarted worker was never completed.

Change: the order in which the worker confirms its incarnations decides. A list that was requested after an incarnation had been confirmed shows a later one, and the answer to a check doesn't count if another incarnation was confirmed meanwhile. The entry takes an earlier time of birth from a report whose number follows the last one; without that it holds as before. announce() returned whether the time of birth was the latest, which says nothing any more; the tests that asserted on it look at the incarnation that the agent takes up.

Result: all tests of workflow/ that touch incarnations and those of platform/ pass. The test of a late answer guards the new rule; it passed before, too.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -88,13 +88,11 @@
                 worker_id, f'another service {worker_heartbeat.service[:40]!a}'
             )
         key = (worker_id, worker_heartbeat.born)
-        life = _worker_life(worker_id, worker_heartbeat)
-        if worker_heartbeat.seq > last_seq.get(key, -1) and agent.announce(
-            life
-        ):
+        if worker_heartbeat.seq > last_seq.get(key, -1):
             recency.put_last(
                 last_seq, key, worker_heartbeat.seq, MAX_SEQUENCES
             )
+            agent.announce(_worker_life(worker_id, worker_heartbeat))
         return _http_apps.json_response(200, {})
 
     async def leave(req: requests.Request) -> responses.Response:
--- a/citronrail/workflow/_incarnation_checks.py
+++ b/citronrail/workflow/_incarnation_checks.py
@@ -17,7 +17,7 @@
 # is repeated, nor fill the memory.
 MAX_UNCONFIRMED = 8
 
-_Key = tuple[str, int]  # worker ID, time of birth
+_Key = tuple[str, int]  # worker ID, time of birth in Unix milliseconds
 
 
 class IncarnationChecks:
@@ -29,17 +29,21 @@
     :param worker: the worker.
     :param fencing: returns the newest fencing token, 0 if none was seen. A
         worker refuses calls with an older one, so none is made before.
-    :param on_confirmed: receives a confirmed incarnation.
+    :param current: returns the current incarnation, None before the first.
+    :param on_confirmed: receives a confirmed incarnation, which is the present
+        one: births don't tell, as the clock of a host may be set back.
     """
 
     def __init__(
         self,
         worker: ports.TaskWorker,
         fencing: collections.abc.Callable[[], int],
+        current: collections.abc.Callable[[], messages.WorkerLife | None],
         on_confirmed: collections.abc.Callable[[messages.WorkerLife], None],
     ) -> None:
         self._worker = worker
         self._fencing = fencing
+        self._current = current
         self._on_confirmed = on_confirmed
         self._unconfirmed: dict[_Key, messages.WorkerLife] = {}
         self._wake = trio.Event()
@@ -77,6 +81,7 @@
         life = self._unconfirmed.get(key)
         if life is None:
             return
+        before = self._current_key()
         order = ports.LeaseOrder(self._fencing(), acknowledged=0)
         try:
             worker_list = await self._worker.list_runs(life, order)
@@ -85,6 +90,8 @@
             return
         except errors.CitronrailError:
             return  # no evidence; the check is repeated
+        if self._current_key() != before:
+            return  # the answer may be one of the incarnation before
         if worker_list.born_ms not in (0, life.born_ms):
             self._refuse(key, f'the worker was born at {worker_list.born_ms}')
             return
@@ -92,6 +99,10 @@
         if latest is not None:
             self._on_confirmed(latest)
 
+    def _current_key(self) -> _Key | None:
+        life = self._current()
+        return None if life is None else (life.worker_id, life.born_ms)
+
     def _refuse(self, key: _Key, reason: str) -> None:
         if self._unconfirmed.pop(key, None) is None:
             return
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -77,7 +77,7 @@
         """
         if report.life is None:
             return
-        view = self._current_view(node, report.life, now, unix_now)
+        view = self._current_view(node, report, now, unix_now)
         if view is None:
             return
         view.connected = True
@@ -134,7 +134,7 @@
     def _current_view(
         self,
         node: str,
-        life: messages.WorkerLife,
+        report: messages.WorkerReport,
         now: float,
         unix_now: float,
     ) -> _worker_view.WorkerView | None:
@@ -142,6 +142,8 @@
 
         :returns: None if the report is about an earlier incarnation.
         """
+        life = report.life
+        assert life is not None
         view = self._scheduler_state.workers.get(node)
         if view is not None and view.matches(life.worker_id, life.born_ms):
             if view.draining:
@@ -152,7 +154,11 @@
             view.drain_ends_at = now + life.drain_left_s
             view.life = life
             return view
-        if view is not None and life.born_ms < view.life.born_ms:
+        if (
+            view is not None
+            and life.born_ms < view.life.born_ms
+            and not self._follows_last(view, report)
+        ):
             return None
         self._log_incarnation(node, life)
         new_view = _worker_view.WorkerView(node, life)
@@ -164,6 +170,19 @@
                 self._resolve_stale_run(attempt, new_view, now)
         return new_view
 
+    def _follows_last(
+        self, view: _worker_view.WorkerView, report: messages.WorkerReport
+    ) -> bool:
+        """Whether a report was made after the last one that was applied.
+
+        Then it shows the present incarnation even if that has an earlier time
+        of birth: the clock of its host may have been set back.
+        """
+        return (
+            report.token == self._fencing
+            and report.number > view.reports_applied
+        )
+
     def _log_incarnation(self, node: str, life: messages.WorkerLife) -> None:
         observability.emit(
             events.WORKER_LIFE,
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -87,7 +87,10 @@
         self._unreachable = False
         self._stopping: set[tuple[str, int]] = set()
         self._checks = _incarnation_checks.IncarnationChecks(
-            worker, lambda: self._fencing, self._begin_incarnation
+            worker,
+            lambda: self._fencing,
+            lambda: self._life,
+            self._begin_incarnation,
         )
         hub.subscribe(messages.WorkerOrders, self._on_orders)
 
@@ -98,30 +101,24 @@
         """The worker's current incarnation, None before it is confirmed."""
         return self._life
 
-    def announce(self, life: messages.WorkerLife) -> bool:
+    def announce(self, life: messages.WorkerLife) -> None:
         """Handle an announcement, which may come from another writer.
 
         A new incarnation ends what is believed of the runs of the one before,
         so that it counts only once the worker itself has confirmed it.
 
         :param life: the announced incarnation.
-        :returns: False if it is an earlier incarnation than the current one.
         """
-        if self._life is not None and life.born_ms < self._life.born_ms:
-            return False
         if self._is_current(life.worker_id, life.born_ms):
             self._set_life(life)
         else:
             self._checks.add(life)
-        return True
 
     def _begin_incarnation(self, life: messages.WorkerLife) -> None:
         """Take up a confirmed incarnation; a list may have shown it before."""
         if self._life is not None and not self._is_current(
             life.worker_id, life.born_ms
         ):
-            if life.born_ms < self._life.born_ms:
-                return
             self._reset_for_new_incarnation()
         self._set_life(life)
 
@@ -270,8 +267,9 @@
             return
         self._unreachable = False
         if worker_list.born_ms and worker_list.born_ms != life.born_ms:
-            if worker_list.born_ms > life.born_ms:
-                self._begin_unannounced(life, worker_list.born_ms)
+            # The current incarnation had been confirmed before the call, so
+            # this is a later one even if its time of birth is earlier.
+            self._begin_unannounced(life, worker_list.born_ms)
             return
         self._confirmed_token = fencing
         self._lease.read_clock(worker_list.clock_ms)
--- a/standins/task_worker/_memory_worker.py
+++ b/standins/task_worker/_memory_worker.py
@@ -99,6 +99,8 @@
         self.cpu_millis = cpu_millis
         self.memory_mb = memory_mb
         self.state = 'ready'
+        # Distance of the time of birth that it announces from the true one.
+        self.born_offset_ms = 0
         self._history = history
         self._plan_of = plan_of
         self._rng = rng
@@ -114,7 +116,7 @@
         """Return the announcement of the current incarnation."""
         return messages.WorkerLife(
             worker_id=self.worker_id,
-            born_ms=self._incarnation,
+            born_ms=self._incarnation + self.born_offset_ms,
             service='pool',
             data_centre='dc',
             state=self.state,
@@ -196,7 +198,7 @@
         self._advance()
         ends = self._unacknowledged_ends[: self.max_listed_ends]
         return ports.WorkerList(
-            self._incarnation,
+            self._incarnation + self.born_offset_ms,
             self.clock_ms(),
             tuple(self._run_row(key) for key in self._runs),
             tuple(end for end, _ in ends),
