End a watch on a silent connection within 2.7 s

Change: a watch polls for 2 s instead of 2.5 s. It makes a quarter more calls while nothing changes. The new test took 3.2 s before and failed.

--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -18,7 +18,9 @@
 from citronrail import ports
 
 CALL_TIMEOUT_S = 1.0
-WATCH_POLL_S = 2.5
+# With the grace below the 3 s after which a machine counts as in touch again
+# when its connections have gone silent.
+WATCH_POLL_S = 2.0
 WATCH_GRACE_S = 0.7  # added to the long-poll wait to get the timeout
 PEER = 'store'
 T = typing.TypeVar('T')
--- a/citronrail/platform/tests/test_http.py
+++ b/citronrail/platform/tests/test_http.py
@@ -6,7 +6,9 @@
 import pytest
 import trio
 
+from citronrail import errors
 from citronrail.platform import _http
+from citronrail.platform import _store
 
 ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}'
 TIMEOUT_S = 0.3
@@ -77,6 +79,23 @@
     nursery.cancel_scope.cancel()
 
 
+async def test_silent_watch_is_noticed_in_time(nursery):
+    """Guards against changes that a silent connection hides (CONFIG).
+
+    A machine counts as in touch 3 s after its connections went silent.
+    """
+    server, address = await _serve(nursery)
+    server.silent_up_to = 1
+    store = _store.PlatformStore(address)
+    began_at = trio.current_time()
+    async with store.watch('op/', 1) as changes:
+        with pytest.raises(errors.StoreOutcomeUnknown):
+            await anext(changes)
+    assert trio.current_time() - began_at < 2.8
+    await store.aclose()
+    nursery.cancel_scope.cancel()
+
+
 async def test_time_out_ends_no_other_call(nursery):
     """Guards against calls that are cut by the time-out of another one."""
     server, client = await _begin(nursery)
