Give no good work up for losses of whole hosts

Cause: a task was charged with each unannounced end of a worker, also where the agent was lost with it. A task that crashes the worker that starts it leaves the agent on the host running, which sees the worker's port close.

Change: an agent reports how many incarnations of its worker it has seen. The loss of one that it has not seen end, and that no agent reported as unreachable, is recorded as one with the agent. A task is given up after five losses if the agent outlived two of them, or after 15. A power loss that falls together with a crash still counts as one of the five, so that a deadly task gets no more starts unless four of its crashes do.

The new tests failed before.

--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -132,6 +132,8 @@
     before the list was requested. ``number`` counts the reports to one
     scheduler. ``has_more_ends`` is set if the worker may hold ends that the
     list doesn't show, so that a run in neither list may have ended.
+    ``incarnations`` counts those of the worker that the agent process has
+    seen, 0 if it doesn't tell.
     """
 
     fencing: bounded.Id
@@ -149,6 +151,7 @@
     settled: int = 0
     number: int = 0
     has_more_ends: bool = False
+    incarnations: bounded.Count = 0
 
 
 @_registry.message
--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -14,6 +14,8 @@
 * A task is given up after five crashes, and not before: the users allow it two
   starts after three crashes, and fewer may be a coincidence even if each of
   them points to the task.
+* A task crashes its worker, not the agent beside it. Where each loss but one
+  took the agent along, hosts fail for other reasons.
 """
 
 import collections.abc
@@ -37,6 +39,11 @@
 INHERITED_NEW_S = 6.0
 # No task is started again after so many crashes, alone or not.
 MAX_CRASHES = 5
+# A loss that took the agent along may coincide with a crash by a task, but not
+# that often.
+MIN_CRASHES_BESIDE_AGENT = 2
+# Bounds the starts of a task that brings whole hosts down.
+MAX_LOSSES = 15
 MAX_LOGGED_RUNS = 8
 
 
@@ -47,7 +54,11 @@
 
     :param crashes: crashes recorded for the task.
     """
-    return len(crashes) >= MAX_CRASHES
+    beside_agent = sum(not crash.with_agent for crash in crashes)
+    return len(crashes) >= MAX_LOSSES or (
+        len(crashes) >= MAX_CRASHES
+        and beside_agent >= MIN_CRASHES_BESIDE_AGENT
+    )
 
 
 @dataclasses.dataclass(frozen=True)
@@ -56,7 +67,8 @@
 
     ``runs`` are those that were new on it. ``near_start`` tells whether it was
     seen to be lost right after the start of one, ``on_sound_host`` whether its
-    host had not lost a worker shortly before.
+    host had not lost a worker shortly before, ``with_agent`` whether its agent
+    was lost as well.
     """
 
     node: str
@@ -64,6 +76,7 @@
     runs: tuple[_job.Attempt, ...]
     near_start: bool = False
     on_sound_host: bool = False
+    with_agent: bool = False
 
 
 class CrashLog:
@@ -79,11 +92,16 @@
         self._unix_offset = 0.0  # from local to Unix time, in seconds
 
     def on_worker_lost(
-        self, view: _worker_view.WorkerView, now: float, unix_now: float
+        self,
+        view: _worker_view.WorkerView,
+        successor: _worker_view.WorkerView,
+        now: float,
+        unix_now: float,
     ) -> None:
         """Attribute the end of an incarnation that has been replaced.
 
         :param view: the incarnation, with the runs that it took along.
+        :param successor: the one that has replaced it.
         :param now: local time in seconds.
         :param unix_now: Unix time in seconds.
         """
@@ -112,6 +130,7 @@
             tuple(new),
             near_start,
             not losses.count(view.node, now),
+            _is_first_of_agent(successor) and not view.unreachable_since,
         )
         losses.add(life, view.node, now)
         self._attribute(loss, unix_now)
@@ -119,7 +138,7 @@
     def on_inherited_runs_lost(
         self,
         attempts: list[_job.Attempt],
-        born_ms: int,
+        view: _worker_view.WorkerView,
         now: float,
         unix_now: float,
     ) -> None:
@@ -128,7 +147,7 @@
         Runs that are known to have lasted did not crash their worker.
 
         :param attempts: runs of earlier incarnations of one worker.
-        :param born_ms: Unix time of the present one in milliseconds.
+        :param view: the present incarnation.
         :param now: local time in seconds.
         :param unix_now: Unix time in seconds.
         """
@@ -136,14 +155,18 @@
         by_life: dict[tuple[str, int], list[_job.Attempt]] = {}
         for attempt in attempts:
             assigned_lately = (
-                attempt.assigned_at > born_ms / 1000 - INHERITED_NEW_S
+                attempt.assigned_at
+                > view.life.born_ms / 1000 - INHERITED_NEW_S
             )
             if assigned_lately and not attempt.lasted:
                 by_life.setdefault(attempt.life, []).append(attempt)
         for life, runs in by_life.items():
             node = runs[0].node
             self._scheduler_state.host_losses.add(life, node, now)
-            self._attribute(_Loss(node, life, tuple(runs)), unix_now)
+            loss = _Loss(
+                node, life, tuple(runs), with_agent=_is_first_of_agent(view)
+            )
+            self._attribute(loss, unix_now)
 
     def on_leases_expired(
         self, view: _worker_view.WorkerView, now: float
@@ -162,7 +185,11 @@
         for attempt in list(view.attempts.values()):
             if attempt.ordered and not attempt.listed_at:
                 view.presumed_lost.append(attempt)
-                self._add(attempt, sole=False)
+                self._add(
+                    attempt,
+                    sole=False,
+                    with_agent=not view.unreachable_since,
+                )
                 self._give_up_if_proved(attempt.task, unix_now)
 
     def on_inherited_runs_expired(
@@ -176,7 +203,7 @@
         unix_now = now + self._unix_offset
         for attempt in attempts:
             if not attempt.lasted:
-                self._add(attempt, sole=False)
+                self._add(attempt, sole=False, with_agent=True)
                 self._give_up_if_proved(attempt.task, unix_now)
 
     def on_worker_back(self, view: _worker_view.WorkerView) -> None:
@@ -230,11 +257,13 @@
                 reason=reason,
             )
         for attempt in loss.runs:
-            self._add(attempt, sole=not reason)
+            self._add(attempt, sole=not reason, with_agent=loss.with_agent)
         for attempt in loss.runs:
             self._give_up_if_proved(attempt.task, unix_now)
 
-    def _add(self, attempt: _job.Attempt, *, sole: bool) -> None:
+    def _add(
+        self, attempt: _job.Attempt, *, sole: bool, with_agent: bool
+    ) -> None:
         """Record a crash for a task; a known one never loses its weight."""
         task = attempt.task
         if task.done:
@@ -243,10 +272,13 @@
         for known in task.crashes:
             if known.life == attempt.life:
                 sole |= known.sole
+                with_agent &= known.with_agent
             else:
                 others.append(known)
         worker_id, born_ms = attempt.life
-        crash = documents.CrashRecord(worker_id, born_ms, attempt.node, sole)
+        crash = documents.CrashRecord(
+            worker_id, born_ms, attempt.node, sole, with_agent
+        )
         task.crashes = (*others, crash)
         self._scheduler_state.dirty.add(task.stage.job)
         observability.emit(
@@ -284,6 +316,11 @@
     return '' if loss.on_sound_host else 'its host was lost shortly before'
 
 
+def _is_first_of_agent(view: _worker_view.WorkerView) -> bool:
+    """Whether the agent process has seen no earlier incarnation."""
+    return view.incarnations == 1
+
+
 def _is_new(attempt: _job.Attempt, view: _worker_view.WorkerView) -> bool:
     """Whether a run was new on a worker when that was lost."""
     if attempt.lasted:
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -72,6 +72,8 @@
     born_ms: bounded.UnixMs
     node: bounded.Name  # agent on the worker's host
     sole: bool  # it points to this job and to nothing else
+    # The agent was lost with the worker, which no task brings about.
+    with_agent: bool = False
 
     @property
     def life(self) -> tuple[str, int]:
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -162,10 +162,11 @@
             return None
         self._log_incarnation(node, life)
         new_view = _worker_view.WorkerView(node, life)
+        new_view.incarnations = report.incarnations
         new_view.lease_ends_at = now + self._bounds.max_lease_s * 1.05
         self._scheduler_state.workers[node] = new_view
         if view is not None:
-            self._crash_log.on_worker_lost(view, now, unix_now)
+            self._crash_log.on_worker_lost(view, new_view, now, unix_now)
             for attempt in list(view.attempts.values()):
                 self._resolve_stale_run(attempt, new_view, now)
         return new_view
@@ -256,9 +257,7 @@
                     view.probation_job = attempt.task.stage.job
             else:
                 lost.append(attempt)
-        self._crash_log.on_inherited_runs_lost(
-            lost, view.life.born_ms, now, unix_now
-        )
+        self._crash_log.on_inherited_runs_lost(lost, view, now, unix_now)
         for attempt in lost:
             self._resolve_stale_run(attempt, view, now)
 
--- a/citronrail/workflow/_worker_agent.py
+++ b/citronrail/workflow/_worker_agent.py
@@ -74,6 +74,7 @@
         self._received = _order_numbers.OrdersReceived()
         self._flow = _report_flow.ReportFlow()
         self._confirmed_token = 0  # token that the worker has confirmed
+        self._incarnations = 0  # confirmed ones, with the current one
         self._scheduler: identifiers.NodeId | None = None
         self._acknowledged = 0
         self._busy = False
@@ -116,10 +117,10 @@
 
     def _begin_incarnation(self, life: messages.WorkerLife) -> None:
         """Take up a confirmed incarnation; a list may have shown it before."""
-        if self._life is not None and not self._is_current(
-            life.worker_id, life.born_ms
-        ):
-            self._reset_for_new_incarnation()
+        if not self._is_current(life.worker_id, life.born_ms):
+            self._incarnations += 1
+            if self._life is not None:
+                self._reset_for_new_incarnation()
         self._set_life(life)
 
     def _begin_unannounced(
@@ -336,6 +337,7 @@
             settled=settled,
             number=self._flow.next_number,
             has_more_ends=bool(worker_list and worker_list.has_more_ends),
+            incarnations=self._incarnations,
         )
         try:
             await self._hub.send(scheduler, report)
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -50,6 +50,9 @@
         # When its agent first failed to reach it; 0 while it is reached.
         self.unreachable_since = 0.0
         self.lease_ends_at = 0.0  # by then all runs have certainly ended
+        # Worker incarnations that the agent process has seen, this one
+        # included; 0 if its version doesn't tell.
+        self.incarnations = 0
         # Orders for an earlier incarnation may still be carried out.
         self.may_hold_stale_orders = False
         # Not before a commit has withdrawn a stored bound on their end.
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -25,8 +25,10 @@
 UNIX_NOW = BORN_MS / 1000 + 10.0
 
 
-def _crash(number, sole):
-    return documents.CrashRecord(f'w{number}', number, f'a{number}', sole)
+def _crash(number, sole, with_agent=False):
+    return documents.CrashRecord(
+        f'w{number}', number, f'a{number}', sole, with_agent
+    )
 
 
 @pytest.mark.parametrize(
@@ -58,6 +60,45 @@
     assert _crashes.is_proved(crashes) is proved
 
 
+@pytest.mark.parametrize(
+    ('crashes', 'with_agent', 'proved'),
+    [(0, 5, False), (1, 4, False), (2, 3, True), (0, 15, True)],
+    ids=[
+        'hosts fail',
+        'one crash beside hosts that fail',
+        'two losses of hosts fell together with crashes',
+        'the task may bring hosts down',
+    ],
+)
+def test_losses_of_whole_hosts_prove_little(crashes, with_agent, proved):
+    """Guards against good work given up where hosts lose power in series."""
+    records = [
+        _crash(number, False, number >= crashes)
+        for number in range(crashes + with_agent)
+    ]
+    assert _crashes.is_proved(records) is proved
+
+
+@pytest.mark.parametrize(
+    ('incarnations', 'seen', 'with_agent'),
+    [(1, False, True), (1, True, False), (2, False, False), (0, False, False)],
+    ids=[
+        'the agent began with the next incarnation',
+        'the agent saw the end and was lost later',
+        'the agent has seen both incarnations',
+        'the agent does not tell',
+    ],
+)
+def test_loss_of_the_agent_is_recorded(incarnations, seen, with_agent):
+    """Guards against good work that is charged with a loss of its host."""
+    play = _Play()
+    play.incarnations = incarnations
+    task = play.start('a0')
+    play.now += 0.1
+    play.lose('a0', seen=seen)
+    assert [crash.with_agent for crash in task.crashes] == [with_agent]
+
+
 @pytest.mark.parametrize(
     ('assigned_s_before', 'lasted', 'suspected'),
     [(1.0, False, True), (60.0, False, False), (1.0, True, False)],
@@ -156,6 +197,7 @@
         )
         self.reports = _reports.Reports(self.state, workflows.Bounds(), TOKEN)
         self.now = NOW
+        self.incarnations = 0
         self.born = dict.fromkeys(nodes, 1)
         for node in nodes:
             self.report(node)
@@ -166,7 +208,10 @@
             node, self.born[node], 'pool', 'dc', 'ready', 4000, 8000, 0
         )
         report = messages.WorkerReport(
-            TOKEN, life, clock_ms=int(self.now * 1000)
+            TOKEN,
+            life,
+            clock_ms=int(self.now * 1000),
+            incarnations=self.incarnations,
         )
         if fields.get('unreachable'):
             report = messages.WorkerReport(0, life, unreachable=True)
