Keep the retry limit of a job whose queue is removed

Cause: the limit was read from the configuration, and without its queue a job had none.

Change: a job's record holds the limit that was in force when it was accepted, and that one holds once the queue is removed. Jobs stored by earlier versions have none, as before.

--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -118,7 +118,12 @@
         :param deadline: local time until which the caller waits.
         """
         job = documents.JobRecord(
-            job_id, queue.name, queue.service, time.time(), spec
+            job_id,
+            queue.name,
+            queue.service,
+            time.time(),
+            spec,
+            queue.max_attempts,
         )
         began_at = trio.current_time()
         retry_after_s = await self._overload_retry_s(
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -49,6 +49,9 @@
     service: bounded.Text
     accepted_at: bounded.Number  # Unix time in seconds
     spec: workflows.WorkflowSpec
+    # Of its queue when the job was accepted; holds once that is removed. 0 if
+    # it isn't known.
+    max_attempts: bounded.Count = 0
 
 
 class AttemptRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/citronrail/workflow/_queue_order.py
+++ b/citronrail/workflow/_queue_order.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from citronrail.model import workflows
+from citronrail.workflow import _documents as documents
 
 # A result that takes longer than this many objectives is of no use to the
 # caller.
@@ -63,6 +64,18 @@
     return NO_QUEUE_PRIORITY if queue is None else queue.priority
 
 
+def max_attempts(
+    queue: workflows.Queue | None, record: documents.JobRecord
+) -> int:
+    """Return after how many failed runs of a task its job has failed.
+
+    :param queue: its queue, None if that has been removed.
+    :param record: the job as it was accepted.
+    :returns: 0 if there is no limit.
+    """
+    return record.max_attempts if queue is None else queue.max_attempts
+
+
 def sort_key(job: WaitingJob, now: float) -> tuple[int, int, float]:
     """Return the sort key of a job; the lowest key is scheduled first.
 
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -11,6 +11,7 @@
 from citronrail.workflow import _health
 from citronrail.workflow import _job
 from citronrail.workflow import _metrics as metrics
+from citronrail.workflow import _queue_order
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _run_times
@@ -432,12 +433,11 @@
         if stage.spec.long_running or task.done:
             return
         queue = self._scheduler_state.queue_named(job.record.queue)
-        if queue is None:
-            return  # the queue and its retry limit have been removed
+        limit = _queue_order.max_attempts(queue, job.record)
         failures = task.failures
         if stage.spec.gang:
             failures = max(member.failures for member in stage.tasks)
-        if failures >= queue.max_attempts and job.open:
+        if limit and failures >= limit and job.open:
             detail = f'{failures} failed runs of {task.name}'
             self._scheduler_state.fail_job(job, 'runs', detail, unix_now)
 
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -14,6 +14,7 @@
 from citronrail.workflow import _overdue
 from citronrail.workflow import _placement
 from citronrail.workflow import _probation
+from citronrail.workflow import _queue_order
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _service_room
 from citronrail.workflow import _step_ranking
@@ -395,10 +396,11 @@
 def _is_last_attempt(task: _job.Task, policy: Policy) -> bool:
     """Whether one more failed run would end the task's job."""
     stage = task.stage
-    queue = policy.queue_named(stage.job.record.queue)
+    record = stage.job.record
+    limit = _queue_order.max_attempts(policy.queue_named(record.queue), record)
     members = stage.tasks if stage.spec.gang else (task,)
     failures = max(member.failures for member in members)
-    return queue is not None and failures + 1 >= queue.max_attempts
+    return bool(limit) and failures + 1 >= limit
 
 
 def _startable(wait: _idle_jobs.Wait, now: float) -> _job.Task | None:
