Let a task end whose progress is slower than its estimate tells

Cause: a run counts as stuck if its percentage hasn't moved for 1.4 s plus 4% of the estimate, which is rough or missing, and each run began from the start.

Change: the time is doubled with each run of the task that was stopped for it, not for tasks that last, which work after a short start.

Result: in a replay a task of 600 s without an estimate, and one declared to take 2 s, ends within 900 s and four runs; both never ended before.

--- a/citronrail/workflow/_health.py
+++ b/citronrail/workflow/_health.py
@@ -13,6 +13,7 @@
 AVOID_S = 6.0
 STUCK_S = 1.4  # time without progress, as of the latest list of runs
 STUCK_BEST_EFFORT_S = 3.5  # best-effort runs may wait for idle processors
+MAX_STUCK_DOUBLINGS = 10
 MIN_MEASURED_S = 1.0  # the speed over a shorter time is too inaccurate
 SPEED_SMOOTHING_WEIGHT = 0.3  # of a new measurement in the moving average
 # Runs are moved off workers below this share of the fleet's median speed.
@@ -36,11 +37,17 @@
     pace: int
     fills: bool
     long_running: bool
+    stuck_before: int = 0  # runs of the task that were stopped as stuck
 
 
 def is_stuck(run: RunProgress, now: float) -> bool:
     """Whether a run that should make progress makes none.
 
+    The time that it may take for one percent is only known from a rough
+    estimate, or not at all. With each run that was stopped it is doubled, so
+    that a task much longer than that ends as well; not for tasks that last,
+    which are at work after a short start.
+
     :param run: the run.
     :param now: time of the latest list.
     """
@@ -50,7 +57,10 @@
         return False
     limit_s = STUCK_BEST_EFFORT_S if run.fills else STUCK_S
     one_percent_s = run.estimate_s / 100
-    return now - run.moved_at > limit_s + 4 * one_percent_s
+    limit_s += 4 * one_percent_s
+    if not run.long_running:
+        limit_s *= 2 ** min(run.stuck_before, MAX_STUCK_DOUBLINGS)
+    return now - run.moved_at > limit_s
 
 
 def measured_speed(run: RunProgress, now: float) -> float | None:
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -173,6 +173,7 @@
         'name',
         'retry_at',
         'stage',
+        'stuck_runs',
     )
 
     def __init__(self, stage: 'Stage', index: int) -> None:
@@ -192,6 +193,7 @@
         self.attempts: list[Attempt] = []
         self.retry_at = 0.0
         self.moved_as_slow = False  # a run was stopped as its worker was slow
+        self.stuck_runs = 0  # runs that were stopped as they made no progress
 
     @property
     def waiting(self) -> bool:
--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -551,6 +551,7 @@
         ]
         for attempt in stuck:
             if not attempt.stop_reason:
+                attempt.task.stuck_runs += 1
                 self._scheduler_state.stop_run(attempt, 'it makes no progress')
         if len(stuck) < 2 or now < view.avoid_until:
             return
@@ -612,4 +613,5 @@
         pace=attempt.pace,
         fills=spec.fills,
         long_running=spec.long_running,
+        stuck_before=attempt.task.stuck_runs,
     )
--- a/citronrail/workflow/tests/test_long_tasks.py
+++ b/citronrail/workflow/tests/test_long_tasks.py
@@ -34,9 +34,15 @@
     assert _health.is_long_task(other_speeds, moved_before) is expected
 
 
-def _run_long_task(load) -> tuple[int, bool]:
-    """Replay a task that takes eight times as long as declared, for 60 s.
+def _run_long_task(
+    load, work_s=WORK_S, estimate_s=1.0, limit_s=60.0
+) -> tuple[int, bool]:
+    """Replay a task that takes eight times as long as declared.
 
+    :param load: parts for hard load that are on.
+    :param work_s: work of the task in seconds.
+    :param estimate_s: what is declared of it, 0 for nothing.
+    :param limit_s: end of the replay in seconds.
     :returns: number of runs, and whether the task was done.
     """
     now = 100.0
@@ -51,19 +57,23 @@
         for n in range(3)
     ]
     record = documents.JobRecord(
-        'job', 'queue', 'pool', 0.0, _cluster.one_step(1, estimate_s=1.0)
+        'job',
+        'queue',
+        'pool',
+        0.0,
+        _cluster.one_step(1, estimate_s=estimate_s),
     )
     scheduler_state.add_job(record, now, 0.0)
     policy = _round.Policy(lambda _: _cluster.QUEUE, frozenset(), factors)
     task = scheduler_state.jobs['job'].stages[0].tasks[0]
     began_at, ends = now, {life.worker_id: 0 for life in lives}
-    while now < 160.0 and not task.done:
+    while now < 100.0 + limit_s and not task.done:
         now += LIST_S
         for number, life in enumerate(lives):
             running, ended = (), ()
             attempt = task.attempts[0] if task.attempts else None
             if attempt is not None and attempt.worker_id == life.worker_id:
-                percent = int(100 * (now - began_at) / WORK_S)
+                percent = int(100 * (now - began_at) / work_s)
                 how = 'stopped' if attempt.stop_reason else 'done'
                 if attempt.stop_reason or percent >= 100:
                     ends[life.worker_id] += 1
@@ -97,3 +107,19 @@
     )
     assert done
     assert runs <= 2
+
+
+@pytest.mark.parametrize('estimate_s', [0.0, 2.0])
+def test_task_that_moves_slowly_ends(estimate_s):
+    """Guards against a task that never ends, as each run counts as stuck.
+
+    One percent of its work takes longer than a run may stand still.
+    """
+    runs, done = _run_long_task(
+        load_settings.LoadSettings(detect_long_tasks=True),
+        work_s=600.0,
+        estimate_s=estimate_s,
+        limit_s=900.0,
+    )
+    assert done
+    assert runs <= 4
