Store the cancellation of a job that is not stored yet

Cause: an entry that didn't find the job stored nothing.

Change: the cancellation is stored in either case, and the answer stays 410 if there is no job. The scheduling entry remembers it for 30 s, longer than a late write takes, and then deletes the key, 28 at a time. If the cancellation can't be stored the caller gets 503 or 504 and tries again, as for any other.

--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -326,14 +326,21 @@
     async def _cancel_alone(
         self, attempt: _request_attempts.Attempt, job_id: str, deadline: float
     ) -> Reply:
-        """Store a cancellation with this entry's own calls only."""
-        outcome = await self._requests.exists(job_id, deadline, attempt)
-        if outcome is Verdict.DONE:
-            key = documents.CANCEL_PREFIX + job_id
-            outcome = await self._requests.create(key, b'1', deadline, attempt)
-            if outcome is Verdict.DONE:
-                await self._notify_leader(messages.JobCancelled(job_id))
-        return Reply(outcome)
+        """Store a cancellation with this entry's own calls only.
+
+        Also that of a job which is not stored: a write of its submission that
+        got no answer may take effect seconds later.
+        """
+        found = await self._requests.exists(job_id, deadline, attempt)
+        if found not in (Verdict.DONE, Verdict.ABSENT):
+            return Reply(found)
+        key = documents.CANCEL_PREFIX + job_id
+        stored = await self._requests.create(key, b'1', deadline, attempt)
+        if stored is not Verdict.DONE:
+            return Reply(stored)
+        if found is Verdict.DONE:
+            await self._notify_leader(messages.JobCancelled(job_id))
+        return Reply(found)
 
     async def state(self, job_id: str, deadline: float) -> Reply:
         """Return the state of a job.
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -20,6 +20,8 @@
 INHERITED_GRACE_MS = 1200
 MAX_LEASES_LEFT_JOBS = 28  # as many as one transaction of a commit holds
 MIN_LEASE_LEFT_S = 0.001  # in a record; 0 has another meaning
+# For longer than a write that got no answer may take to take effect.
+PENDING_CANCEL_S = 30.0
 STOP_RETRY_S = 0.6  # interval at which a stop order is repeated
 
 QueueLookup = collections.abc.Callable[[str], workflows.Queue | None]
@@ -40,7 +42,8 @@
         self.workers: dict[str, _worker_view.WorkerView] = {}
         self.host_losses = _host_losses.HostLosses()
         self.dirty: set[_job.Job] = set()
-        self.pending_cancels: set[str] = set()
+        # Cancellations of unknown jobs, with the local time at which they end.
+        self.pending_cancels: dict[str, float] = {}
         # By agent: runs of an earlier scheduler whose worker has not reported
         # to this one.
         self.inherited_runs: dict[str, list[_job.Attempt]] = {}
@@ -71,14 +74,14 @@
                 if not job.open:
                     self.stop_run(attempt, 'the job has ended')
         if record.job_id in self.pending_cancels:
-            self.pending_cancels.discard(record.job_id)
-            self.cancel_job(record.job_id, unix_now)
+            del self.pending_cancels[record.job_id]
+            self.cancel_job(record.job_id, now, unix_now)
 
-    def cancel_job(self, job_id: str, unix_now: float) -> None:
+    def cancel_job(self, job_id: str, now: float, unix_now: float) -> None:
         """Cancel a job, or remember the cancellation until it is added."""
         job = self.jobs.get(job_id)
         if job is None:
-            self.pending_cancels.add(job_id)
+            self.pending_cancels.setdefault(job_id, now + PENDING_CANCEL_S)
             return
         if job.open:
             job.cancelled = True
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -25,6 +25,7 @@
 # A job has three keys. All of them are deleted by the first transaction of a
 # commit, which holds 28 documents.
 MAX_JOBS_DELETED = 9
+MAX_CANCELS_DELETED = 28  # at a time
 # For longer than a listing that shows a deleted job can be under way.
 DELETION_REMEMBERED_S = 60.0
 _JOB_KEY_PREFIXES = (
@@ -101,7 +102,7 @@
         due_writes: list[ports.Put | ports.Delete] = []
         # First, since a key may be written once only, and since the keys of a
         # job have to be deleted together.
-        due_writes += self._expired_job_deletes()
+        due_writes += self._cleanup_deletes()
         due_writes += [
             ports.Put(
                 documents.PROGRESS_PREFIX + job.job_id,
@@ -172,12 +173,31 @@
         )
         return [ports.Put(documents.FLEET_KEY, documents.encode(record))]
 
-    def _expired_job_deletes(self) -> list[ports.Delete]:
-        """Return the deletions of jobs whose retention time has passed."""
+    def _cleanup_deletes(self) -> list[ports.Delete]:
+        """Return the deletions that are due of what is no longer needed."""
         now = trio.current_time()
         if now < self._next_cleanup_at:
             return []
         self._next_cleanup_at = now + CLEANUP_INTERVAL_S
+        return self._expired_job_deletes(now) or self._expired_cancel_deletes(
+            now
+        )
+
+    def _expired_cancel_deletes(self, now: float) -> list[ports.Delete]:
+        """Return the deletions of cancellations whose job never came."""
+        pending = self._scheduler_state.pending_cancels
+        expired = [
+            job_id for job_id, ends_at in pending.items() if ends_at < now
+        ][:MAX_CANCELS_DELETED]
+        for job_id in expired:
+            del pending[job_id]
+        return [
+            ports.Delete(documents.CANCEL_PREFIX + job_id)
+            for job_id in expired
+        ]
+
+    def _expired_job_deletes(self, now: float) -> list[ports.Delete]:
+        """Return the deletions of jobs whose retention time has passed."""
         ended_before = (
             self._unix_clock() - RETENTION_RATIO * self._bounds.keep_ended_s
         )
@@ -195,7 +215,7 @@
                 continue
             del self._scheduler_state.jobs[job.job_id]
             self._scheduler_state.dirty.discard(job)
-            self._scheduler_state.pending_cancels.discard(job.job_id)
+            self._scheduler_state.pending_cancels.pop(job.job_id, None)
             self._deleted[job.job_id] = (self._last_commit(), now)
             for stage in job.stages:
                 self._factors.forget_load(stage.name)
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -178,14 +178,18 @@
             self._early_items.append((key, value))
         elif key.startswith(documents.CANCEL_PREFIX):
             job_id = key.removeprefix(documents.CANCEL_PREFIX)
-            self.scheduler_state.cancel_job(job_id, self._unix_clock())
+            self.scheduler_state.cancel_job(
+                job_id, trio.current_time(), self._unix_clock()
+            )
         else:
             self._add_job(key.removeprefix(documents.JOB_PREFIX), value)
 
     def on_job_cancelled(self, job_id: str) -> None:
         """Cancel a job whose cancellation an entry has stored."""
         if self.loaded:
-            self.scheduler_state.cancel_job(job_id, self._unix_clock())
+            self.scheduler_state.cancel_job(
+                job_id, trio.current_time(), self._unix_clock()
+            )
             self.wake()
 
     def on_job_accepted(self, job_id: str, value: bytes) -> None:
--- a/citronrail/workflow/overload/tests/test_job_order.py
+++ b/citronrail/workflow/overload/tests/test_job_order.py
@@ -135,7 +135,7 @@
         for attempt in fleet.place():
             attempt.listed_at = fleet.now
             run_times.on_done(attempt, fleet.now + 2.0)
-        fleet.state.cancel_job(job.job_id, 0.0)
+        fleet.state.cancel_job(job.job_id, 0.0, 0.0)
         for attempt in list(job.attempts()):
             fleet.state.remove_run(attempt)
     stored = run_times.snapshot()
--- a/citronrail/workflow/tests/test_order_sender.py
+++ b/citronrail/workflow/tests/test_order_sender.py
@@ -122,7 +122,7 @@
 async def test_cancelled_run_is_not_ordered(autojump_clock):
     """A job that is cancelled after the commit must not be started."""
     scheduler_state, attempt, sender, hub = _assigned()
-    scheduler_state.cancel_job('j1', 0.0)
+    scheduler_state.cancel_job('j1', 0.0, 0.0)
     await sender.send()
     assert not hub.starts()
     assert not attempt.task.attempts
