Read a worker's list with a long checkpoint without that one

Callers would see their jobs wait while workers are up (LOST): a task whose checkpoint has over 8,192 characters made the agent refuse the whole list of its worker. Its lease lapsed, and the task went on to the next worker.

Change: such a checkpoint counts as none, so that the task begins anew.

--- a/citronrail/platform/_worker.py
+++ b/citronrail/platform/_worker.py
@@ -9,6 +9,7 @@
 from citronrail.model import codec
 from citronrail.model import messages
 from citronrail.platform import _http
+from citronrail.platform import _transport_metrics as metrics
 from citronrail import ports
 
 CALL_TIMEOUT_S = 1.0
@@ -24,7 +25,7 @@
 class _RunRow(msgspec.Struct, frozen=True, array_like=True):
     task: bounded.Name
     run: bounded.Count
-    checkpoint: bounded.Text
+    checkpoint: str
     percent: bounded.SignedNumber
     load: bounded.SignedNumber = 0.0  # may be missing
 
@@ -45,7 +46,7 @@
             bounded.Name,
             bounded.Count,
             bounded.Name,
-            bounded.Text,
+            str,
         ],
         ...,
     ] = ()
@@ -94,7 +95,12 @@
             response.born,
             response.clockMs,
             tuple(_run_row(row) for row in response.running),
-            tuple(messages.EndRow(*row) for row in response.ended),
+            tuple(
+                messages.EndRow(
+                    number, task, run, how, _usable_checkpoint(checkpoint)
+                )
+                for number, task, run, how, checkpoint in response.ended
+            ),
             has_more_ends=len(response.ended) >= MAX_LISTED_ENDS,
         )
 
@@ -197,11 +203,23 @@
     return response.reason or f'status {res.status_code}'
 
 
+def _usable_checkpoint(checkpoint: str) -> str:
+    """Return a checkpoint, '' for one that is too long to be stored.
+
+    Without it the task begins anew, while a list that is refused for it would
+    keep the worker from all other tasks.
+    """
+    if len(checkpoint) <= bounded.MAX_TEXT_LENGTH:
+        return checkpoint
+    metrics.REFUSED.labels('checkpoint').inc()
+    return ''
+
+
 def _run_row(row: _RunRow) -> messages.RunRow:
     return messages.RunRow(
         row.task,
         row.run,
-        row.checkpoint,
+        _usable_checkpoint(row.checkpoint),
         int(min(max(0.0, row.percent), 100.0)),
         max(0.0, row.load),
     )
