Store the progress of a job without checkpoints that would not fit

Change: such progress is stored without checkpoints, and CR1739 says so once a job. Runs resume from them under this scheduler; under a successor these tasks begin anew.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -128,6 +128,12 @@
     'reports of {workers} workers are up to {seconds} s old when they are '
     'applied',
 )
+CHECKPOINTS_NOT_STORED = _events.EventKind(
+    1739,
+    'WARNING',
+    'checkpoints of job {job} are not stored: its progress of {size} bytes '
+    'would exceed the longest value',
+)
 WORKER_LIFE = _events.EventKind(
     1740, 'INFO', 'worker {worker} born {born} on {node} is {state}'
 )
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -105,6 +105,15 @@
     stages: tuple[tuple[TaskRecord, ...], ...] = ()
 
 
+def without_checkpoints(progress: ProgressRecord) -> ProgressRecord:
+    """Return the progress of a job whose tasks would begin anew."""
+    stages = tuple(
+        tuple(msgspec.structs.replace(task, checkpoint='') for task in stage)
+        for stage in progress.stages
+    )
+    return msgspec.structs.replace(progress, stages=stages)
+
+
 class LeaderRecord(msgspec.Struct, frozen=True):
     """Identity and address of the scheduling entry (the leader)."""
 
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -6,10 +6,13 @@
 import trio
 
 from citronrail.model import workflows
+from citronrail import observability
+from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
 from citronrail.workflow import _admission
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
+from citronrail.workflow import _job
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.overload import _run_times
 
@@ -66,6 +69,7 @@
         self._next_cleanup_at = 0.0
         self._next_factors_at = 0.0
         self._last_commit: collections.abc.Callable[[], int] = int
+        self._without_checkpoints: set[str] = set()  # logged jobs
         # By job ID: revision before which it was stored, and local time.
         self._deleted: dict[str, tuple[int, float]] = {}
 
@@ -106,7 +110,7 @@
         due_writes += [
             ports.Put(
                 documents.PROGRESS_PREFIX + job.job_id,
-                documents.encode(job.progress()),
+                self._encode_progress(job),
             )
             for job in self._scheduler_state.dirty
         ]
@@ -122,6 +126,23 @@
                 view.acknowledged = view.applied
         return due_writes
 
+    def _encode_progress(self, job: _job.Job) -> bytes:
+        """Encode the progress of a job, without checkpoints if it is too long.
+
+        The store would refuse the whole commit. Runs of this scheduler still
+        resume from their checkpoints, those of a successor begin anew.
+        """
+        progress = job.progress()
+        data = documents.encode(progress)
+        if len(data) <= self._bounds.max_value_bytes:
+            return data
+        if job.job_id not in self._without_checkpoints:
+            self._without_checkpoints.add(job.job_id)
+            observability.emit(
+                events.CHECKPOINTS_NOT_STORED, job=job.job_id, size=len(data)
+            )
+        return documents.encode(documents.without_checkpoints(progress))
+
     def _factor_writes(self, has_other_writes: bool) -> list[ports.Put]:
         """Return the write of the learned factors, if it is due.
 
@@ -215,6 +236,7 @@
                 continue
             del self._scheduler_state.jobs[job.job_id]
             self._scheduler_state.dirty.discard(job)
+            self._without_checkpoints.discard(job.job_id)
             self._scheduler_state.pending_cancels.pop(job.job_id, None)
             self._deleted[job.job_id] = (self._last_commit(), now)
             for stage in job.stages:
