--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -309,6 +309,8 @@
 
 def _why_unclear(loss: _Loss, job_count: int) -> str:
     """Return why a loss points to no job, '' if it points to one."""
+    if loss.with_agent:
+        return 'its agent was lost as well'
     if not loss.near_start:
         return 'it was not seen to follow a start'
     if job_count != 1:
--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -95,8 +95,16 @@
     play.incarnations = incarnations
     task = play.start('a0')
     play.now += 0.1
+    recorder = observability.Recorder('e0')
+    observability.use_recorder(recorder)
     play.lose('a0', seen=seen)
     assert [crash.with_agent for crash in task.crashes] == [with_agent]
+    reasons = [
+        item.fields['reason']
+        for item in recorder.records()
+        if item.number == events.CRASH_UNCLEAR.number
+    ]
+    assert ('its agent was lost as well' in reasons) is with_agent
 
 
 @pytest.mark.parametrize(
