--- a/citronrail/workflow/_incarnation_checks.py
+++ b/citronrail/workflow/_incarnation_checks.py
@@ -95,6 +95,9 @@
         if worker_list.born_ms not in (0, life.born_ms):
             self._refuse(key, f'the worker was born at {worker_list.born_ms}')
             return
+        if not worker_list.born_ms and _is_earlier(key, before):
+            self._refuse(key, 'its list has no time of birth')
+            return
         latest = self._unconfirmed.pop(key, None)
         if latest is not None:
             self._on_confirmed(latest)
@@ -113,3 +116,10 @@
             born=key[1],
             reason=reason,
         )
+
+
+def _is_earlier(key: _Key, current: _Key | None) -> bool:
+    """Whether an incarnation has the current one's ID and was born before."""
+    return (
+        current is not None and key[0] == current[0] and key[1] < current[1]
+    )
--- a/citronrail/workflow/tests/test_incarnation_checks.py
+++ b/citronrail/workflow/tests/test_incarnation_checks.py
@@ -151,3 +151,21 @@
     await trio.sleep(5.0)
     assert worker.lists <= 2 * _incarnation_checks.MAX_UNCONFIRMED
     nursery.cancel_scope.cancel()
+
+
+async def test_earlier_birth_is_confirmed_by_a_time_of_birth(
+    autojump_clock, nursery
+):
+    """Guards against a late announcement that ends what is known (TWICE).
+
+    It names the ID of the worker, whose lists have no time of birth.
+    """
+    worker = _Worker(dataclasses.replace(LIFE, born_ms=0))
+    agent = await _begin(nursery, worker)
+    agent.announce(dataclasses.replace(LIFE, born_ms=5))
+    await trio.sleep(0.1)
+    agent.announce(dataclasses.replace(LIFE, born_ms=3))
+    await trio.sleep(1.0)
+    assert agent.life is not None
+    assert agent.life.born_ms == 5
+    nursery.cancel_scope.cancel()
