--- a/citronrail/workflow/_incarnation_checks.py
+++ b/citronrail/workflow/_incarnation_checks.py
@@ -120,6 +120,4 @@
 
 def _is_earlier(key: _Key, current: _Key | None) -> bool:
     """Whether an incarnation has the current one's ID and was born before."""
-    return (
-        current is not None and key[0] == current[0] and key[1] < current[1]
-    )
+    return current is not None and key[0] == current[0] and key[1] < current[1]
