Delete expired cancellations of unknown jobs without a pause

28 were deleted each 5 s. Requests to cancel unknown jobs at more than six a second would have let keys in the store and memory grow (found in reading the change that stores them). The test has 100 of them now, of which 44 were left 7 s after their time before.

--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -210,6 +210,8 @@
         expired = [
             job_id for job_id, ends_at in pending.items() if ends_at < now
         ][:MAX_CANCELS_DELETED]
+        if len(expired) == MAX_CANCELS_DELETED:
+            self._next_cleanup_at = now
         for job_id in expired:
             del pending[job_id]
         return [
--- a/citronrail/workflow/tests/test_early_cancels.py
+++ b/citronrail/workflow/tests/test_early_cancels.py
@@ -39,17 +39,20 @@
 async def test_cancellations_of_unknown_jobs_are_not_kept(
     autojump_clock, nursery
 ):
-    """Guards against keys in the store that grow with odd requests."""
+    """Guards against keys in the store that grow with odd requests.
+
+    28 were deleted each 5 s, whatever the number that waited.
+    """
     cluster = _cluster.SimulatedCluster(seed=1)
     await cluster.start(nursery)
-    for number in range(40):
+    for number in range(100):
         await _cancel(cluster, f'{number:016x}')
 
     async def count_keys() -> int:
         listing = await cluster.store.list(documents.CANCEL_PREFIX)
         return len(listing.items)
 
-    assert await count_keys() == 40
-    await trio.sleep(_scheduler_state.PENDING_CANCEL_S + 20.0)
+    assert await count_keys() == 100
+    await trio.sleep(_scheduler_state.PENDING_CANCEL_S + 7.0)
     assert await count_keys() == 0
     nursery.cancel_scope.cancel()
