--- a/citronrail/platform/tests/test_mutated_data.py
+++ b/citronrail/platform/tests/test_mutated_data.py
@@ -20,6 +20,7 @@
 from citronrail.platform import _store
 from citronrail.platform import _wire_jobs
 from citronrail.platform import _worker
+from citronrail.platform.tests import test_odd_data
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.overload import _run_times
@@ -37,20 +38,7 @@
     'periodMs': 100,
 }
 ITEM = {'key': 'k', 'value': 'eA==', 'rev': 4, 'lease': 7}
-HEARTBEAT = {
-    'service': 'pool',
-    'addr': '127.0.0.1:1',
-    'zone': 'dc',
-    'version': 'v1',
-    'slots': 8,
-    'state': 'ready',
-    'coldLeftMs': 0,
-    'seq': 1,
-    'capacity': {'cpu': 4000, 'memMb': 4096, 'gpu': 0},
-    'labels': ['a'],
-    'born': 5,
-    'drainRemainingMs': 100.5,
-}
+HEARTBEAT = test_odd_data.HEARTBEAT | {'drainRemainingMs': 100.5}
 RUNS = {
     'clockMs': 5,
     'running': [['t', 1, '', 50, 0.5]],
