--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -403,7 +403,8 @@
 
     In the soak (seed 223) two sound tasks were given up after five crashes
     each, always beside the same deadly one, which started on their worker as
-    soon as they were listed there; in others (seed 323), 0.13 s later.
+    soon as they were listed there; in others (seed 323), 0.13 s later
+    at most.
     """
     play = _Play(('a0',))
     policy = _round.Policy(
