Cancel jobs of the inbox and of messages by one method

Behaviour is unchanged. A comment on heartbeats said that a time of birth in the far future makes later announcements old, which no longer holds since the order of the worker's confirmations decides.

--- a/citronrail/platform/_announcement_app.py
+++ b/citronrail/platform/_announcement_app.py
@@ -47,8 +47,7 @@
     slots: bounded.Amount
     state: bounded.Name
     coldLeftMs: bounded.SignedNumber  # noqa: N815 - name on the wire
-    # A greater one would make all later announcements old, like a time of
-    # birth in the far future.
+    # A greater one would make all later announcements old.
     seq: bounded.Amount
     capacity: _Capacity
     labels: _Labels
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -177,21 +177,21 @@
         if not self._progress_applied:
             self._early_items.append((key, value))
         elif key.startswith(documents.CANCEL_PREFIX):
-            job_id = key.removeprefix(documents.CANCEL_PREFIX)
-            self.scheduler_state.cancel_job(
-                job_id, trio.current_time(), self._unix_clock()
-            )
+            self._cancel_job(key.removeprefix(documents.CANCEL_PREFIX))
         else:
             self._add_job(key.removeprefix(documents.JOB_PREFIX), value)
 
     def on_job_cancelled(self, job_id: str) -> None:
         """Cancel a job whose cancellation an entry has stored."""
         if self.loaded:
-            self.scheduler_state.cancel_job(
-                job_id, trio.current_time(), self._unix_clock()
-            )
+            self._cancel_job(job_id)
             self.wake()
 
+    def _cancel_job(self, job_id: str) -> None:
+        self.scheduler_state.cancel_job(
+            job_id, trio.current_time(), self._unix_clock()
+        )
+
     def on_job_accepted(self, job_id: str, value: bytes) -> None:
         """Add a job that an entry has stored."""
         if self.loaded:
