--- a/review/9/case.py
+++ b/review/9/case.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import pathlib
-import signal
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -21,18 +20,29 @@
 RESTART_S = 0.5
 # Jobs accepted longer ago than visible_ms + 2 s have to be counted.
 COUNTED_AFTER_S = 5.0
-ROUTES = [{
-    'name': 'plans', 'host': HOST, 'prefix': PREFIX, 'service': SERVICE,
-    'priority': 0, 'maxAttempts': 4, 'stretch': 2.0,
-    'targetCompletionMs': 1000, 'timeoutMs': 3000,
-}]
+ROUTES = [
+    {
+        'name': 'plans',
+        'host': HOST,
+        'prefix': PREFIX,
+        'service': SERVICE,
+        'priority': 0,
+        'maxAttempts': 4,
+        'stretch': 2.0,
+        'targetCompletionMs': 1000,
+        'timeoutMs': 3000,
+    }
+]
 
 
 def job():
     """A job that only workers of kind b can run, one at a time."""
     step = {
-        'count': 1, 'cpu': 16000, 'memMb': 1000,
-        'estimateMs': int(WORK_S * 1000), 'constraints': 'b',
+        'count': 1,
+        'cpu': 16000,
+        'memMb': 1000,
+        'estimateMs': int(WORK_S * 1000),
+        'constraints': 'b',
     }
     return {'spec': 'plan', 'steps': [step]}
 
@@ -40,8 +50,11 @@
 async def case(folder, trouble):
     labels = (['b', 'r1-0'], *(['a', f'r1-{n}'] for n in range(1, WORKERS)))
     fleet = fleets.Fleet(
-        folder, [SERVICE] * WORKERS, ROUTES,
-        lambda _: worker.Plan(WORK_S), labels=labels,
+        folder,
+        [SERVICE] * WORKERS,
+        ROUTES,
+        lambda _: worker.Plan(WORK_S),
+        labels=labels,
     )
     try:
         await fleet.start()
@@ -85,7 +98,9 @@
     for number in range(40):
         node = nodes[number % len(nodes)]
         status, answer = await fleet.request(node, 'GET', HOST, PREFIX)
-        begun = {fields['task'].split('.')[0] for _, fields in fleet.of('start')}
+        begun = {
+            fields['task'].split('.')[0] for _, fields in fleet.of('start')
+        }
         waiting = sum(
             fleet.now() - at > COUNTED_AFTER_S and job_id not in begun
             for job_id, at in accepted.items()
