Review case 9: one worker of 12, within the limit; the report

With 12 workers the unhealthy one is a share of 0.083. A script that fails for a reason of its own now ends with 2.

--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,10 +12,10 @@
 
 HOST, PREFIX = 'shop.example', '/plans/'
 SERVICE = 'planner'
-WORKERS = 11
+WORKERS = 12
 JOBS = 6
 WORK_S = 5.0
-UNHEALTHY_S = 6.0  # one of 11 workers; the site's longest is 6.5 s
+UNHEALTHY_S = 6.0  # one of 12 workers; the site's longest is 6.5 s
 KILL_AT_S = 5.0
 RESTART_S = 0.5
 # Jobs accepted longer ago than visible_ms + 2 s have to be counted.
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -418,8 +418,8 @@
     trouble = os.environ.get('TROUBLE', '1') != '0'
     try:
         broken = asyncio.run(case(folder, trouble))
-    except CannotRun as exc:
-        sys.stdout.write(f'could not run: {exc}\n')
+    except Exception as exc:  # noqa: BLE001 - 1 would say that a rule broke
+        sys.stdout.write(f'could not run: {exc!r}\n')
         sys.exit(2)
     for line in broken[:MAX_SHOWN]:
         sys.stdout.write(f'broken: {line}\n')
