--- a/review/6/case.py
+++ b/review/6/case.py
@@ -95,7 +95,9 @@
         await asyncio.sleep(SMALL_EVERY_S)
     started = set()
     for item in fleet.workers:
-        started |= set((await fleet.look(item) or {'jobs': []})['jobs'])
+        jobs = (await fleet.look(item) or {'jobs': []})['jobs']
+        fleet.log('run', worker=item.name, jobs=','.join(jobs) or 'none')
+        started |= set(jobs)
     return await judge(fleet, accepted, started, share_used)
 
 
