Store the progress of a wide job in segments

Cause: the progress of a job was one value of the store, with some 67 bytes a task. Over the longest value, the store refuses the transaction, and all jobs share the commit.

Now the tasks of a job with more than 256 tasks are stored in segments, each with a key of its own, and a commit writes those that have changed. Neither the longest value nor the cost of an end grows with the job. The status follows its segments, so that a commit that is stored in part shows no job as completed too early; a gang of which one member is stored as done is restored whole. Segments are deleted before the job. Progress of earlier versions is read, and written in segments with the next change. Smaller jobs are stored as before.

Of a segment that is too long without its checkpoints, the recorded crashes are left out as well; what is left is bounded by its number of tasks.

--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -213,7 +213,7 @@
             task.crashes = tuple(
                 crash for crash in task.crashes if crash.life != attempt.life
             )
-            self._scheduler_state.dirty.add(task.stage.job)
+            self._scheduler_state.mark_changed(task)
         view.presumed_lost = []
 
     def on_listed(
@@ -230,6 +230,7 @@
             return
         attempt.lasted = True
         task = attempt.task
+        task.stage.job.changed_segments.add(task.segment)
         if task.crashes:
             observability.emit(
                 events.TASK_CLEARED,
@@ -242,7 +243,7 @@
             view.listed_at
         ):
             task.crashes = ()
-            self._scheduler_state.dirty.add(task.stage.job)
+            self._scheduler_state.mark_changed(task)
 
     def _attribute(self, loss: _Loss, unix_now: float) -> None:
         """Record a loss with its runs, and give up tasks that it proves."""
@@ -280,7 +281,7 @@
             worker_id, born_ms, attempt.node, sole, with_agent
         )
         task.crashes = (*others, crash)
-        self._scheduler_state.dirty.add(task.stage.job)
+        self._scheduler_state.mark_changed(task)
         observability.emit(
             events.TASK_SUSPECTED,
             task=task.name,
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -96,7 +96,11 @@
 
 
 class ProgressRecord(msgspec.Struct, frozen=True, array_like=True):
-    """Progress of a job; a stage that has not started is an empty tuple."""
+    """Progress of a job.
+
+    A stage that has not started is an empty tuple. A job of several segments
+    has no stages here; its tasks are in records of their own.
+    """
 
     status: JobStatus
     ended_at: bounded.Number = (
@@ -105,13 +109,29 @@
     stages: tuple[tuple[TaskRecord, ...], ...] = ()
 
 
-def without_checkpoints(progress: ProgressRecord) -> ProgressRecord:
-    """Return the progress of a job whose tasks would begin anew."""
-    stages = tuple(
-        tuple(msgspec.structs.replace(task, checkpoint='') for task in stage)
-        for stage in progress.stages
-    )
-    return msgspec.structs.replace(progress, stages=stages)
+class SegmentRecord(msgspec.Struct, frozen=True, array_like=True):
+    """Progress of the tasks of one segment of a job, in their order."""
+
+    tasks: tuple[TaskRecord, ...] = ()
+
+
+def segment_key(job_id: str, number: int) -> str:
+    """Return the key of a segment of a job's progress."""
+    return f'{PROGRESS_PREFIX}{job_id}/{number}'
+
+
+def parse_progress_key(key: str) -> tuple[str, int | None]:
+    """Split a key under :data:`PROGRESS_PREFIX`.
+
+    :param key: the key of a progress record or of a segment.
+    :returns: ID of the job, and the number of the segment; None for the
+        number in the key of a progress record.
+    """
+    job_id = key.removeprefix(PROGRESS_PREFIX)
+    head, separator, number = job_id.rpartition('/')
+    if separator and number.isascii() and number.isdigit():
+        return head, int(number)
+    return job_id, None
 
 
 class LeaderRecord(msgspec.Struct, frozen=True):
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -1,12 +1,14 @@
 """In-memory state of jobs, stages, tasks and attempts in the scheduler."""
 
 import collections.abc
+import types
 
 from citronrail.model import workflows
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _host_losses
 from citronrail.workflow import _queue_order
 
+SEGMENT_TASKS = 256  # of a job with more; their progress is one value
 PACE_ORDER_DELAY_S = 0.2  # from sending a pace to its effect on the worker
 TAIL_WINDOW_S = 0.5  # time that a reported tail latency covers
 
@@ -172,6 +174,7 @@
         'moved_as_slow',
         'name',
         'retry_at',
+        'segment',
         'stage',
         'stuck_runs',
     )
@@ -179,6 +182,7 @@
     def __init__(self, stage: 'Stage', index: int) -> None:
         self.stage = stage
         self.index = index
+        self.segment = 0  # of its job's progress
         self.name = (
             f'{stage.job.job_id}.{stage.occurrence}.{stage.step}.{index}'
         )
@@ -304,6 +308,19 @@
         self.job_id = record.job_id
         self.arrived_at = arrived_at
         self.stages = _stages(self, record.spec)
+        tasks = [task for stage in self.stages for task in stage.tasks]
+        # Tasks whose progress is stored together, so that neither its longest
+        # value nor the cost of a change grows with the job.
+        self.segments = [
+            tasks[first : first + SEGMENT_TASKS]
+            for first in range(0, len(tasks), SEGMENT_TASKS)
+        ]
+        for number, segment in enumerate(self.segments):
+            for task in segment:
+                task.segment = number
+        self.changed_segments: set[int] = set()  # since the last commit
+        self.stored_segments: set[int] = set()  # with a key of their own
+        self.stored_progress = b''  # as last written
         self.cancelled = False
         self.failed = False
         self.ended_at = 0.0  # Unix time in seconds
@@ -332,6 +349,11 @@
         """Whether it has not ended."""
         return not self.status.final
 
+    @property
+    def segmented(self) -> bool:
+        """Whether the progress of its tasks is stored in several values."""
+        return len(self.segments) > 1
+
     def attempts(self) -> collections.abc.Iterator[Attempt]:
         """Iterate over all runs that may still exist."""
         for stage in self.stages:
@@ -358,27 +380,73 @@
         return max(0.0, path_s - done_s)
 
     def progress(self) -> documents.ProgressRecord:
-        """Return the progress record to store."""
-        return documents.ProgressRecord(
-            self.status,
-            self.ended_at,
-            tuple(_stage_record(stage) for stage in self.stages),
+        """Return the progress record to store, without separate segments."""
+        stages: tuple[tuple[documents.TaskRecord, ...], ...] = ()
+        if not self.segmented:
+            stages = tuple(_stage_record(stage) for stage in self.stages)
+        return documents.ProgressRecord(self.status, self.ended_at, stages)
+
+    def segment_record(self, number: int) -> documents.SegmentRecord:
+        """Return the record to store of a segment."""
+        return documents.SegmentRecord(
+            tuple(task.record() for task in self.segments[number])
         )
 
-    def restore(self, progress: documents.ProgressRecord) -> None:
-        """Restore the state of a stored progress record."""
+    def restore(
+        self,
+        progress: documents.ProgressRecord,
+        segments: collections.abc.Mapping[
+            int, documents.SegmentRecord
+        ] = types.MappingProxyType({}),
+    ) -> None:
+        """Restore the stored state.
+
+        :param progress: the stored progress record.
+        :param segments: the stored segments, by number.
+        """
         status = progress.status
         self.committed_status = status
         self.failed = status is documents.JobStatus.FAILED
         self.cancelled = status is documents.JobStatus.CANCELLED
         self.ended_at = progress.ended_at
-        for stage, records in zip(self.stages, progress.stages):
-            for task, record in zip(stage.tasks, records):
-                _restore_task(stage, task, record)
+        for task, record in self._stored_tasks(progress, segments):
+            _restore_task(task.stage, task, record)
+        self.stored_segments = set(segments)
+        if self.segmented and any(progress.stages):
+            # Written by a version that had no segments.
+            self.changed_segments = set(range(len(self.segments)))
+        self._complete_restored_stages()
         self.started = any(stage.started for stage in self.stages)
         # Whether assigned runs have begun isn't stored.
         self.begun = self.started
 
+    def _stored_tasks(
+        self,
+        progress: documents.ProgressRecord,
+        segments: collections.abc.Mapping[int, documents.SegmentRecord],
+    ) -> collections.abc.Iterator[tuple[Task, documents.TaskRecord]]:
+        """Iterate over tasks and their stored records."""
+        for number, segment in enumerate(self.segments):
+            if number in segments:
+                yield from zip(segment, segments[number].tasks)
+        for stage, records in zip(self.stages, progress.stages):
+            for task, record in zip(stage.tasks, records):
+                if task.segment not in segments:
+                    yield task, record
+
+    def _complete_restored_stages(self) -> None:
+        """Mark tasks as done whose own records don't tell.
+
+        The segments of a commit may be stored in part, and those of a job
+        that has ended are deleted before its progress record. A member of a
+        gang that is done stands for all of them.
+        """
+        completed = self.committed_status is documents.JobStatus.COMPLETED
+        for stage in self.stages:
+            if completed or (stage.spec.gang and stage.done_count):
+                for task in stage.tasks:
+                    stage.mark_done(task)
+
 
 def _restore_task(
     stage: Stage, task: Task, record: documents.TaskRecord
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -250,7 +250,7 @@
                 # A successor must not rely on it once leases are extended.
                 attempt.lease_left_s = 0.0
                 view.may_extend_leases = False
-                self._scheduler_state.dirty.add(attempt.task.stage.job)
+                self._scheduler_state.mark_changed(attempt.task)
             if view.matches(attempt.worker_id, attempt.born_ms):
                 view.attempts[attempt.key] = attempt
                 attempt.order_sent_at = now
@@ -379,7 +379,7 @@
         )
         job = task.stage.job
         job.begun = True
-        self._scheduler_state.dirty.add(job)
+        self._scheduler_state.mark_changed(task)
         if end.checkpoint and end.run >= task.last_run:
             task.checkpoint = end.checkpoint
         if end.how == 'done':
@@ -400,6 +400,7 @@
         if stage.spec.gang:
             for member in stage.tasks:
                 stage.mark_done(member)
+                self._scheduler_state.mark_changed(member)
         for member in stage.tasks if stage.spec.gang else (task,):
             for other in member.attempts:
                 if not stage.spec.gang:
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -734,7 +734,7 @@
     view.attempts[attempt.key] = attempt
     job = task.stage.job
     job.started = True
-    scheduler_state.dirty.add(job)
+    scheduler_state.mark_changed(task)
     return attempt
 
 
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -8,6 +8,7 @@
 from citronrail.model import workflows
 from citronrail import observability
 from citronrail.observability.catalogue import workflow as events
+from citronrail import ports
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _health
 from citronrail.workflow import _host_losses
@@ -18,7 +19,7 @@
 # A run that an earlier scheduler ordered is stopped if the lists of so long a
 # time, on the worker's clock, don't show it. Its start may be under way.
 INHERITED_GRACE_MS = 1200
-MAX_LEASES_LEFT_JOBS = 28  # as many as one transaction of a commit holds
+MAX_LEASES_LEFT_SEGMENTS = 28  # as many as one transaction of a commit holds
 MIN_LEASE_LEFT_S = 0.001  # in a record; 0 has another meaning
 # For longer than a write that got no answer may take to take effect.
 PENDING_CANCEL_S = 30.0
@@ -49,9 +50,37 @@
         self.inherited_runs: dict[str, list[_job.Attempt]] = {}
         self.inherited_end_at = 0.0  # by then these have certainly ended
         self.progress: dict[str, documents.ProgressRecord] = {}
+        # By job ID and number.
+        self.segments: dict[str, dict[int, documents.SegmentRecord]] = {}
 
     # Jobs
 
+    def restore_progress(self, items: tuple[ports.KeyValue, ...]) -> None:
+        """Decode the stored progress of jobs that are added later.
+
+        :param items: all items under the prefix of the progress.
+        """
+        for item in items:
+            job_id, number = documents.parse_progress_key(item.key)
+            if number is None:
+                progress = decode_item(
+                    item.key, item.value, documents.ProgressRecord
+                )
+                if progress is not None:
+                    self.progress[job_id] = progress
+                continue
+            segment = decode_item(
+                item.key, item.value, documents.SegmentRecord
+            )
+            if segment is not None:
+                self.segments.setdefault(job_id, {})[number] = segment
+
+    def mark_changed(self, task: _job.Task) -> None:
+        """Let the next commit store the progress of a task."""
+        job = task.stage.job
+        job.changed_segments.add(task.segment)
+        self.dirty.add(job)
+
     def add_job(
         self, record: documents.JobRecord, now: float, unix_now: float
     ) -> None:
@@ -63,8 +92,12 @@
         job.host_losses = self.host_losses
         self.jobs[record.job_id] = job
         progress = self.progress.pop(record.job_id, None)
+        segments = self.segments.pop(record.job_id, {})
+        if progress is None and segments:
+            # The first commit of its progress has been stored in part.
+            progress = documents.ProgressRecord(documents.JobStatus.QUEUED)
         if progress is not None:
-            job.restore(progress)
+            job.restore(progress, segments)
             for attempt in job.attempts():
                 if attempt.lease_left_s:
                     attempt.leases_end_at = now + attempt.lease_left_s
@@ -188,7 +221,7 @@
         if view is not None and view.attempts.get(attempt.key) is attempt:
             del view.attempts[attempt.key]
             view.capacity = None
-        self.dirty.add(task.stage.job)
+        self.mark_changed(task)
 
     def mark_disconnected(self, node: str) -> None:
         """Mark the worker of an unreachable agent as disconnected."""
@@ -228,29 +261,31 @@
         """Let the next commit store when leases of silent workers end.
 
         Otherwise each new scheduler would wait for them from its start. An
-        outdated time is safe, only longer. Jobs whose time is missing or the
-        oldest go first, since a data centre has runs of most jobs.
+        outdated time is safe, only longer. Segments of jobs whose time is
+        missing or the oldest go first, since a data centre has runs of most
+        jobs.
 
         :param now: local time in seconds.
         """
-        silent: dict[_job.Job, list[_job.Attempt]] = {}
+        silent: dict[tuple[_job.Job, int], list[_job.Attempt]] = {}
         for attempts in self.inherited_runs.values():
             for attempt in attempts:
-                if attempt in attempt.task.attempts:
-                    job = attempt.task.stage.job
-                    silent.setdefault(job, []).append(attempt)
+                task = attempt.task
+                if attempt in task.attempts:
+                    key = (task.stage.job, task.segment)
+                    silent.setdefault(key, []).append(attempt)
         oldest = heapq.nlargest(
-            MAX_LEASES_LEFT_JOBS,
-            silent,
-            key=lambda job: max(
-                item.lease_left_s or math.inf for item in silent[job]
+            MAX_LEASES_LEFT_SEGMENTS,
+            silent.values(),
+            key=lambda runs: max(
+                item.lease_left_s or math.inf for item in runs
             ),
         )
-        for job in oldest:
-            for attempt in silent[job]:
+        for runs in oldest:
+            for attempt in runs:
                 left_s = self.inherited_leases_end_at(attempt) - now
                 attempt.lease_left_s = max(MIN_LEASE_LEFT_S, left_s)
-            self.dirty.add(job)
+            self.mark_changed(runs[0].task)
 
     def expire_leases(self, now: float) -> None:
         """Discard runs whose leases have certainly expired.
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -13,6 +13,7 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _progress_size
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.overload import _run_times
 
@@ -70,6 +71,8 @@
         self._next_factors_at = 0.0
         self._last_commit: collections.abc.Callable[[], int] = int
         self._without_checkpoints: set[str] = set()  # logged jobs
+        # Ended jobs whose segments are being deleted.
+        self._without_segments: set[str] = set()
         # By job ID: revision before which it was stored, and local time.
         self._deleted: dict[str, tuple[int, float]] = {}
 
@@ -102,18 +105,16 @@
             del self._deleted[job_id]
 
     def due_writes(self) -> list[ports.Put | ports.Delete]:
-        """Return the writes that are due; the jobs remain marked as dirty."""
+        """Return the writes that are due; the jobs remain marked as dirty.
+
+        Their segments don't, so that all writes have to be committed.
+        """
         due_writes: list[ports.Put | ports.Delete] = []
         # First, since a key may be written once only, and since the keys of a
         # job have to be deleted together.
         due_writes += self._cleanup_deletes()
-        due_writes += [
-            ports.Put(
-                documents.PROGRESS_PREFIX + job.job_id,
-                self._encode_progress(job),
-            )
-            for job in self._scheduler_state.dirty
-        ]
+        for job in self._scheduler_state.dirty:
+            due_writes += self._progress_writes(job)
         due_writes += self._factor_writes(bool(due_writes))
         due_writes += self._shape_writes()
         acknowledges = any(
@@ -126,22 +127,49 @@
                 view.acknowledged = view.applied
         return due_writes
 
-    def _encode_progress(self, job: _job.Job) -> bytes:
-        """Encode the progress of a job, without checkpoints if it is too long.
+    def _progress_writes(self, job: _job.Job) -> list[ports.Put]:
+        """Return the writes of what has changed of a job.
+
+        Its status comes last, so that a job is never shown as completed
+        before the ends of all its tasks are stored.
+        """
+        writes: list[ports.Put] = []
+        if job.segmented and job.job_id not in self._without_segments:
+            for number in sorted(job.changed_segments):
+                data = self._encode_fitting(job, job.segment_record(number))
+                key = documents.segment_key(job.job_id, number)
+                writes.append(ports.Put(key, data))
+            job.stored_segments |= job.changed_segments
+        job.changed_segments.clear()
+        data = self._encode_fitting(job, job.progress())
+        if not job.segmented or data != job.stored_progress:
+            key = documents.PROGRESS_PREFIX + job.job_id
+            writes.append(ports.Put(key, data))
+            if job.segmented:
+                job.stored_progress = data
+        return writes
+
+    def _encode_fitting(
+        self, job: _job.Job, record: _progress_size.Progress
+    ) -> bytes:
+        """Encode progress, without parts if it is too long for a value.
 
         The store would refuse the whole commit. Runs of this scheduler still
         resume from their checkpoints, those of a successor begin anew.
         """
-        progress = job.progress()
-        data = documents.encode(progress)
-        if len(data) <= self._bounds.max_value_bytes:
+        limit = self._bounds.max_value_bytes
+        data = documents.encode(record)
+        if len(data) <= limit:
             return data
         if job.job_id not in self._without_checkpoints:
             self._without_checkpoints.add(job.job_id)
             observability.emit(
                 events.CHECKPOINTS_NOT_STORED, job=job.job_id, size=len(data)
             )
-        return documents.encode(documents.without_checkpoints(progress))
+        data = documents.encode(_progress_size.without_checkpoints(record))
+        if len(data) <= limit:
+            return data
+        return documents.encode(_progress_size.without_evidence(record))
 
     def _factor_writes(self, has_other_writes: bool) -> list[ports.Put]:
         """Return the write of the learned factors, if it is due.
@@ -219,6 +247,25 @@
             for job_id in expired
         ]
 
+    def _segment_deletes(
+        self, job: _job.Job, planned: int
+    ) -> list[ports.Delete]:
+        """Return deletions of a job's segments; the job goes after the last.
+
+        :param job: an ended job without runs.
+        :param planned: number of deletions that are planned already.
+        """
+        self._without_segments.add(job.job_id)
+        self._scheduler_state.dirty.discard(job)
+        self._next_cleanup_at = 0.0
+        count = MAX_JOBS_DELETED * len(_JOB_KEY_PREFIXES) - planned
+        numbers = sorted(job.stored_segments)[:count]
+        job.stored_segments.difference_update(numbers)
+        return [
+            ports.Delete(documents.segment_key(job.job_id, number))
+            for number in numbers
+        ]
+
     def _expired_job_deletes(self, now: float) -> list[ports.Delete]:
         """Return the deletions of jobs whose retention time has passed."""
         ended_before = (
@@ -236,9 +283,13 @@
                 continue
             if any(True for _ in job.attempts()):
                 continue
+            if job.stored_segments:
+                deletes += self._segment_deletes(job, len(deletes))
+                continue
             del self._scheduler_state.jobs[job.job_id]
             self._scheduler_state.dirty.discard(job)
             self._without_checkpoints.discard(job.job_id)
+            self._without_segments.discard(job.job_id)
             self._scheduler_state.pending_cancels.pop(job.job_id, None)
             self._deleted[job.job_id] = (self._last_commit(), now)
             for stage in job.stages:
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -358,13 +358,7 @@
                 self._factors.restore(factors, began_at)
                 if self._run_times is not None:
                     self._run_times.restore(factors.run_times)
-        for item in listing.items:
-            progress = _scheduler_state.decode_item(
-                item.key, item.value, documents.ProgressRecord
-            )
-            if progress is not None:
-                job_id = item.key.removeprefix(documents.PROGRESS_PREFIX)
-                self.scheduler_state.progress[job_id] = progress
+        self.scheduler_state.restore_progress(listing.items)
         self._apply_early_items()
         if not self._fast:
             nursery.start_soon(self._follow_inbox)
--- a/citronrail/workflow/tests/test_vanished_workers.py
+++ b/citronrail/workflow/tests/test_vanished_workers.py
@@ -157,7 +157,7 @@
 
 def test_few_bounds_are_stored_at_a_time(monkeypatch):
     """Guards against a write for each job each second as a zone is lost."""
-    monkeypatch.setattr(_scheduler_state, 'MAX_LEASES_LEFT_JOBS', 2)
+    monkeypatch.setattr(_scheduler_state, 'MAX_LEASES_LEFT_SEGMENTS', 2)
     state = test_reports._loaded_book(jobs=5)
     seen = set()
     for number in range(3):
