Bound the starts of a round for a step and for a worker

Cause: a round looked at its limit between jobs only, and placed up to 17,000 tasks of one step at once. Each agent got thousands of starts in one message and ordered them one by one, so that the last ones were refused as late.

A round now starts at most 240 tasks of a step, and a worker has at most 120 runs that it has not listed yet; gangs, and tasks that are overdue, are excepted.

--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -52,6 +52,9 @@
 # How long the tasks of a best-effort step wait for a worker that allows
 # PREFERRED_MIN_PACE_PERCENT.
 LOW_IMPACT_WAIT_S = 25.0
+# Runs of a worker that it has not listed yet. An agent orders starts one by
+# one; with thousands of them the last ones came after their deadline.
+MAX_NEW_RUNS = 120
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,6 +93,7 @@
     keeps_apart: bool = False
     best_effort_barred: bool = False  # no best-effort task may start there
     tasks_per_step: dict[str, int] = dataclasses.field(default_factory=dict)
+    new_runs: int = 0  # that the worker has not listed yet
 
     @property
     def overcommitted(self) -> bool:
@@ -111,6 +115,7 @@
             latency measurements; a serving task is then added with a
             prior load.
         """
+        self.new_runs += 1
         self.free_memory -= step.memory_mb
         self.free_accelerators -= step.accelerators
         use = SERVING_CPU_USE_RATIO if step.latency_target_ms else 1.0
@@ -288,6 +293,8 @@
         return None
     if candidate.avoided or not fits(step, step_name, candidate):
         return None
+    if candidate.new_runs >= MAX_NEW_RUNS and not step.gang:
+        return None
     if not has_idle_cpu(step, candidate):
         return None
     if step.fills:
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -24,6 +24,9 @@
 from citronrail.workflow.overload import _job_order
 
 MAX_STARTS_PER_ROUND = 120  # the next round follows at once
+# Of a step. A round that started thousands of tasks took so long that the
+# leadership ended.
+MAX_STARTS_PER_STAGE = 240
 # Overdue tasks that are started at a time, and those that find no worker; the
 # second visit all workers, the third do so without scores.
 MAX_OVERDUE_STARTS = 40
@@ -159,6 +162,7 @@
             bool(stage.spec.latency_target_ms) and attempt.percent < 100
         )
         candidate.reserve(stage.spec, stage.name, unmeasured)
+    candidate.new_runs = view.new_run_count
     return candidate
 
 
@@ -628,7 +632,7 @@
         wait_for_low_impact=wait_for_low_impact,
     )
     placed = []
-    for task in waiting:
+    for task in waiting[:MAX_STARTS_PER_STAGE]:
         choice = ranking.take(task.failed_on)
         if choice is None:
             fleet.failures.add(fleet.service, spec, wait_for_low_impact)
--- a/citronrail/workflow/tests/test_wide_jobs.py
+++ b/citronrail/workflow/tests/test_wide_jobs.py
@@ -8,6 +8,7 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _state_writer
 from citronrail.workflow.tests import _cluster
@@ -18,6 +19,8 @@
 TASKS = 17_000
 MAX_VALUE_BYTES = 1_048_576
 NAME = 'side-midlands-lei-11'
+MAX_PLACED = 400  # starts in a round that are made well within its interval
+MAX_NEW_RUNS = 150  # of a worker, which it starts within a second
 
 
 class _Play:
@@ -219,3 +222,35 @@
         await cluster.until_state('small', 'completed', 5.0)
         await cluster.until_state(JOB, 'completed', 60.0)
         nursery.cancel_scope.cancel()
+
+
+async def test_round_starts_few_tasks_of_a_wide_job(
+    autojump_clock, monkeypatch
+):
+    """Guards against rounds so long that the leadership ends.
+
+    All tasks were placed in one round, and all starts of a worker were ordered
+    at once; the last ones came after their deadline.
+    """
+    cluster = _cluster.SimulatedCluster(
+        entries=1, workers=6, cpu_millis=2_000_000, memory_mb=2_000_000
+    )
+    cluster.default_plan = task_worker.TaskPlan(work_s=60.0)
+    placed = []
+    place = _round.place
+
+    def counted(*args):
+        placed.append(len(found := place(*args)))
+        return found
+
+    monkeypatch.setattr(_round, 'place', counted)
+    async with trio.open_nursery() as nursery:
+        await cluster.start(nursery)
+        await cluster.submit(JOB, _cluster.one_step(3000, estimate_s=60.0))
+        views = cluster.leader.election.term.scheduler_state.workers
+        while sum(placed) < 3000:
+            await trio.sleep(0.05)
+            new_runs = [view.new_run_count for view in views.values()]
+            assert max(new_runs) <= MAX_NEW_RUNS
+        nursery.cancel_scope.cancel()
+    assert max(placed) <= MAX_PLACED
