Measure no speed before whole percents can show it

Cause: workers list progress in whole percents, and the speed of a run was measured from one second on. One percent of 300 s takes 3 s, so that each new run seemed to stand still, and a worker with more new runs seemed slow.

A speed is now measured once four percent should have passed, so that rounding takes at most a quarter off. Tasks of up to 25 s are measured as before.

--- a/citronrail/workflow/_health.py
+++ b/citronrail/workflow/_health.py
@@ -15,6 +15,9 @@
 STUCK_BEST_EFFORT_S = 3.5  # best-effort runs may wait for idle processors
 MAX_STUCK_DOUBLINGS = 10
 MIN_MEASURED_S = 1.0  # the speed over a shorter time is too inaccurate
+# Progress is listed in whole percents, so that a shorter time as a multiple of
+# what one percent should take shows a slow run at any speed.
+MIN_MEASURED_PERCENTS = 4
 SPEED_SMOOTHING_WEIGHT = 0.3  # of a new measurement in the moving average
 # Runs are moved off workers below this share of the fleet's median speed.
 MOVE_SPEED_RATIO = 0.4
@@ -71,7 +74,10 @@
     :returns: the speed, 1.0 being as estimated; None if it can't be measured.
     """
     elapsed_s = now - run.steady_since
-    if not run.listed_at or elapsed_s < MIN_MEASURED_S or run.pace < 100:
+    needed_s = max(
+        MIN_MEASURED_S, MIN_MEASURED_PERCENTS * run.estimate_s / 100
+    )
+    if not run.listed_at or elapsed_s < needed_s or run.pace < 100:
         return None
     if run.long_running or run.estimate_s <= 0:
         return None
--- a/citronrail/workflow/tests/test_long_tasks.py
+++ b/citronrail/workflow/tests/test_long_tasks.py
@@ -8,6 +8,7 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _health
 from citronrail.workflow import _interference
+from citronrail.workflow import _placement
 from citronrail.workflow import _reports
 from citronrail.workflow import _round
 from citronrail.workflow import _run_supervisor
@@ -34,6 +35,32 @@
     assert _health.is_long_task(other_speeds, moved_before) is expected
 
 
+@pytest.mark.parametrize('estimate_s', [2.0, 4.4, 60.0, 300.0, 3000.0])
+def test_sound_run_is_never_measured_as_slow(estimate_s):
+    """Guards against runs that are restarted as their progress is rounded.
+
+    One percent of 300 s takes 3 s, so that each new run seemed to stand still.
+    """
+    speeds = []
+    for tenths in range(1, int(estimate_s * 10)):
+        now = tenths / 10
+        run = _health.RunProgress(
+            percent=int(100 * now / estimate_s),
+            moved_at=now,
+            listed_at=0.001,
+            steady_since=0.0,
+            steady_percent=0,
+            estimate_s=estimate_s,
+            pace=100,
+            fills=False,
+            long_running=False,
+        )
+        speeds.append(_health.measured_speed(run, now))
+    measured = [speed for speed in speeds if speed is not None]
+    assert measured
+    assert min(measured) > _placement.SLOW_SPEED_RATIO
+
+
 def _run_long_task(
     load, work_s=WORK_S, estimate_s=1.0, limit_s=60.0
 ) -> tuple[int, bool]:
