Leave out documents that the store refuses for good

Cause: a transaction that the store will never execute (400) was reported like one for which it was too busy (429, 503). The commit was repeated until the leadership ended, and the next leader did the same.

StoreRefused now stands for calls that the store will never execute. A commit that is refused so is committed in halves, down to the one document. If the store accepts a commit without it, that document is left out (CR1708 and a counter); if not, the fault is not of the document, and the commit is repeated as before. A job whose progress is left out is shown as failed (CR1754, "storage") and its new runs are not ordered, since no successor would know them. Ends are acknowledged by the next whole commit.

--- a/citronrail/coordination/_settings_writer.py
+++ b/citronrail/coordination/_settings_writer.py
@@ -137,7 +137,7 @@
         except (
             errors.StoreUnavailable,
             errors.StoreBudgetExceeded,
-            errors.StoreValueTooLarge,
+            errors.StoreRefused,
         ):
             progress.write_unresolved = earlier_unresolved
             raise
--- a/citronrail/errors.py
+++ b/citronrail/errors.py
@@ -142,12 +142,16 @@
     """The backend server failed after the request was sent."""
 
 
-class StoreValueTooLarge(StoreError):
-    """The store rejects values of this size; nothing was written."""
+class StoreRefused(StoreError):
+    """The store will never execute this call; nothing was written."""
 
     outcome = outcomes.Outcome.NOT_RUN
 
 
+class StoreValueTooLarge(StoreRefused):
+    """The store rejects values of this size; nothing was written."""
+
+
 class StoreCompacted(StoreError):
     """The requested history is compacted; read the current state first."""
 
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -128,6 +128,17 @@
     'reports of {workers} workers are up to {seconds} s old when they are '
     'applied',
 )
+COMMIT_REFUSED = _events.EventKind(
+    1707,
+    'ERROR',
+    'the store refuses a commit of {writes} documents for good; they are '
+    'committed in parts: {reason}',
+)
+DOCUMENT_REFUSED = _events.EventKind(
+    1708,
+    'ERROR',
+    'the store refuses {key} with {size} bytes for good, it is not stored',
+)
 CHECKPOINTS_NOT_STORED = _events.EventKind(
     1739,
     'WARNING',
--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -25,7 +25,9 @@
 PEER = 'store'
 T = typing.TypeVar('T')
 _Listed = typing.TypeVar('_Listed', bound=msgspec.Struct)
-_BUSY_STATUSES = (429, 503)
+# The call may be accepted later: it timed out, came too early or too often, or
+# the store is not available.
+_RETRY_STATUSES = (408, 425, 429, 503)
 
 
 class _Item(msgspec.Struct, frozen=True):
@@ -238,14 +240,17 @@
 def _check_status(res: typing.Any, step: str) -> None:
     """Check that a call succeeded.
 
-    :raises citronrail.errors.StoreUnavailable: if it had no effect.
+    :raises citronrail.errors.StoreRejected: if it had no effect.
+    :raises citronrail.errors.StoreRefused: if it never will have one.
     :raises citronrail.errors.StoreOutcomeUnknown: if it may have had one.
     """
     if 200 <= res.status_code < 300:
         return
     text = f'status {res.status_code}: {res.text[:200]}'
-    if res.status_code in _BUSY_STATUSES or 400 <= res.status_code < 500:
+    if res.status_code in _RETRY_STATUSES:
         raise errors.StoreRejected(text, step=f'store.{step}', peer=PEER)
+    if 400 <= res.status_code < 500:
+        raise errors.StoreRefused(text, step=f'store.{step}', peer=PEER)
     raise errors.StoreOutcomeUnknown(text, step=f'store.{step}', peer=PEER)
 
 
--- a/citronrail/platform/tests/test_adapter.py
+++ b/citronrail/platform/tests/test_adapter.py
@@ -115,6 +115,14 @@
         await served.store.txn([], [ports.Put('k', b'x')])
 
 
+@pytest.mark.parametrize('status', [400, 403, 413])
+async def test_call_that_is_refused_for_good(served, status):
+    """Guards against a call that is repeated although it is never executed."""
+    served.faults.status = status
+    with pytest.raises(errors.StoreRefused):
+        await served.store.txn([], [ports.Put('k', b'x')])
+
+
 async def test_lost_response_is_an_unknown_outcome(served):
     """Guards against treating a lost response as a refusal."""
     served.faults.lose_answers = 1
--- a/citronrail/ports/key_value_store.py
+++ b/citronrail/ports/key_value_store.py
@@ -69,8 +69,9 @@
     """Compare-and-swap, leases and watches of the platform's store.
 
     Every call raises :class:`citronrail.errors.StoreUnavailable` when it had
-    no effect and :class:`citronrail.errors.StoreOutcomeUnknown` when it may
-    have had one. Values are at most 1 MB.
+    no effect, :class:`citronrail.errors.StoreRefused` when the store will
+    never execute it, and :class:`citronrail.errors.StoreOutcomeUnknown` when
+    it may have had an effect. Values are at most 1 MB.
     """
 
     async def get(self, key: str) -> KeyValue | None:
--- a/citronrail/workflow/_commit_chain.py
+++ b/citronrail/workflow/_commit_chain.py
@@ -65,18 +65,57 @@
         item = await self._store.get(documents.COMMIT_KEY)
         self._revision = item.revision if item else 0
 
-    async def commit(self, writes: collections.abc.Sequence[Write]) -> None:
+    async def commit(
+        self, writes: collections.abc.Sequence[Write]
+    ) -> list[Write]:
         """Write all documents, in several transactions if there are many.
 
         :param writes: at most one write for each key.
+        :returns: the writes that the store will never execute. All others
+            have been executed.
         :raises citronrail.errors.Fenced: if the leadership has ended.
         """
+        refused: list[Write] = []
         for start in range(0, len(writes), MAX_DOCUMENTS):
-            await self._commit_batch(writes[start : start + MAX_DOCUMENTS])
+            batch = writes[start : start + MAX_DOCUMENTS]
+            refused += await self._commit_accepted(batch)
+        return refused
+
+    async def _commit_accepted(
+        self, writes: collections.abc.Sequence[Write]
+    ) -> list[Write]:
+        """Commit the writes that the store accepts, in their order.
+
+        One write that it refuses must not keep the others from being stored.
+
+        :returns: the other writes.
+        """
+        try:
+            await self._commit_batch(writes)
+            return []
+        except errors.StoreRefused as exc:
+            observability.emit(
+                events.COMMIT_REFUSED, writes=len(writes), reason=exc
+            )
+        if len(writes) == 1:
+            # If the store accepts it without the write, that is the cause.
+            await self._commit_batch(())
+            return list(writes)
+        middle = len(writes) // 2
+        return [
+            *await self._commit_accepted(writes[:middle]),
+            *await self._commit_accepted(writes[middle:]),
+        ]
 
     async def _commit_batch(
         self, writes: collections.abc.Sequence[Write]
     ) -> None:
+        """Commit writes in one transaction; retry until it is executed.
+
+        :raises citronrail.errors.StoreRefused: if the store will never execute
+            it. Without any write it is retried.
+        :raises citronrail.errors.Fenced: if the leadership has ended.
+        """
         self._commit_count += 1
         commit_id = f'{self._prefix}/{self._commit_count}'.encode()
         compares = [
@@ -105,6 +144,8 @@
             except errors.LeaseLost as exc:
                 raise errors.Fenced(exc.message, step=exc.step) from exc
             except errors.StoreError as exc:
+                if writes and isinstance(exc, errors.StoreRefused):
+                    raise
                 observability.emit(events.COMMIT_RETRIED, reason=exc)
             await trio.sleep(pause_s)
             pause_s = min(2 * pause_s, self._max_retry_s)
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -36,9 +36,13 @@
     'Jobs that ended, by status',
     ['status'],
 )
+DOCUMENTS_REFUSED = prometheus_client.Counter(
+    'citronrail_workflow_documents_refused',
+    'Documents that the store will never accept',
+)
 JOBS_FAILED = prometheus_client.Counter(
     'citronrail_workflow_jobs_failed',
-    'Jobs that ended as failed, by cause: failed runs, or crashes',
+    'Jobs that ended as failed, by cause: failed runs, crashes, or storage',
     ['cause'],
 )
 JOB_SECONDS = prometheus_client.Histogram(
--- a/citronrail/workflow/_observed_store.py
+++ b/citronrail/workflow/_observed_store.py
@@ -141,7 +141,7 @@
                     self._signal_change()
             case (
                 errors.StoreCompacted()
-                | errors.StoreValueTooLarge()
+                | errors.StoreRefused()
                 | errors.LeaseLost()
             ):
                 self._health = self._health.answered(number, now)
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -13,6 +13,7 @@
 from citronrail.workflow import _documents as documents
 from citronrail.workflow import _interference
 from citronrail.workflow import _job
+from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _progress_size
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow.overload import _run_times
@@ -71,6 +72,7 @@
         self._next_factors_at = 0.0
         self._last_commit: collections.abc.Callable[[], int] = int
         self._without_checkpoints: set[str] = set()  # logged jobs
+        self._refused: set[str] = set()  # jobs whose progress is refused
         # Ended jobs whose segments are being deleted.
         self._without_segments: set[str] = set()
         # By job ID: revision before which it was stored, and local time.
@@ -127,12 +129,51 @@
                 view.acknowledged = view.applied
         return due_writes
 
+    def on_refused(
+        self, refused: collections.abc.Sequence[ports.Put | ports.Delete]
+    ) -> set[_job.Job]:
+        """Handle writes that the store will never execute.
+
+        A job whose progress can't be stored is failed: without a record of
+        its runs a successor would start them again.
+
+        :param refused: the writes.
+        :returns: the jobs whose progress is not stored.
+        """
+        jobs = set()
+        for write in refused:
+            size = len(write.value) if isinstance(write, ports.Put) else 0
+            metrics.DOCUMENTS_REFUSED.inc()
+            observability.emit(
+                events.DOCUMENT_REFUSED, key=write.key, size=size
+            )
+            if not write.key.startswith(documents.PROGRESS_PREFIX):
+                continue
+            job_id, _ = documents.parse_progress_key(write.key)
+            job = self._scheduler_state.jobs.get(job_id)
+            if job is not None:
+                jobs.add(job)
+        for job in jobs:
+            self._refused.add(job.job_id)
+            if job.open:
+                self._scheduler_state.fail_job(
+                    job,
+                    'storage',
+                    'the store refuses its progress',
+                    self._unix_clock(),
+                )
+        return jobs
+
     def _progress_writes(self, job: _job.Job) -> list[ports.Put]:
         """Return the writes of what has changed of a job.
 
         Its status comes last, so that a job is never shown as completed
         before the ends of all its tasks are stored.
         """
+        if job.job_id in self._refused:
+            status = documents.ProgressRecord(job.status, job.ended_at)
+            key = documents.PROGRESS_PREFIX + job.job_id
+            return [ports.Put(key, documents.encode(status))]
         writes: list[ports.Put] = []
         if job.segmented and job.job_id not in self._without_segments:
             for number in sorted(job.changed_segments):
@@ -290,6 +331,7 @@
             self._scheduler_state.dirty.discard(job)
             self._without_checkpoints.discard(job.job_id)
             self._without_segments.discard(job.job_id)
+            self._refused.discard(job.job_id)
             self._scheduler_state.pending_cancels.pop(job.job_id, None)
             self._deleted[job.job_id] = (self._last_commit(), now)
             for stage in job.stages:
--- a/citronrail/workflow/_store_requests.py
+++ b/citronrail/workflow/_store_requests.py
@@ -64,6 +64,8 @@
                 return Verdict.DONE
             except (errors.StoreOutcomeUnknown, trio.TooSlowError):
                 attempt.lost = True
+            except errors.StoreRefused:
+                return Verdict.UNKNOWN if attempt.lost else Verdict.NOT_RUN
             except errors.StoreError:
                 pass
             attempt.failed()
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -552,14 +552,18 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(self._sender.renew_leases)
                 with metrics.COMMIT_SECONDS.time():
-                    await self._chain.commit(writes)
+                    refused = await self._chain.commit(writes)
                 nursery.cancel_scope.cancel()
         if scope.cancelled_caught:
             raise errors.Fenced(
                 'the lease ended during a commit', step='workflow.commit'
             )
+        not_stored = self._writer.on_refused(refused)
         for job, status in states:
-            job.committed_status = status
+            if job not in not_stored:
+                job.committed_status = status
+        if refused:
+            return  # ends of these jobs are acknowledged by a later commit
         for view, number in applied:
             view.acknowledged = max(view.acknowledged, number)
         for view in withdrawn:
