Reject a job whose record is too large for the store

Callers of a job of 4,200 steps or more got 503 after 1.2 s, and again at each try: its record, with the names of all fields of each step, is longer than a value of the store, while its body is within the limit. With the worker shapes of many labels the store would refuse commits of jobs.

Such a job is now answered 413 at once, as a body over the limit is. Too many worker shapes are stored as none, so that entries take every job to fit.

test_job_that_is_too_large_is_rejected_at_once and test_worker_shapes_fit_the_store failed before.

--- a/citronrail/model/workflows.py
+++ b/citronrail/model/workflows.py
@@ -6,6 +6,7 @@
 from citronrail.model import identifiers
 
 MAX_TASKS = 20_000  # of a job, in all its occurrences
+MAX_VALUE_BYTES = 1_048_576  # default limit of a value in the store
 
 
 @dataclasses.dataclass(frozen=True)
@@ -137,4 +138,4 @@
     restore_s: float = 0.1  # to resume from a checkpoint
     harm_s: float = 4.0
     pace_s: float = 0.1
-    max_value_bytes: int = 1_048_576  # of a value in the store
+    max_value_bytes: int = MAX_VALUE_BYTES  # of a value in the store
--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -64,6 +64,7 @@
     :param view: the leader as last seen in the store.
     :param load: parts for hard load that are on.
     :param relay: asks peers that reach the store; used if ``load.relay``.
+    :param max_value_bytes: length of the longest value of the store.
     """
 
     def __init__(
@@ -75,8 +76,10 @@
         *,
         load: load_settings.LoadSettings = load_settings.OFF,
         relay: _relay.Relay | None = None,
+        max_value_bytes: int = workflows.MAX_VALUE_BYTES,
     ) -> None:
         self._load_settings = load
+        self._max_value_bytes = max_value_bytes
         self._relay = relay if load.relay else None
         if self._relay is not None:
             self._relay.serve(self._perform)
@@ -126,6 +129,16 @@
             queue.max_attempts,
         )
         began_at = trio.current_time()
+        record = documents.encode(job)
+        if len(record) > self._max_value_bytes:
+            observability.emit(
+                events.JOB_REJECTED,
+                job=job_id,
+                queue=queue.name,
+                reason=f'its record of {len(record)} bytes is too large',
+            )
+            _record_request('submit', Verdict.TOO_LARGE, began_at)
+            return Reply(Verdict.TOO_LARGE)
         retry_after_s = await self._overload_retry_s(
             queue, job_id, spec, deadline
         )
@@ -134,7 +147,7 @@
             return Reply(Verdict.OVERLOADED, retry_after_s=retry_after_s)
         was_unsettled = job_id in self._unsettled
         self._mark_unsettled(job_id)
-        reply = await self._submit(job, deadline)
+        reply = await self._submit(job, record, deadline)
         if reply.verdict is Verdict.DONE or (
             reply.verdict in (Verdict.NOT_RUN, Verdict.UNFIT)
             and not was_unsettled
@@ -145,10 +158,9 @@
         return reply
 
     async def _submit(
-        self, job: documents.JobRecord, deadline: float
+        self, job: documents.JobRecord, record: bytes, deadline: float
     ) -> Reply:
         """Store a job by own store calls or by a relay, and report it."""
-        record = documents.encode(job)
 
         async def own(attempt: _request_attempts.Attempt) -> Reply:
             return await self._submit_alone(attempt, job, record, deadline)
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -261,7 +261,12 @@
         record = documents.FleetRecord(
             tuple(sorted(self._shapes, key=msgspec.structs.astuple))
         )
-        return [ports.Put(documents.FLEET_KEY, documents.encode(record))]
+        data = documents.encode(record)
+        if len(data) > self._bounds.max_value_bytes:
+            # Without shapes, entries take every job to fit; with some of them,
+            # they would reject jobs that fit the others.
+            data = documents.encode(documents.FleetRecord())
+        return [ports.Put(documents.FLEET_KEY, data)]
 
     def _cleanup_deletes(self) -> list[ports.Delete]:
         """Return the deletions that are due of what is no longer needed."""
--- a/citronrail/workflow/_verdict.py
+++ b/citronrail/workflow/_verdict.py
@@ -11,6 +11,7 @@
     NOT_RUN = 'not run'  # certainly had no effect and never will
     UNFIT = 'unfit'  # had no effect, since no worker can run the job
     OVERLOADED = 'overloaded'  # had no effect, it would end too late
+    TOO_LARGE = 'too large'  # had no effect, the store takes no such job
     UNKNOWN = 'unknown'  # the caller should repeat it with the same ID
     ABSENT = 'absent'  # no such job
 
--- a/citronrail/workflow/tests/test_refused_documents.py
+++ b/citronrail/workflow/tests/test_refused_documents.py
@@ -4,9 +4,17 @@
 import trio
 
 from citronrail import errors
+from citronrail.model import messages
+from citronrail.model import workflows
 from citronrail import ports
+from citronrail import workflow
+from citronrail.workflow import _admission
 from citronrail.workflow import _commit_chain
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _interference
+from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _state_writer
+from citronrail.workflow import _worker_view
 from citronrail.workflow.tests import _cluster
 from standins import key_value
 from standins import task_worker
@@ -97,3 +105,58 @@
         await cluster.until(lambda: cluster.leader is not None)
         assert await cluster.state('bad') == 'failed'
         nursery.cancel_scope.cancel()
+
+
+async def test_job_that_is_too_large_is_rejected_at_once(autojump_clock):
+    """Guards against a job that is sent again and never accepted."""
+    cluster = _cluster.SimulatedCluster(entries=1)
+    step = workflows.StepSpec(1, cpu_millis=100, memory_mb=100)
+    spec = workflows.WorkflowSpec('argument', (step,) * 6000)
+    async with trio.open_nursery() as nursery:
+        await cluster.start(nursery)
+        entry = cluster.leader
+        began_at = trio.current_time()
+        reply = await entry.service.submit(
+            _cluster.QUEUE, 'large', spec, began_at + 3.0
+        )
+        assert reply.verdict is workflow.Verdict.TOO_LARGE
+        assert trio.current_time() - began_at < 0.1
+        listing = await cluster.store.list(documents.JOB_PREFIX)
+        assert not listing.items
+        nursery.cancel_scope.cancel()
+
+
+async def test_worker_shapes_fit_the_store(autojump_clock):
+    """Guards against worker shapes that keep jobs from being stored.
+
+    With part of the shapes, jobs that fit the others would be rejected.
+    """
+    state = _scheduler_state.SchedulerState(lambda _: _cluster.QUEUE)
+    for number in range(300):
+        life = messages.WorkerLife(
+            f'w{number}',
+            1,
+            'pool',
+            'dc',
+            'ready',
+            16_000,
+            64_000,
+            0,
+            labels=(f'{number}' + 'x' * 200,),
+        )
+        state.workers[f'a{number}'] = _worker_view.WorkerView(
+            f'a{number}', life
+        )
+    writer = _state_writer.StateWriter(
+        state,
+        _interference.PairFactors(),
+        workflows.Bounds(max_value_bytes=50_000),
+        (),
+        lambda: 0.0,
+    )
+    writer.due_writes()
+    await trio.sleep(_state_writer.FIRST_SHAPES_DELAY_S)
+    (put,) = writer.due_writes()
+    assert len(put.value) <= 50_000
+    shapes = documents.decode(put.value, documents.FleetRecord).shapes
+    assert _admission.unfit_step(_cluster.one_step(), 'pool', shapes) is None
