Send the starts of a worker in messages of bounded length

A gang of 600 tasks with the longest arguments on one worker was never started: its orders are 19 MB, and the longest message of a peer has 8 MiB. The send failed each time, so that the worker counted as disconnected and other jobs got no start there either.

The starts of a worker now go out in messages of at most 100, each of which fits with the longest argument and checkpoint.

test_orders_of_a_wide_gang_fit_their_messages failed before.

--- a/citronrail/workflow/_order_sender.py
+++ b/citronrail/workflow/_order_sender.py
@@ -16,6 +16,9 @@
 
 # Agents that report send a list twice a second.
 REPORT_REQUEST_INTERVAL_S = 2.0
+# With the longest argument and checkpoint of a task, these fit the longest
+# message of a peer, 8 MiB.
+MAX_STARTS_PER_MESSAGE = 100
 
 
 class OrderSender:
@@ -133,8 +136,12 @@
         ]
         if startable and _round.remaining_capacity(view).overcommitted:
             startable = []  # its capacity has shrunk during the commit
+        first, rest = (
+            startable[:MAX_STARTS_PER_MESSAGE],
+            startable[MAX_STARTS_PER_MESSAGE:],
+        )
         due = _orders.due_orders(
-            view, startable, self._leadership.fencing, self._lease_s, now
+            view, first, self._leadership.fencing, self._lease_s, now
         )
         if due is None:
             return
@@ -143,6 +150,8 @@
             attempt.order_sent_at = now
             attempt.order_number = due.orders.number
         if await self._try_send(identifiers.NodeId(view.node), due.orders):
+            if rest:
+                await self._send_due(view, rest, now)
             return
         for attempt in due.starting:
             self._scheduler_state.discard_run(
--- a/citronrail/workflow/tests/test_order_sender.py
+++ b/citronrail/workflow/tests/test_order_sender.py
@@ -9,6 +9,7 @@
 
 import trio
 
+from citronrail import adapters
 from citronrail import errors
 from citronrail.model import messages
 from citronrail.model import workflows
@@ -139,3 +140,25 @@
     await sender.send()
     assert not hub.starts()
     assert attempt.task.waiting
+
+
+async def test_orders_of_a_wide_gang_fit_their_messages(autojump_clock):
+    """Guards against orders that are never sent, as they are too long.
+
+    The worker was taken for disconnected, and its runs were placed anew.
+    """
+    scheduler_state, _, sender, hub = _assigned()
+    step = workflows.StepSpec(600, cpu_millis=1, memory_mb=1, gang=True)
+    spec = workflows.WorkflowSpec('\U0001f600' * 8000, (step,))
+    record = documents.JobRecord('wide', 'queue', 'pool', 0.0, spec)
+    now = trio.current_time()
+    scheduler_state.add_job(record, now, 0.0)
+    policy = _round.Policy(
+        lambda name: _cluster.QUEUE, frozenset(), _interference.PairFactors()
+    )
+    sender.queue_starts(_round.place(scheduler_state, policy, now, 0.0))
+    await sender.send()
+    starts = [item for item in hub.starts() if item.task.startswith('wide')]
+    assert len({start.task for start in starts}) == len(starts) == 600
+    sizes = [len(messages.pack(orders)) for orders in hub.sent]
+    assert max(sizes) < adapters.PeerLimits().max_message_bytes
