Store which jobs have begun, for the pending count of a successor

Cause: whether a run has begun wasn't stored. A successor took each job with a number of a run for begun, but a run that its worker refuses leaves its number as well.

The progress of a job now tells whether a worker has listed a run or its end. It is written with other writes, or 1 s later alone, so that jobs that run on a worker that is lost with the leader count as begun, too. In progress of earlier versions, an end, a checkpoint or a run that has lasted shows it; an assigned run alone doesn't.

Left: a job that began in the last second of a leader, on a worker that is lost with it, counts as pending until it starts again.

--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -99,7 +99,9 @@
     """Progress of a job.
 
     A stage that has not started is an empty tuple. A job of several segments
-    has no stages here; its tasks are in records of their own.
+    has no stages here; its tasks are in records of their own. ``begun`` tells
+    whether a worker has listed a run or its end; versions before it left it
+    out.
     """
 
     status: JobStatus
@@ -107,6 +109,7 @@
         0.0  # Unix time in seconds, 0 until it has ended
     )
     stages: tuple[tuple[TaskRecord, ...], ...] = ()
+    begun: bool = False
 
 
 class SegmentRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -384,7 +384,9 @@
         stages: tuple[tuple[documents.TaskRecord, ...], ...] = ()
         if not self.segmented:
             stages = tuple(_stage_record(stage) for stage in self.stages)
-        return documents.ProgressRecord(self.status, self.ended_at, stages)
+        return documents.ProgressRecord(
+            self.status, self.ended_at, stages, self.begun
+        )
 
     def segment_record(self, number: int) -> documents.SegmentRecord:
         """Return the record to store of a segment."""
@@ -417,8 +419,21 @@
             self.changed_segments = set(range(len(self.segments)))
         self._complete_restored_stages()
         self.started = any(stage.started for stage in self.stages)
-        # Whether assigned runs have begun isn't stored.
-        self.begun = self.started
+        self.begun = progress.begun or self._has_certainly_begun()
+
+    def _has_certainly_begun(self) -> bool:
+        """Whether the tasks' records show that a run has begun.
+
+        An assigned run alone doesn't: its worker may have refused it.
+        """
+        return any(
+            task.done
+            or task.failures
+            or task.checkpoint
+            or any(item.lasted for item in task.attempts)
+            for stage in self.stages
+            for task in stage.tasks
+        )
 
     def _stored_tasks(
         self,
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -299,6 +299,7 @@
                     view.unknown_run_stops[key] = 0.0
                     _log_unknown(view, row)
                 continue
+            self._scheduler_state.mark_begun(attempt.task.stage.job)
             _update_from_row(attempt, row, now, view)
             self._crash_log.on_listed(attempt, view)
         for key in [
@@ -378,7 +379,7 @@
             how=end.how,
         )
         job = task.stage.job
-        job.begun = True
+        self._scheduler_state.mark_begun(job)
         self._scheduler_state.mark_changed(task)
         if end.checkpoint and end.run >= task.last_run:
             task.checkpoint = end.checkpoint
@@ -461,7 +462,6 @@
 ) -> None:
     attempt.missing_from_ms = None
     if not attempt.listed_at:
-        attempt.task.stage.job.begun = True
         attempt.listed_at = now
         attempt.listed_clock_ms = view.clock_ms
         attempt.listed_percent = row.percent
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -43,6 +43,8 @@
         self.workers: dict[str, _worker_view.WorkerView] = {}
         self.host_losses = _host_losses.HostLosses()
         self.dirty: set[_job.Job] = set()
+        # Jobs that have begun since their progress was stored.
+        self.newly_begun: set[_job.Job] = set()
         # Cancellations of unknown jobs, with the local time at which they end.
         self.pending_cancels: dict[str, float] = {}
         # By agent: runs of an earlier scheduler whose worker has not reported
@@ -81,6 +83,12 @@
         job.changed_segments.add(task.segment)
         self.dirty.add(job)
 
+    def mark_begun(self, job: _job.Job) -> None:
+        """Record that a worker has listed a run of a job, or its end."""
+        if not job.begun:
+            job.begun = True
+            self.newly_begun.add(job)
+
     def add_job(
         self, record: documents.JobRecord, now: float, unix_now: float
     ) -> None:
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -23,6 +23,7 @@
 # whole if one value is too large.
 MAX_LEARNED_BYTES = 262_144
 LEARNED_VALUE_SHARE = 0.5  # of the longest value, the rest is for run times
+MAX_BEGUN_DELAY_S = 1.0  # until it is stored that a job has begun
 CLEANUP_INTERVAL_S = 5.0
 FIRST_SHAPES_DELAY_S = 6.0
 SHAPES_INTERVAL_S = 1.0
@@ -70,6 +71,7 @@
         self._next_shapes_at = 0.0
         self._next_cleanup_at = 0.0
         self._next_factors_at = 0.0
+        self._store_begun_at = 0.0
         self._last_commit: collections.abc.Callable[[], int] = int
         self._without_checkpoints: set[str] = set()  # logged jobs
         self._refused: set[str] = set()  # jobs whose progress is refused
@@ -115,6 +117,7 @@
         # First, since a key may be written once only, and since the keys of a
         # job have to be deleted together.
         due_writes += self._cleanup_deletes()
+        self._take_newly_begun()
         for job in self._scheduler_state.dirty:
             due_writes += self._progress_writes(job)
         due_writes += self._factor_writes(bool(due_writes))
@@ -129,6 +132,19 @@
                 view.acknowledged = view.applied
         return due_writes
 
+    def _take_newly_begun(self) -> None:
+        """Store which jobs have begun, with other writes or after a while.
+
+        A successor counts those jobs as pending that haven't.
+        """
+        state = self._scheduler_state
+        now = trio.current_time()
+        if not state.newly_begun:
+            self._store_begun_at = now + MAX_BEGUN_DELAY_S
+        elif state.dirty or now >= self._store_begun_at:
+            state.dirty |= state.newly_begun
+            state.newly_begun.clear()
+
     def on_refused(
         self, refused: collections.abc.Sequence[ports.Put | ports.Delete]
     ) -> set[_job.Job]:
