Set the pace of each inherited best-effort run

Cause: the pace of an inherited run counted as 100, whatever an earlier scheduler had ordered. An order was only sent if another pace was due.

The pace is now sent with the first list that shows the run, whatever it is. Until measured tails reflect it, 0.7 s later, nothing is learned on that worker.

Two new tests failed before: no order was due, and the factor of the pair moved.

--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -41,6 +41,7 @@
         'ordered',
         'pace',
         'pace_before',
+        'pace_certain_at',
         'pace_due',
         'pace_set_at',
         'paced_s',
@@ -97,6 +98,9 @@
         self.pace_before = 0
         self.pace_set_at = 0.0
         self.pace_due = False  # whether the pace has to be sent
+        # From then on, measured tails reflect the pace; inf for a run whose
+        # pace an earlier scheduler has set and this one hasn't.
+        self.pace_certain_at = 0.0
         self.paced_s = 0.0  # run time at full pace, up to the last change
         # Whether this scheduler ordered it without a checkpoint.
         self.from_start = False
@@ -111,6 +115,8 @@
         self.pace_before = self.pace
         self.pace = pace
         self.pace_set_at = now
+        if self.pace_certain_at == float('inf'):
+            self.pace_certain_at = now + PACE_ORDER_DELAY_S + TAIL_WINDOW_S
 
     def full_pace_s(self, now: float) -> float:
         """Return how long it has run, times its mean pace.
@@ -482,6 +488,7 @@
             item.assigned_at,
         )
         attempt.ordered = True
+        attempt.pace_certain_at = float('inf')
         attempt.lasted = item.lasted
         attempt.lease_left_s = item.lease_left_s
         task.attempts.append(attempt)
--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -112,7 +112,10 @@
         self._paced_at[view.node] = now
         best_effort = _best_effort_tasks(view, now)
         tasks = tuple(item for item, _ in best_effort)
-        view.serving = self._measure(view, tasks, now)
+        are_certain = all(
+            attempt.pace_certain_at <= now for _, attempt in best_effort
+        )
+        view.serving = self._measure(view, tasks, now, learns=are_certain)
         view.capacity = None
         if not best_effort:
             view.target_missed_since = 0.0
@@ -139,7 +142,8 @@
         for (_, attempt), pace in zip(best_effort, new_paces):
             if view.target_violated:
                 attempt.pace_due = True  # earlier orders may have been lost
-            if self._worth_sending(attempt.pace, pace):
+            is_unknown = attempt.pace_certain_at == float('inf')
+            if is_unknown or self._worth_sending(attempt.pace, pace):
                 attempt.set_pace(pace, now)
                 attempt.pace_due = True
                 attempt.moved_at = now  # progress restarts at another speed
@@ -413,8 +417,17 @@
         view: _worker_view.WorkerView,
         best_effort: tuple[_interference.BestEffortTask, ...],
         now: float,
+        *,
+        learns: bool,
     ) -> tuple[_interference.ServingTask, ...]:
-        """Update the factors from a list, and return the serving tasks."""
+        """Return the serving tasks of a list.
+
+        :param view: the worker.
+        :param best_effort: its best-effort tasks.
+        :param now: local time in seconds.
+        :param learns: whether the factors are updated; not while the pace of
+            a task is a guess.
+        """
         tasks = []
         for attempt in view.attempts.values():
             stage = attempt.task.stage
@@ -423,7 +436,8 @@
                 continue
             ratio = attempt.load / spec.latency_target_ms
             task = self._factors.observe_tail(spec.image, ratio)
-            self._factors.learn(stage.name, task, best_effort, now)
+            if learns:
+                self._factors.learn(stage.name, task, best_effort, now)
             tasks.append((task, stage.name))
         return tuple(
             dataclasses.replace(task, own_load=self._factors.own_load(group))
--- a/citronrail/workflow/tests/test_run_supervisor.py
+++ b/citronrail/workflow/tests/test_run_supervisor.py
@@ -117,3 +117,53 @@
         worker.reports.take('a0', report, now, 0.0)
     worker.run_supervisor.run(106.0)
     assert bool(worker.fill.stop_reason) is stops
+
+
+def _successor_of(worker: _Worker) -> _Worker:
+    """Return a worker with the same runs as its next scheduler sees them."""
+    progress = {
+        job.job_id: job.progress()
+        for job in worker.scheduler_state.jobs.values()
+    }
+    records = [job.record for job in worker.scheduler_state.jobs.values()]
+    successor = _Worker.__new__(_Worker)
+    successor.now = worker.now
+    successor.factors = _interference.PairFactors()
+    state = successor.scheduler_state = _scheduler_state.SchedulerState(
+        lambda name: _cluster.QUEUE
+    )
+    state.inherited_end_at = worker.now + 14.0
+    state.progress.update(progress)
+    for record in records:
+        state.add_job(record, worker.now, 0.0)
+    successor.run_supervisor = _run_supervisor.RunSupervisor(
+        state, successor.factors
+    )
+    successor.reports = _reports.Reports(state, workflows.Bounds(), TOKEN)
+    (successor.fill,) = state.jobs['fill'].attempts()
+    return successor
+
+
+def test_successor_sets_the_pace_of_each_inherited_run(worker):
+    """Guards against a run that stays slow after a takeover.
+
+    Its pace counted as 100, whatever an earlier scheduler had set, so that no
+    order followed while 100 was right.
+    """
+    successor = _successor_of(worker)
+    successor.list_with(15.0)
+    assert successor.fill.pace == 100
+    assert successor.fill.pace_due
+    successor.list_with(15.0)
+    assert not successor.fill.pace_due  # once is enough
+
+
+def test_successor_learns_nothing_from_a_pace_that_it_has_not_set(worker):
+    """Guards against factors that are learned from a guessed pace."""
+    successor = _successor_of(worker)
+    prior = successor.factors.factor('shop', 'heavy')
+    for _ in range(2):
+        successor.list_with(45.0)
+        assert successor.factors.factor('shop', 'heavy') == prior
+    successor.list_with(45.0)
+    assert successor.factors.factor('shop', 'heavy') != prior
