Accept a job that is submitted after its cancellation was answered

Cause: the cancellation of an absent job is stored, for a submission whose write takes effect late. The scheduler applied it to whatever job came within 30 s, also to one that was submitted later.

A submission now tells which revision of the store its entry had seen when it arrived. Its transaction asks that no cancellation exists, so that a write that is executed late fails. A cancellation that is not newer than that revision was there before the submission, and is replaced. A newer one may be later, so the submission is answered 503 and stores nothing; the next try is accepted, since the entry has read the cancellation by then. Clocks play no part.

A request that is held up on its way to an entry until after the answer to its cancellation can't be told from a new one; such a job runs.

--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -127,6 +127,7 @@
             time.time(),
             spec,
             queue.max_attempts,
+            self._requests.seen_revision,
         )
         began_at = trio.current_time()
         record = documents.encode(job)
@@ -224,9 +225,8 @@
         """Store a job with this entry's own calls only."""
         if await self._is_unfit(attempt, job, deadline):
             return Reply(Verdict.UNFIT, retry_after_s=UNFIT_RETRY_AFTER_S)
-        key = documents.JOB_PREFIX + job.job_id
         return Reply(
-            await self._requests.create(key, record, deadline, attempt)
+            await self._requests.create_job(job, record, deadline, attempt)
         )
 
     async def _is_unfit(
--- a/citronrail/workflow/_documents.py
+++ b/citronrail/workflow/_documents.py
@@ -52,6 +52,9 @@
     # Of its queue when the job was accepted; holds once that is removed. 0 if
     # it isn't known.
     max_attempts: bounded.Count = 0
+    # A revision of the store that the entry had seen when the submission
+    # arrived. Cancellations up to it were stored before.
+    submitted_after: bounded.Id = 0
 
 
 class AttemptRecord(msgspec.Struct, frozen=True, array_like=True):
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -1,6 +1,7 @@
 """In-memory state of the scheduler: jobs, workers and runs."""
 
 import collections.abc
+import dataclasses
 import heapq
 import math
 
@@ -25,6 +26,19 @@
 PENDING_CANCEL_S = 30.0
 STOP_RETRY_S = 0.6  # interval at which a stop order is repeated
 
+
+@dataclasses.dataclass(frozen=True)
+class PendingCancel:
+    """Cancellation of an unknown job.
+
+    :param ends_at: local time until which it is kept, in seconds.
+    :param revision: revision of the store at which it was stored.
+    """
+
+    ends_at: float
+    revision: int
+
+
 QueueLookup = collections.abc.Callable[[str], workflows.Queue | None]
 
 
@@ -45,8 +59,8 @@
         self.dirty: set[_job.Job] = set()
         # Jobs that have begun since their progress was stored.
         self.newly_begun: set[_job.Job] = set()
-        # Cancellations of unknown jobs, with the local time at which they end.
-        self.pending_cancels: dict[str, float] = {}
+        # Cancellations of unknown jobs, by their IDs.
+        self.pending_cancels: dict[str, PendingCancel] = {}
         # By agent: runs of an earlier scheduler whose worker has not reported
         # to this one.
         self.inherited_runs: dict[str, list[_job.Attempt]] = {}
@@ -114,15 +128,31 @@
                 )
                 if not job.open:
                     self.stop_run(attempt, 'the job has ended')
-        if record.job_id in self.pending_cancels:
-            del self.pending_cancels[record.job_id]
-            self.cancel_job(record.job_id, now, unix_now)
+        pending = self.pending_cancels.pop(record.job_id, None)
+        if pending is not None:
+            self.cancel_job(record.job_id, now, unix_now, pending.revision)
 
-    def cancel_job(self, job_id: str, now: float, unix_now: float) -> None:
-        """Cancel a job, or remember the cancellation until it is added."""
+    def cancel_job(
+        self, job_id: str, now: float, unix_now: float, revision: int = 0
+    ) -> None:
+        """Cancel a job, or remember the cancellation until it is added.
+
+        :param job_id: ID of the job.
+        :param now: local time in seconds.
+        :param unix_now: Unix time in seconds.
+        :param revision: revision of the store at which the cancellation was
+            stored; 0 if it is known to be later than the job. One that was
+            stored before the job was submitted doesn't hold.
+        """
         job = self.jobs.get(job_id)
         if job is None:
-            self.pending_cancels.setdefault(job_id, now + PENDING_CANCEL_S)
+            known = self.pending_cancels.get(job_id)
+            if known is None or revision > known.revision:
+                self.pending_cancels[job_id] = PendingCancel(
+                    now + PENDING_CANCEL_S, revision
+                )
+            return
+        if 0 < revision <= job.record.submitted_after:
             return
         if job.open:
             job.cancelled = True
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -298,7 +298,7 @@
         """Return the deletions of cancellations whose job never came."""
         pending = self._scheduler_state.pending_cancels
         expired = [
-            job_id for job_id, ends_at in pending.items() if ends_at < now
+            job_id for job_id, item in pending.items() if item.ends_at < now
         ][:MAX_CANCELS_DELETED]
         if len(expired) == MAX_CANCELS_DELETED:
             self._next_cleanup_at = now
--- a/citronrail/workflow/_store_requests.py
+++ b/citronrail/workflow/_store_requests.py
@@ -37,6 +37,7 @@
     ) -> None:
         self._store = store
         self._is_reachable = is_reachable
+        self.seen_revision = 0  # the highest one of the store's answers
 
     async def create(
         self,
@@ -52,16 +53,78 @@
         :param deadline: local time in seconds.
         :param attempt: records the progress.
         """
+
+        async def call() -> Verdict:
+            await self._txn([ports.Compare(key, 0)], [ports.Put(key, value)])
+            return Verdict.DONE
+
+        return await self._write(call, deadline, attempt)
+
+    async def create_job(
+        self,
+        job: documents.JobRecord,
+        record: bytes,
+        deadline: float,
+        attempt: _request_attempts.Attempt | None = None,
+    ) -> Verdict:
+        """Store a job unless it exists; retry until the deadline.
+
+        A cancellation that was stored before the submission arrived is
+        replaced. One that may be later holds: the job is not stored, also not
+        by a write that is executed late.
+
+        :param job: the job.
+        :param record: the job as it is stored.
+        :param deadline: local time in seconds.
+        :param attempt: records the progress.
+        """
+        job_key = documents.JOB_PREFIX + job.job_id
+        cancel_key = documents.CANCEL_PREFIX + job.job_id
+        replaced = 0  # revision of the cancellation, 0 for none
+
+        async def call() -> Verdict | None:
+            nonlocal replaced
+            compares = [
+                ports.Compare(job_key, 0),
+                ports.Compare(cancel_key, replaced),
+            ]
+            writes: list[ports.Put | ports.Delete] = [
+                ports.Put(job_key, record)
+            ]
+            if replaced:
+                writes.append(ports.Delete(cancel_key))
+            if await self._txn(compares, writes):
+                return Verdict.DONE
+            if await self._get(job_key) is not None:
+                return Verdict.DONE
+            cancellation = await self._get(cancel_key)
+            replaced = 0 if cancellation is None else cancellation.revision
+            return Verdict.NOT_RUN if replaced > job.submitted_after else None
+
+        return await self._write(call, deadline, attempt)
+
+    async def _write(
+        self,
+        call: collections.abc.Callable[
+            [], collections.abc.Awaitable[Verdict | None]
+        ],
+        deadline: float,
+        attempt: _request_attempts.Attempt | None,
+    ) -> Verdict:
+        """Call until there is a verdict or the deadline has passed."""
         attempt = attempt or _request_attempts.Attempt()
         deadline = min(deadline, trio.current_time() + STORE_TIMEOUT_S)
         while True:
             attempt.in_flight = True
             try:
                 with trio.fail_at(deadline):
-                    await self._store.txn(
-                        [ports.Compare(key, 0)], [ports.Put(key, value)]
-                    )
-                return Verdict.DONE
+                    verdict = await call()
+                if verdict is Verdict.DONE:
+                    return verdict
+                if verdict is not None:
+                    attempt.in_flight = False
+                    return Verdict.UNKNOWN if attempt.lost else verdict
+                continue
             except (errors.StoreOutcomeUnknown, trio.TooSlowError):
                 attempt.lost = True
             except errors.StoreRefused:
@@ -73,6 +136,23 @@
                 return Verdict.UNKNOWN if attempt.lost else Verdict.NOT_RUN
             await trio.sleep(STORE_RETRY_S)
 
+    async def _txn(
+        self,
+        compares: list[ports.Compare],
+        writes: list[ports.Put | ports.Delete],
+    ) -> bool:
+        """Carry out a transaction; return whether its conditions held."""
+        result = await self._store.txn(compares, writes)
+        if result.succeeded:
+            self.seen_revision = max(self.seen_revision, result.revision)
+        return result.succeeded
+
+    async def _get(self, key: str) -> ports.KeyValue | None:
+        item = await self._store.get(key)
+        if item is not None:
+            self.seen_revision = max(self.seen_revision, item.revision)
+        return item
+
     async def exists(
         self,
         job_id: str,
@@ -138,7 +218,7 @@
         while True:
             try:
                 with trio.fail_at(deadline):
-                    item = await self._store.get(key)
+                    item = await self._get(key)
                 return if_absent if item is None else convert(item)
             except (errors.StoreError, trio.TooSlowError):
                 attempt.failed()
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -122,7 +122,7 @@
         self._requests_due = trio.Event()
         # Items of the inbox that arrived before the progress was applied.
         self._progress_applied = False
-        self._early_items: list[tuple[str, bytes]] = []
+        self._early_items: list[tuple[str, bytes, int]] = []
         # Reports that arrived before the jobs were loaded, with local times.
         self._early_reports: list[
             tuple[identifiers.NodeId, messages.WorkerReport, float]
@@ -161,7 +161,7 @@
     def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
         """Add all stored jobs and cancellations."""
         for item in items:
-            self._apply_item(item.key, item.value)
+            self._apply_item(item.key, item.value, item.revision)
         self._loaded.set()
         self.wake()
 
@@ -169,15 +169,16 @@
         """Add newly stored jobs and cancellations."""
         for change in changes:
             if change.value is not None:
-                self._apply_item(change.key, change.value)
+                self._apply_item(change.key, change.value, change.revision)
         if changes:
             self.wake()
 
-    def _apply_item(self, key: str, value: bytes) -> None:
+    def _apply_item(self, key: str, value: bytes, revision: int) -> None:
         if not self._progress_applied:
-            self._early_items.append((key, value))
+            self._early_items.append((key, value, revision))
         elif key.startswith(documents.CANCEL_PREFIX):
-            self._cancel_job(key.removeprefix(documents.CANCEL_PREFIX))
+            job_id = key.removeprefix(documents.CANCEL_PREFIX)
+            self._cancel_job(job_id, revision)
         else:
             self._add_job(key.removeprefix(documents.JOB_PREFIX), value)
 
@@ -187,9 +188,9 @@
             self._cancel_job(job_id)
             self.wake()
 
-    def _cancel_job(self, job_id: str) -> None:
+    def _cancel_job(self, job_id: str, revision: int = 0) -> None:
         self.scheduler_state.cancel_job(
-            job_id, trio.current_time(), self._unix_clock()
+            job_id, trio.current_time(), self._unix_clock(), revision
         )
 
     def on_job_accepted(self, job_id: str, value: bytes) -> None:
@@ -425,8 +426,8 @@
     def _apply_early_items(self) -> None:
         self._progress_applied = True
         items, self._early_items = self._early_items, []
-        for key, value in items:
-            self._apply_item(key, value)
+        for item in items:
+            self._apply_item(*item)
 
     def _take_early_reports(self) -> None:
         reports, self._early_reports = self._early_reports, []
