Store when the leases of a silent worker end, also in its own term

Cause: a scheduler that loses contact to a worker knows when its leases end, but stored that only of workers that it had never heard of. Its successor had to assume leases of the longest time from its own start, 16.2 s here, and the next one began anew. This is a state of a successor that is a guess, too.

The time that is left is now stored once a second for each worker that is silent. As before, it is withdrawn by a commit before leases are extended; any report of the agent counts as a sign of life. Where the leader gives up its leadership in order, little is added to the wait.

--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -82,6 +82,7 @@
         if view is None:
             return
         view.connected = True
+        self._scheduler_state.withdraw_leases_left(view)
         view.capacity = None
         self._record_age(view, report, now)
         if report.unreachable and not view.unreachable_since:
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -306,12 +306,12 @@
         :param now: local time in seconds.
         """
         silent: dict[tuple[_job.Job, int], list[_job.Attempt]] = {}
-        for attempts in self.inherited_runs.values():
-            for attempt in attempts:
-                task = attempt.task
-                if attempt in task.attempts:
-                    key = (task.stage.job, task.segment)
-                    silent.setdefault(key, []).append(attempt)
+        ends_at: dict[_job.Attempt, float] = {}
+        for attempt, end in self._silent_runs(now):
+            task = attempt.task
+            key = (task.stage.job, task.segment)
+            silent.setdefault(key, []).append(attempt)
+            ends_at[attempt] = end
         oldest = heapq.nlargest(
             MAX_LEASES_LEFT_SEGMENTS,
             silent.values(),
@@ -321,10 +321,41 @@
         )
         for runs in oldest:
             for attempt in runs:
-                left_s = self.inherited_leases_end_at(attempt) - now
+                left_s = ends_at[attempt] - now
                 attempt.lease_left_s = max(MIN_LEASE_LEFT_S, left_s)
             self.mark_changed(runs[0].task)
 
+    def _silent_runs(
+        self, now: float
+    ) -> collections.abc.Iterator[tuple[_job.Attempt, float]]:
+        """Iterate over runs of silent workers and when their leases end.
+
+        No lease of a silent worker is extended before it is heard of again.
+        """
+        for attempts in self.inherited_runs.values():
+            for attempt in attempts:
+                if attempt in attempt.task.attempts:
+                    yield attempt, self.inherited_leases_end_at(attempt)
+        for view in self.workers.values():
+            if view.token_confirmed and view.is_silent(now):
+                for attempt in view.attempts.values():
+                    if attempt.ordered:
+                        yield attempt, view.lease_ends_at
+
+    def withdraw_leases_left(self, view: _worker_view.WorkerView) -> None:
+        """Withdraw the stored bounds on the leases of a worker's runs.
+
+        A successor must not rely on them once leases are extended, which the
+        next commit permits.
+
+        :param view: a worker that has been heard of.
+        """
+        for attempt in view.attempts.values():
+            if attempt.lease_left_s:
+                attempt.lease_left_s = 0.0
+                view.may_extend_leases = False
+                self.mark_changed(attempt.task)
+
     def expire_leases(self, now: float) -> None:
         """Discard runs whose leases have certainly expired.
 
--- a/citronrail/workflow/_worker_view.py
+++ b/citronrail/workflow/_worker_view.py
@@ -122,6 +122,13 @@
             and now - self.listed_at < MAX_LIST_AGE_S
         )
 
+    def is_silent(self, now: float) -> bool:
+        """Whether no lease is extended before the worker is heard of.
+
+        :param now: local time in seconds.
+        """
+        return not self.connected or now - self.listed_at >= MAX_LIST_AGE_S
+
     @property
     def new_run_count(self) -> int:
         """Number of runs that the worker has not listed yet."""
--- a/citronrail/workflow/tests/test_vanished_workers.py
+++ b/citronrail/workflow/tests/test_vanished_workers.py
@@ -89,6 +89,42 @@
     nursery.cancel_scope.cancel()
 
 
+@pytest.mark.parametrize('planned', [False, True], ids=['killed', 'retired'])
+async def test_leader_that_ends_after_a_host_leaves_its_bound(
+    autojump_clock, nursery, planned
+):
+    """Guards against a wait that each successor begins anew (LOST).
+
+    A host leaves, and the entries are replaced in turn right after. Only runs
+    of workers that a scheduler had never heard of had a stored bound.
+    """
+    cluster = await _running_cluster(nursery)
+    await trio.sleep(5.0)
+    number = _host_of_task(cluster)
+    cluster.workers[number].down_s = 1e6
+    nursery.start_soon(cluster.workers[number].crash)
+    cluster.kill_agent(f'a{number}')
+    began_at = trio.current_time()
+    for _ in range(2):
+        await trio.sleep(2.0)
+        await cluster.until(lambda: cluster.leader is not None)
+        name = cluster.leader.name
+        if planned:
+            await cluster.leader.election.drain()
+        cluster.kill_entry(name)
+        await trio.sleep(0.5)
+        cluster.start_entry(name)
+    starts = cluster.history.record(TASK).starts
+    await cluster.until(lambda: len(starts) > 1)
+    limit_s = LEASE_S + MARGIN_S + ELECTION_S
+    if not planned:
+        # Until a successor of a killed leader has read the bound, twice.
+        limit_s += 2 * _term.LEASES_LEFT_INTERVAL_S + ELECTION_S
+    assert starts[-1] - began_at <= limit_s
+    assert cluster.history.violations == []
+    nursery.cancel_scope.cancel()
+
+
 @pytest.mark.parametrize('seed', range(25))
 async def test_run_of_a_silent_host_is_not_doubled(
     autojump_clock, nursery, seed
