--- a/citronrail/workflow/tests/test_crash_attribution.py
+++ b/citronrail/workflow/tests/test_crash_attribution.py
@@ -184,7 +184,7 @@
         documents.JobRecord(JOB, 'q', 'pool', 0.0, _cluster.one_step()), NOW
     )
     (task,) = job.stages[0].tasks
-    job.started = True
+    job.started = job.begun = True  # a run that has lasted was listed
     task.last_run = 1
     attempt = _job.Attempt(task, 1, 'a0', 'w0', 1)
     task.attempts.append(attempt)
