--- a/citronrail/workflow/_wait_reason.py
+++ b/citronrail/workflow/_wait_reason.py
@@ -22,6 +22,7 @@
     UNKNOWN_RUNS = 'the workers with room list unknown runs'
     AVOIDED = 'the workers with room are avoided'
     RESERVED = 'the workers with room are reserved for suspected tasks'
+    NEW_RUNS = 'the workers with room have many runs not listed yet'
     NO_IDLE_CPU = 'the workers with room have no idle processors'
     TARGET_MISSED = 'the workers with room miss a latency target'
     NEAR_TARGET = 'the workers with room are near a latency target'
@@ -45,6 +46,7 @@
             Reason.UNKNOWN_RUNS,
             Reason.AVOIDED,
             Reason.RESERVED,
+            Reason.NEW_RUNS,
             Reason.NO_IDLE_CPU,
             Reason.TARGET_MISSED,
             Reason.NEAR_TARGET,
@@ -82,6 +84,8 @@
         return Reason.AVOIDED
     if candidate.reserved:
         return Reason.RESERVED
+    if candidate.new_runs >= _placement.MAX_NEW_RUNS and not step.gang:
+        return Reason.NEW_RUNS
     if not step.fills:
         return None
     if not _placement.has_idle_cpu(step, candidate):
