Start an overdue best-effort task beside a missed target, held at pace 0

Cause: the bound on such waits left out workers whose serving task misses its target, whether tasks that fill cause that or not.

Such a task now starts as well, with a penalty against all workers that meet their targets, and is held at pace 0. The supervisor raises the pace when the target is met again, or moves the run where there is room. Gangs still wait.

--- a/citronrail/workflow/_overdue.py
+++ b/citronrail/workflow/_overdue.py
@@ -25,6 +25,8 @@
 BROKEN_RULE_PENALTY = 100.0
 # Less, since it slows down best-effort tasks only, and no serving task.
 NO_IDLE_CPU_PENALTY = 50.0
+# The run is held at pace 0 until the target is met.
+MISSED_TARGET_PENALTY = 200.0
 # More than all others, since a suspected task has to wait again.
 HELD_PENALTY = 400.0
 AVOIDED_PENALTY = 800.0  # a run is likely to fail there
@@ -69,7 +71,7 @@
         if candidate.node == avoid_node:
             value -= _placement.FAILED_THERE_PENALTY
         if value > best_score:
-            pace = max(MIN_PACE_PERCENT, pace)
+            pace = _lowest_pace(step, candidate, pace)
             best = _step_ranking.Choice(candidate, pace)
             best_score = value
         compared += 1
@@ -112,15 +114,29 @@
         return False
     if candidate.has_unknown_runs:
         return False  # what these hold isn't known
-    if candidate.reserved and not candidate.held:
-        return False  # a crash could not be attributed to the suspected task
-    if not step.fills:
-        return True
-    return not candidate.target_violated and not any(
+    # Otherwise a crash could not be attributed to the suspected task.
+    return not candidate.reserved or candidate.held
+
+
+def _misses_target(candidate: _placement.WorkerCapacity) -> bool:
+    return candidate.target_violated or any(
         task.misses_target for task in candidate.serving
     )
 
 
+def _lowest_pace(
+    step: workflows.StepSpec, candidate: _placement.WorkerCapacity, pace: int
+) -> int:
+    """Return the pace at which an overdue task starts.
+
+    Beside a serving task that misses its target it doesn't work, so that it
+    can't be the cause; the supervisor raises the pace once the target is met.
+    """
+    if step.fills and _misses_target(candidate):
+        return 0
+    return max(MIN_PACE_PERCENT, pace)
+
+
 def _penalty(
     step: workflows.StepSpec,
     candidate: _placement.WorkerCapacity,
@@ -133,6 +149,7 @@
     if not step.fills:
         return penalty
     penalty += BROKEN_RULE_PENALTY * candidate.best_effort_barred
+    penalty += MISSED_TARGET_PENALTY * _misses_target(candidate)
     if not _placement.has_idle_cpu(step, candidate):
         penalty += NO_IDLE_CPU_PENALTY
     if (
