--- a/citronrail/workflow/tests/test_deleted_jobs.py
+++ b/citronrail/workflow/tests/test_deleted_jobs.py
@@ -92,7 +92,7 @@
     async def recorded(chain, writes):
         commits.append([write.key for write in writes])
         state.dirty.update(state.jobs.values())
-        await commit(chain, writes)
+        return await commit(chain, writes)
 
     monkeypatch.setattr(_commit_chain.CommitChain, 'commit', recorded)
     state.dirty.update(state.jobs.values())
