--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -8,7 +8,7 @@
 from citronrail.workflow import _host_losses
 from citronrail.workflow import _queue_order
 
-SEGMENT_TASKS = 256  # of a job with more; their progress is one value
+SEGMENT_TASKS = 256  # whose progress is stored in one value
 PACE_ORDER_DELAY_S = 0.2  # from sending a pace to its effect on the worker
 TAIL_WINDOW_S = 0.5  # time that a reported tail latency covers
 
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -170,7 +170,10 @@
             if job is not None:
                 jobs.add(job)
         for job in jobs:
+            if job.job_id in self._refused:
+                continue  # not even its status is accepted
             self._refused.add(job.job_id)
+            self._scheduler_state.dirty.add(job)  # its status alone
             if job.open:
                 self._scheduler_state.fail_job(
                     job,
--- a/citronrail/workflow/tests/test_refused_documents.py
+++ b/citronrail/workflow/tests/test_refused_documents.py
@@ -107,6 +107,30 @@
         nursery.cancel_scope.cancel()
 
 
+async def test_end_whose_progress_is_refused_is_shown(autojump_clock):
+    """Guards against a job that is done and shown as running for good."""
+    cluster = _cluster.SimulatedCluster(entries=2)
+
+    def refuses(write) -> bool:
+        if write.key != documents.PROGRESS_PREFIX + 'late':
+            return False
+        progress = documents.decode(write.value, documents.ProgressRecord)
+        return progress.status.final and bool(progress.stages)
+
+    cluster.store = RefusingStore(refuses)
+    async with trio.open_nursery() as nursery:
+        await cluster.start(nursery)
+        await cluster.submit('late', _cluster.one_step(2))
+        await cluster.until_state('late', 'completed', 10.0)
+        cluster.kill_entry(cluster.leader.name)
+        await cluster.until(lambda: cluster.leader is not None)
+        await trio.sleep(2.0)
+        assert await cluster.state('late') == 'completed'
+        starts = [len(r.starts) for r in cluster.history.tasks.values()]
+        assert starts == [1, 1]
+        nursery.cancel_scope.cancel()
+
+
 async def test_job_that_is_too_large_is_rejected_at_once(autojump_clock):
     """Guards against a job that is sent again and never accepted."""
     cluster = _cluster.SimulatedCluster(entries=1)
