--- a/citronrail/workflow/tests/test_vanished_workers.py
+++ b/citronrail/workflow/tests/test_vanished_workers.py
@@ -41,6 +41,15 @@
     return int(worker_id[1:])
 
 
+def _lose_host_of_task(cluster, nursery) -> float:
+    """Lose the host of the task for good; return the time of the loss."""
+    number = _host_of_task(cluster)
+    cluster.workers[number].down_s = 1e6
+    nursery.start_soon(cluster.workers[number].crash)
+    cluster.kill_agent(f'a{number}')
+    return trio.current_time()
+
+
 async def _replace_leader(cluster, down_s: float) -> None:
     name = cluster.leader.name
     cluster.kill_entry(name)
@@ -74,11 +83,7 @@
     """
     cluster = await _running_cluster(nursery)
     await trio.sleep(5.0)
-    number = _host_of_task(cluster)
-    cluster.workers[number].down_s = 1e6
-    nursery.start_soon(cluster.workers[number].crash)
-    cluster.kill_agent(f'a{number}')
-    began_at = trio.current_time()
+    began_at = _lose_host_of_task(cluster, nursery)
     for _ in range(replaced):
         await _replace_leader(cluster, 3.0)
         await trio.sleep(7.0)
@@ -100,11 +105,7 @@
     """
     cluster = await _running_cluster(nursery)
     await trio.sleep(5.0)
-    number = _host_of_task(cluster)
-    cluster.workers[number].down_s = 1e6
-    nursery.start_soon(cluster.workers[number].crash)
-    cluster.kill_agent(f'a{number}')
-    began_at = trio.current_time()
+    began_at = _lose_host_of_task(cluster, nursery)
     for _ in range(2):
         await trio.sleep(2.0)
         await cluster.until(lambda: cluster.leader is not None)
