Log where the time of each queue's unfinished steps goes

Cause of the gap in the log: CR1770 names why a job waits only if nothing of it runs and under 60% of its service are in use. What other tasks wait for, and at which pace runs work, was not logged. Change: CR1772, once a second for each queue with unfinished steps, counts the waiting tasks by reason, the runs with their mean pace, and the runs that were stopped or discarded since. The reason is counted as citronrail_workflow_waiting_task_seconds, too. No logic is changed.

--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -233,6 +233,14 @@
     'run {task}#{run} starts on {worker} at pace {pace} since nothing ran for '
     '{seconds} s; what kept it waiting: {reason}',
 )
+QUEUE_SUMMARY = _events.EventKind(
+    1772,
+    'INFO',
+    'queue {queue}: {jobs} unfinished jobs; {waiting} tasks wait, for up to '
+    '{seconds} s ({reasons}); {unlisted} runs are not listed yet; {running} '
+    'run at {pace}% on average, {held} at 0; stopped in the last second: '
+    '{stopped}',
+)
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
     'INFO',
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -64,6 +64,11 @@
     'Runs that the scheduler ordered to stop, by reason',
     ['reason'],
 )
+WAITING_TASK_SECONDS = prometheus_client.Counter(
+    'citronrail_workflow_waiting_task_seconds',
+    'Seconds that tasks whose turn had come had no run, by reason',
+    ['reason'],
+)
 REPORT_AGE_SECONDS = prometheus_client.Histogram(
     'citronrail_workflow_report_age_seconds',
     'Age of the oldest order that an applied report does not reflect',
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -1,5 +1,6 @@
 """In-memory state of the scheduler: jobs, workers and runs."""
 
+import collections
 import collections.abc
 import dataclasses
 import heapq
@@ -68,6 +69,11 @@
         self.progress: dict[str, documents.ProgressRecord] = {}
         # By job ID and number.
         self.segments: dict[str, dict[int, documents.SegmentRecord]] = {}
+        # Runs that were stopped or discarded since the last summary, by queue
+        # and reason.
+        self.stopped_runs: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
 
     # Jobs
 
@@ -197,6 +203,7 @@
         if not attempt.stop_reason:
             attempt.stop_reason = reason
             metrics.RUNS_STOPPED.labels(reason).inc()
+            self._count_stopped(attempt, reason)
             observability.emit(
                 events.RUN_STOPPED,
                 task=attempt.task.name,
@@ -247,9 +254,14 @@
             worker=attempt.worker_id,
             reason=reason,
         )
+        self._count_stopped(attempt, reason)
         self.remove_run(attempt)
         attempt.task.retry_at = now
 
+    def _count_stopped(self, attempt: _job.Attempt, reason: str) -> None:
+        queue = attempt.task.stage.job.record.queue
+        self.stopped_runs[queue, reason] += 1
+
     def remove_run(self, attempt: _job.Attempt) -> None:
         """Remove a run that has ended or never started."""
         task = attempt.task
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -25,6 +25,7 @@
 from citronrail.workflow import _operator_view
 from citronrail.workflow import _order_sender
 from citronrail.workflow import _prefix_follower
+from citronrail.workflow import _queue_summary
 from citronrail.workflow import _reports
 from citronrail.workflow import _round
 from citronrail.workflow import _run_supervisor
@@ -114,6 +115,9 @@
             bounds=bounds,
             evacuated=lambda: operators.evacuated,
         )
+        self._queue_summaries = _queue_summary.QueueSummaries(
+            self.scheduler_state.stopped_runs
+        )
         self._load_stops = _load_stops.LoadStops(
             self.scheduler_state, load, bounds
         )
@@ -490,6 +494,24 @@
             self.wake()
         else:
             self._load_stops.preempt(policy, now, self._unix_clock())
+        if self._queue_summaries.due(now):
+            self._log_queues(policy, now)
+
+    def _log_queues(self, policy: _round.Policy, now: float) -> None:
+        by_service = _round.candidates_by_service(
+            self.scheduler_state.workers.values(),
+            policy.evacuated,
+            now,
+            fit_best_effort=policy.fit_best_effort,
+        )
+        self._queue_summaries.log(
+            self.scheduler_state.jobs.values(),
+            policy.service_of,
+            by_service,
+            policy.factors,
+            now,
+            self._unix_clock(),
+        )
 
     async def _send_backlog(self) -> None:
         """Send the backlog to the entries while there is one."""
