Take the objectives of jobs from observed run times, as far as there are any

Suspected cause: declared run times are wrong by a factor of up to 2.5. Where they are too short, a job counts as late when its first step ends, and goes behind all jobs that do not. Change: a step's run time is the mean of its completed runs at full pace, and the declared one before the first of them; the objective and what is left follow from that, in the order of jobs, in preemption, and in the order by cost of delay, which is off.

--- a/citronrail/model/load_settings.py
+++ b/citronrail/model/load_settings.py
@@ -20,6 +20,9 @@
     :param fast_takeover: a leader resumes after an outage of the store, and a
         restarted entry ends the lease of its dead predecessor.
     :param cost_order: waiting jobs are ordered by cost of delay.
+    :param observed_run_times: objectives of jobs come from the observed run
+        times of their steps, as far as there are any, instead of the declared
+        ones.
     :param detect_long_tasks: a slow run is not moved if its task is long
         rather than its worker slow.
     :param admission: jobs that can't end while useful are rejected.
@@ -34,6 +37,7 @@
     relay: bool = False
     fast_takeover: bool = False
     cost_order: bool = False
+    observed_run_times: bool = False
     detect_long_tasks: bool = False
     admission: bool = False
     preemption: bool = False
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -240,6 +240,8 @@
         'done_count',
         'due_at',
         'job',
+        'observed_runs',
+        'observed_s',
         'occurrence',
         'ready_since',
         'spec',
@@ -263,6 +265,8 @@
         self.tasks = [Task(self, n) for n in range(spec.task_count)]
         self.done_count = 0
         self.ready_since = 0.0  # local time of the first placement attempt
+        self.observed_runs = 0
+        self.observed_s = 0.0  # mean run time of these at full pace
 
     @property
     def name(self) -> str:
@@ -295,6 +299,19 @@
         )
         return max(0, limit - unavailable)
 
+    @property
+    def run_s(self) -> float:
+        """Run time of a task in seconds; declared unless it was observed."""
+        return self.observed_s if self.observed_runs else self.spec.estimate_s
+
+    def observe_run(self, run_s: float) -> None:
+        """Record the run time of a completed run.
+
+        :param run_s: seconds at full pace.
+        """
+        self.observed_runs += 1
+        self.observed_s += (run_s - self.observed_s) / self.observed_runs
+
     def mark_done(self, task: Task) -> None:
         """Mark a task as done."""
         if not task.done:
@@ -379,11 +396,19 @@
             if all(self.stages[first + n].done for n in stage.spec.after):
                 yield stage
 
-    def declared_left_s(self) -> float:
-        """Return the declared critical path without the stages done."""
-        path_s = _queue_order.critical_path_s(self.record.spec)
-        done_s = sum(s.spec.estimate_s for s in self.stages if s.done)
-        return max(0.0, path_s - done_s)
+    def path_s(self) -> float:
+        """Return the length of its critical path in seconds.
+
+        Observed run times of its steps replace declared ones.
+        """
+        spec = self.record.spec
+        first = self.stages[: len(spec.steps)]
+        return _queue_order.critical_path_s(spec, (s.run_s for s in first))
+
+    def left_s(self) -> float:
+        """Return its critical path without the stages done, in seconds."""
+        done_s = sum(s.run_s for s in self.stages if s.done)
+        return max(0.0, self.path_s() - done_s)
 
     def progress(self) -> documents.ProgressRecord:
         """Return the progress record to store, without separate segments."""
--- a/citronrail/workflow/_load_stops.py
+++ b/citronrail/workflow/_load_stops.py
@@ -256,9 +256,8 @@
         queue = self._scheduler_state.queue_named(job.record.queue)
         if queue is None:
             return -1.0
-        path_s = _queue_order.critical_path_s(job.record.spec)
-        objective_s = _queue_order.objective_s(queue, path_s)
-        return job.arrived_at + objective_s - now - job.declared_left_s()
+        objective_s = _queue_order.objective_s(queue, job.path_s())
+        return job.arrived_at + objective_s - now - job.left_s()
 
 
 def _demand_of(attempt: _job.Attempt) -> _stop_choice.Demand:
--- a/citronrail/workflow/_queue_order.py
+++ b/citronrail/workflow/_queue_order.py
@@ -5,6 +5,7 @@
 that are late but still useful, and last jobs whose result is worthless.
 """
 
+import collections.abc
 import dataclasses
 
 from citronrail.model import workflows
@@ -28,20 +29,24 @@
     long_running: bool = False
 
 
-def critical_path_s(spec: workflows.WorkflowSpec) -> float:
+def critical_path_s(
+    spec: workflows.WorkflowSpec,
+    run_times_s: collections.abc.Iterable[float] = (),
+) -> float:
     """Return the length of a job's critical path.
 
     :param spec: the job.
-    :returns: seconds, from the declared estimates.
+    :param run_times_s: run time of a task of each step in seconds; the
+        declared estimates by default.
+    :returns: seconds.
     """
+    times_s = tuple(run_times_s) or tuple(s.estimate_s for s in spec.steps)
     finish_times: list[float] = []
-    for step in spec.steps:
+    for step, run_s in zip(spec.steps, times_s):
         predecessor_times = [
             finish_times[n] for n in step.after if n < len(finish_times)
         ]
-        finish_times.append(
-            max(predecessor_times, default=0.0) + step.estimate_s
-        )
+        finish_times.append(max(predecessor_times, default=0.0) + run_s)
     return max(finish_times, default=0.0)
 
 
--- a/citronrail/workflow/_reports.py
+++ b/citronrail/workflow/_reports.py
@@ -29,6 +29,7 @@
     :param fencing: fencing token of this scheduler; lists that were made
         under another token are ignored.
     :param run_times: where run times are recorded, None for nowhere.
+    :param observes_steps: whether the run times of steps are observed, too.
     """
 
     def __init__(
@@ -37,11 +38,14 @@
         bounds: workflows.Bounds,
         fencing: int,
         run_times: _run_times.RunTimes | None = None,
+        *,
+        observes_steps: bool = False,
     ) -> None:
         self._scheduler_state = scheduler_state
         self._bounds = bounds
         self._fencing = fencing
         self._run_times = run_times
+        self._observes_steps = observes_steps
         self._crash_log = _crashes.CrashLog(scheduler_state)
         self._late: dict[str, float] = {}  # oldest late report, by agent
         self._late_logged_at = 0.0
@@ -386,14 +390,22 @@
             task.checkpoint = end.checkpoint
         if end.how == 'done':
             view.failed_jobs.clear()
-            if attempt is not None and self._run_times is not None:
-                self._run_times.on_done(attempt, now)
+            if attempt is not None:
+                self._observe_run(attempt, now)
             self._task_done(task, unix_now)
         elif end.how == 'failed' and known:
             self._task_failed(view, task, now, unix_now)
         elif known and end.how != 'stopped':
             task.retry_at = now + TASK_RETRY_DELAY_S
 
+    def _observe_run(self, attempt: _job.Attempt, now: float) -> None:
+        if self._run_times is not None:
+            self._run_times.on_done(attempt, now)
+        if self._observes_steps:
+            run_s = _run_times.observed_run_s(attempt, now)
+            if run_s is not None:
+                attempt.task.stage.observe_run(run_s)
+
     def _task_done(self, task: _job.Task, unix_now: float) -> None:
         stage = task.stage
         if stage.spec.long_running:
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -104,7 +104,11 @@
             )
         self.backlog_summary: messages.BacklogSummary | None = None
         self._reports = _reports.Reports(
-            self.scheduler_state, bounds, leadership.fencing, self._run_times
+            self.scheduler_state,
+            bounds,
+            leadership.fencing,
+            self._run_times,
+            observes_steps=load.observed_run_times,
         )
         self._factors = _interference.PairFactors()
         self._idle_jobs = _idle_jobs.IdleJobs()
--- a/citronrail/workflow/overload/_job_order.py
+++ b/citronrail/workflow/overload/_job_order.py
@@ -256,11 +256,11 @@
         self, job: _job.Job, queue: workflows.Queue | None, now: float
     ) -> _cost_of_delay.WaitingJob:
         tracked = self._tracked.get(job.job_id)
+        objective_s = _queue_order.objective_s(queue, job.path_s())
         if tracked is None:
-            path_s = _queue_order.critical_path_s(job.record.spec)
-            objective_s = _queue_order.objective_s(queue, path_s)
             tracked = _Tracked(job, objective_s, now)
             self._tracked[job.job_id] = tracked
+        tracked.objective_s = objective_s
         remaining = remaining_work(job, self._run_times)
         return _cost_of_delay.WaitingJob(
             job_id=job.job_id,
@@ -364,20 +364,19 @@
     queue: workflows.Queue | None,
     now: float,
 ) -> _cost_of_delay.Key:
-    """Return the key of a job in the order by slack, from declared values.
+    """Return the key of a job in the order by slack.
 
     :param job: the job.
     :param stages: its stages with tasks to place.
     :param queue: its queue, None if that has been removed.
     :param now: local time in seconds.
     """
-    path_s = _queue_order.critical_path_s(job.record.spec)
     priority, group, value = _queue_order.sort_key(
         _queue_order.WaitingJob(
             priority=_queue_order.priority(queue),
             arrived_at=job.arrived_at,
-            objective_s=_queue_order.objective_s(queue, path_s),
-            remaining_s=job.declared_left_s(),
+            objective_s=_queue_order.objective_s(queue, job.path_s()),
+            remaining_s=job.left_s(),
             long_running=any(s.spec.long_running for s in stages),
         ),
         now,
--- a/citronrail/workflow/tests/_fleet.py
+++ b/citronrail/workflow/tests/_fleet.py
@@ -55,7 +55,10 @@
         )
         self.stops = _load_stops.LoadStops(self.state, load, BOUNDS)
         self.idle_jobs = _idle_jobs.IdleJobs()
-        self.reports = _reports.Reports(self.state, BOUNDS, TOKEN)
+        self.reports = _reports.Reports(
+            self.state, BOUNDS, TOKEN, observes_steps=load.observed_run_times
+        )
+        self.run_time_ratio = 1.0  # of real run times to declared ones
         self.lives = [
             messages.WorkerLife(
                 f'w{n}', 1, 'pool', 'dc', 'ready', 16_000, memory_mb, 0
@@ -101,7 +104,9 @@
                 how = ''
                 if attempt.stop_reason and self.answers_stops:
                     how = 'stopped'
-                elif not spec.long_running and elapsed_s >= spec.estimate_s:
+                elif not spec.long_running and (
+                    elapsed_s >= spec.estimate_s * self.run_time_ratio
+                ):
                     how = 'done'
                 if how:
                     self._ends[number] += 1
@@ -115,7 +120,8 @@
                         )
                     )
                 else:
-                    percent = int(100 * elapsed_s / spec.estimate_s)
+                    run_s = spec.estimate_s * self.run_time_ratio
+                    percent = int(100 * elapsed_s / run_s)
                     rows.append(messages.RunRow(*key, 'c', percent, 1800.0))
             report = messages.WorkerReport(
                 TOKEN, life, int(self.now * 1000), tuple(rows), tuple(ended)
