--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -77,7 +77,7 @@
         self._candidates_at = 0.0
         self._by_service: dict[str, list[_placement.WorkerCapacity]] = {}
         self._split_gangs: set[_job.Stage] = set()  # in the last check
-        # By job: priority and group in the order of jobs, until the next check.
+        # By job: its priority and group in the order, until the next check.
         self._urgencies: dict[str, tuple[int, int]] = {}
         self._next_health_check_at = 0.0
         self._paced_at: dict[str, float] = {}
