--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -236,9 +236,10 @@
 QUEUE_SUMMARY = _events.EventKind(
     1772,
     'INFO',
-    'queue {queue}: {jobs} unfinished jobs; {waiting} tasks wait, for up to '
-    '{seconds} s ({reasons}); {unlisted} runs are not listed yet; {running} '
-    'run at {pace}% on average, {held} at 0; stopped in the last second: '
+    'queue {queue}: {jobs} unfinished jobs; {waiting} tasks wait ({reasons}), '
+    'the longest in step {longest} for {seconds} s ({reason}); {unlisted} '
+    'runs are not listed yet; {running} run at {pace}% on average, {held} at '
+    '0; stopped in the last second: '
     '{stopped}',
 )
 BEST_EFFORT_LIMITED = _events.EventKind(
--- a/citronrail/workflow/_queue_summary.py
+++ b/citronrail/workflow/_queue_summary.py
@@ -33,8 +33,9 @@
     :param queue: name of the queue.
     :param jobs: unfinished jobs with a step whose turn has come.
     :param waiting: tasks without a run, by what keeps them from starting.
-    :param waiting_s: since when the first of these steps could start, in
-        seconds.
+    :param longest: name of the step that has waited longest, '' for none.
+    :param waiting_s: for how long it has waited, in seconds.
+    :param longest_reason: what keeps its tasks from starting, '' for none.
     :param unlisted: runs that no worker has listed yet.
     :param running: listed runs.
     :param pace: mean pace of the listed runs in percent.
@@ -44,7 +45,9 @@
     queue: str
     jobs: int
     waiting: collections.abc.Mapping[_wait_reason.Reason, int]
+    longest: str
     waiting_s: float
+    longest_reason: str
     unlisted: int
     running: int
     pace: int
@@ -116,7 +119,9 @@
             queue=summary.queue,
             jobs=summary.jobs,
             waiting=sum(summary.waiting.values()),
+            longest=summary.longest or 'none',
             seconds=round(summary.waiting_s, 1),
+            reason=summary.longest_reason or 'none',
             reasons=_format_counts(
                 {key.value: n for key, n in summary.waiting.items()}
             ),
@@ -145,6 +150,7 @@
     """
     waiting: collections.Counter[_wait_reason.Reason] = collections.Counter()
     reason = _wait_reason.Reason.NO_ROOM
+    longest = longest_reason = ''
     since = now
     # Steps that have not been tried yet are the last.
     by_age = sorted(stages, key=lambda stage: stage.ready_since or now)
@@ -153,11 +159,13 @@
         tasks = [task for task in stage.tasks if task.waiting]
         if not tasks:
             continue
-        since = min(since, stage.ready_since or now)
         if examined < MAX_EXAMINED_STEPS:
             examined += 1
             candidates = by_service.get(service_of(stage.job), [])
             reason = _wait_reason.of_task(tasks[0], candidates, factors, now)
+        if not longest:
+            longest, longest_reason = stage.name, reason.value
+            since = stage.ready_since or now
         waiting[reason] += len(tasks)
     runs = [
         attempt
@@ -170,7 +178,9 @@
         queue,
         jobs=len({stage.job.job_id for stage in stages}),
         waiting=waiting,
+        longest=longest,
         waiting_s=now - since,
+        longest_reason=longest_reason,
         unlisted=len(runs) - len(listed),
         running=len(listed),
         pace=sum(run.pace for run in listed) // max(1, len(listed)),
--- a/citronrail/workflow/tests/test_queue_summary.py
+++ b/citronrail/workflow/tests/test_queue_summary.py
@@ -38,7 +38,8 @@
     summary = _summary(fleet)
     assert summary.jobs == 1
     assert summary.waiting == {Reason.NO_ROOM: 1}
-    assert summary.waiting_s == 5.0
+    assert (summary.longest, summary.waiting_s) == ('1.0.0', 5.0)
+    assert summary.longest_reason == Reason.NO_ROOM.value
     assert (summary.unlisted, summary.running) == (0, 2)
     assert (summary.pace, summary.held) == (50, 1)
 
