Let a best-effort step wait for nearly full pace only while its job has slack

Cause: a best-effort step waits up to 25 s for a worker that allows 90% of its pace, whatever its job's objective is. An order of two steps of 4.4 s has a slack of 10 s.

--- a/citronrail/workflow/_overdue_starts.py
+++ b/citronrail/workflow/_overdue_starts.py
@@ -219,9 +219,7 @@
             stage.name,
             choice.candidate,
             policy.factors,
-            wait_for_low_impact=(
-                now - stage.ready_since < _placement.LOW_IMPACT_WAIT_S
-            ),
+            wait_for_low_impact=now < stage.low_impact_until,
         )
         or _wait_reason.Reason.ROUND_LIMIT
     )
