--- a/citronrail/model/workflows.py
+++ b/citronrail/model/workflows.py
@@ -79,11 +79,6 @@
     objective_s: float = 0.0  # added to the objective
     timeout_s: float = 0.0
 
-    @property
-    def has_objective(self) -> bool:
-        """Whether its jobs are expected to end within an objective."""
-        return self.stretch > 1.0 or self.objective_s > 0.0
-
 
 @dataclasses.dataclass(frozen=True)
 class WorkerPool:
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -240,7 +240,6 @@
         'done_count',
         'due_at',
         'job',
-        'low_impact_until',
         'observed_runs',
         'observed_s',
         'occurrence',
@@ -266,9 +265,6 @@
         self.tasks = [Task(self, n) for n in range(spec.task_count)]
         self.done_count = 0
         self.ready_since = 0.0  # local time of the first placement attempt
-        # Local time until which its tasks wait for workers that allow nearly
-        # full pace.
-        self.low_impact_until = 0.0
         self.observed_runs = 0
         self.observed_s = 0.0  # mean run time of these at full pace
 
--- a/citronrail/workflow/_overdue_starts.py
+++ b/citronrail/workflow/_overdue_starts.py
@@ -219,7 +219,9 @@
             stage.name,
             choice.candidate,
             policy.factors,
-            wait_for_low_impact=now < stage.low_impact_until,
+            wait_for_low_impact=(
+                now - stage.ready_since < _placement.LOW_IMPACT_WAIT_S
+            ),
         )
         or _wait_reason.Reason.ROUND_LIMIT
     )
--- a/citronrail/workflow/_placement.py
+++ b/citronrail/workflow/_placement.py
@@ -50,11 +50,8 @@
 # puts new images beside others, which keeps workers free of serving tasks.
 UNKNOWN_LIKENESS = 0.7
 # How long the tasks of a best-effort step wait for a worker that allows
-# PREFERRED_MIN_PACE_PERCENT, at most.
+# PREFERRED_MIN_PACE_PERCENT.
 LOW_IMPACT_WAIT_S = 25.0
-# Share of the slack of its job that a step waits so. A job has several steps,
-# and a run at half of its pace takes twice as long.
-LOW_IMPACT_SLACK_RATIO = 0.25
 # Runs of a worker that it has not listed yet. An agent orders starts one by
 # one; with thousands of them the last ones came after their deadline.
 MAX_NEW_RUNS = 120
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -13,7 +13,6 @@
 from citronrail.workflow import _placement
 from citronrail.workflow import _policy
 from citronrail.workflow import _probation
-from citronrail.workflow import _queue_order
 from citronrail.workflow import _scheduler_state
 from citronrail.workflow import _speculation
 from citronrail.workflow import _step_ranking
@@ -169,7 +168,6 @@
         candidates = by_service.get(service, [])
         for stage in stages:
             if candidates:
-                _begin_wait(stage, policy, now)
                 placed += _place_stage(
                     scheduler_state,
                     stage,
@@ -328,21 +326,6 @@
     return [(job, stages) for _, job, stages in keyed_jobs]
 
 
-def _begin_wait(stage: _job.Stage, policy: Policy, now: float) -> None:
-    """Set until when a step waits for workers that allow nearly full pace."""
-    if stage.ready_since:
-        return
-    stage.ready_since = now
-    wait_s = _placement.LOW_IMPACT_WAIT_S
-    job = stage.job
-    queue = policy.queue_named(job.record.queue)
-    if policy.fit_best_effort and queue is not None and queue.has_objective:
-        objective_s = _queue_order.objective_s(queue, job.path_s())
-        slack_s = job.arrived_at + objective_s - now - job.left_s()
-        wait_s = min(wait_s, _placement.LOW_IMPACT_SLACK_RATIO * slack_s)
-    stage.low_impact_until = now + max(0.0, wait_s)
-
-
 def _place_stage(
     scheduler_state: _scheduler_state.SchedulerState,
     stage: _job.Stage,
@@ -353,7 +336,11 @@
     spec = stage.spec
     if spec.gang:
         return _place_gang(scheduler_state, stage, fleet.candidates, factors)
-    wait_for_low_impact = now < stage.low_impact_until
+    if not stage.ready_since:
+        stage.ready_since = now
+    wait_for_low_impact = (
+        now - stage.ready_since < _placement.LOW_IMPACT_WAIT_S
+    )
     waiting = [
         task
         for task in stage.tasks
--- a/citronrail/workflow/_wait_reason.py
+++ b/citronrail/workflow/_wait_reason.py
@@ -159,7 +159,7 @@
         return Reason.RETRY_DELAY
     if _probation.must_start_alone(task, now):
         return Reason.SUSPECTED
-    waits = now < stage.low_impact_until
+    waits = now - stage.ready_since < _placement.LOW_IMPACT_WAIT_S
     return of_step(
         spec, stage.name, candidates, factors, wait_for_low_impact=waits
     )
--- a/citronrail/workflow/overload/_job_order.py
+++ b/citronrail/workflow/overload/_job_order.py
@@ -401,7 +401,9 @@
 
 
 def _has_objective(queue: workflows.Queue | None) -> bool:
-    return queue is not None and queue.has_objective
+    return queue is not None and (
+        queue.stretch > 1.0 or queue.objective_s > 0.0
+    )
 
 
 def _fits(
--- a/measure/_shared_workers.py
+++ b/measure/_shared_workers.py
@@ -196,7 +196,7 @@
     def _schedule(self, now: float) -> None:
         self._run_supervisor.run(now)
         if self.variant is Variant.APART:
-            self._keep_waiting()
+            self._reset_waiting_times(now)
         policy = _round.Policy(QUEUES.get, frozenset(), self._pair_factors)
         placed = _round.place(self._scheduler_state, policy, now, now)
         for attempt in placed:
@@ -215,12 +215,12 @@
                 end for end in worker.ends if end.number > view.acknowledged
             ]
 
-    def _keep_waiting(self) -> None:
+    def _reset_waiting_times(self, now: float) -> None:
         """Keep filling tasks waiting for a worker without serving tasks."""
         for job in self._scheduler_state.jobs.values():
             for stage in job.stages:
                 if stage.spec.fills and stage.ready_since:
-                    stage.low_impact_until = math.inf
+                    stage.ready_since = now
 
     def _outcome(self) -> Outcome:
         earned_worth: dict[str, float] = {}
