Revert "Give the headroom of a worker to the runs of the most urgent job first"

Cause: it takes worth from callers. Why is not traced; rebuilds with stragglers may hold the headroom of a worker for as long as they run.

--- a/citronrail/workflow/_interference.py
+++ b/citronrail/workflow/_interference.py
@@ -436,60 +436,11 @@
     )
 
 
-@dataclasses.dataclass(frozen=True)
-class Headroom:
-    """Utilisation that best-effort tasks may add to a serving task.
-
-    :param left: what may be added in all.
-    :param added: what each best-effort task adds at full pace.
-    """
-
-    left: float
-    added: tuple[float, ...]
-
-
-def divide_in_order(
-    headrooms: collections.abc.Iterable[Headroom],
-    ratios: collections.abc.Sequence[float],
-) -> list[float]:
-    """Divide headrooms among best-effort tasks, the first task first.
-
-    A task that is left little makes room for no other, so that the first
-    tasks end soon, instead of all tasks late. Negligible ones aren't limited.
-
-    :param headrooms: headroom of each serving task that has to be protected.
-    :param ratios: highest pace of each best-effort task, from 0.0 to 1.0.
-    :returns: paces from 0.0 to 1.0, in the order of ``ratios``.
-    """
-    items = tuple(headrooms)
-    left = [
-        item.left
-        - sum(value for value in item.added if value <= HARMLESS_UTILISATION)
-        for item in items
-    ]
-    divided = []
-    for number, ratio in enumerate(ratios):
-        harmed = [
-            index
-            for index, item in enumerate(items)
-            if item.added[number] > HARMLESS_UTILISATION
-        ]
-        for index in harmed:
-            allowed = max(0.0, left[index]) / items[index].added[number]
-            ratio = min(ratio, allowed)
-        for index in harmed:
-            left[index] -= ratio * items[index].added[number]
-        divided.append(ratio)
-    return divided
-
-
 def paces(
     serving: tuple[ServingTask, ...],
     best_effort: tuple[BestEffortTask, ...],
     factors: PairFactors,
     max_increase: int = MAX_PACE_INCREASE_PERCENT,
-    *,
-    in_order: bool = False,
 ) -> tuple[int, ...]:
     """Return the pace of each best-effort task for the next interval.
 
@@ -501,8 +452,6 @@
     :param best_effort: the worker's best-effort tasks.
     :param factors: learned interference factors.
     :param max_increase: by how many percentage points a pace may rise.
-    :param in_order: whether the first best-effort tasks get the headroom;
-        otherwise all that interfere share it.
     :returns: percentages from 0 to 100, in the order of ``best_effort``.
     """
     raised = tuple(
@@ -513,27 +462,12 @@
         for item in best_effort
     )
     limits = [item.pace for item in raised]
-    pressed = [
-        task
-        for task in serving
-        if task.own_load + factors.added_utilisation(task.image, raised)
-        > task.throttle_threshold
-    ]
-    if in_order:
-        headrooms = [
-            Headroom(
-                task.setpoint - task.own_load,
-                tuple(
-                    factors.factor(task.image, item.image) * item.cpu_share
-                    for item in best_effort
-                ),
-            )
-            for task in pressed
-        ]
-        ratios = [limit / FULL_PACE_PERCENT for limit in limits]
-        divided = divide_in_order(headrooms, ratios)
-        return tuple(round(FULL_PACE_PERCENT * ratio) for ratio in divided)
-    for task in pressed:
+    for task in serving:
+        expected = task.own_load + factors.added_utilisation(
+            task.image, raised
+        )
+        if expected <= task.throttle_threshold:
+            continue
         throttled = _throttled_paces(task, best_effort, factors)
         limits = [min(limit, new) for limit, new in zip(limits, throttled)]
     return tuple(limits)
--- a/citronrail/workflow/_run_supervisor.py
+++ b/citronrail/workflow/_run_supervisor.py
@@ -18,7 +18,6 @@
 from citronrail.workflow import _service_room
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _best_effort_limit
-from citronrail.workflow.overload import _job_order
 
 HEALTH_INTERVAL_S = 0.5
 PACE_INTERVAL_S = 0.2
@@ -77,8 +76,6 @@
         self._candidates_at = 0.0
         self._by_service: dict[str, list[_placement.WorkerCapacity]] = {}
         self._split_gangs: set[_job.Stage] = set()  # in the last check
-        # By job: its priority and group in the order, until the next check.
-        self._urgencies: dict[str, tuple[int, int]] = {}
         self._next_health_check_at = 0.0
         self._paced_at: dict[str, float] = {}
 
@@ -93,7 +90,6 @@
                 self._stop_before_drain_end(view, now)
         if now >= self._next_health_check_at:
             self._next_health_check_at = now + HEALTH_INTERVAL_S
-            self._urgencies.clear()
             self._stay_until = {
                 key: until
                 for key, until in self._stay_until.items()
@@ -115,9 +111,6 @@
             return
         self._paced_at[view.node] = now
         best_effort = _best_effort_tasks(view, now)
-        if self._fit_best_effort:
-            # The step of a job is done only when its last task is.
-            best_effort.sort(key=lambda item: self._rank(item[1], now))
         tasks = tuple(item for item, _ in best_effort)
         are_certain = all(
             attempt.pace_certain_at <= now for _, attempt in best_effort
@@ -134,7 +127,6 @@
             tasks,
             self._factors,
             self._max_pace_increase(view, now),
-            in_order=self._fit_best_effort,
         )
         view.target_violated = missed_s > VIOLATION_GRACE_S
         if self._fit_best_effort:
@@ -162,24 +154,6 @@
         if self._fit_best_effort:
             self._limit_best_effort(view, best_effort, now)
 
-    def _rank(
-        self, attempt: _job.Attempt, now: float
-    ) -> tuple[int, int, float, str, int]:
-        """Return the place of a run; lower ones get headroom first.
-
-        Jobs that can still meet their objective go before late ones, and
-        within these the older ones. All workers agree on it, so that the tasks
-        of a job end together.
-        """
-        task = attempt.task
-        job = task.stage.job
-        urgency = self._urgencies.get(job.job_id)
-        if urgency is None:
-            queue = self._scheduler_state.queue_named(job.record.queue)
-            key = _job_order.present_key(job, [task.stage], queue, now)
-            urgency = self._urgencies[job.job_id] = key[:2]
-        return (*urgency, job.arrived_at, job.job_id, task.index)
-
     def _max_pace_increase(
         self, view: _worker_view.WorkerView, now: float
     ) -> int:
--- a/citronrail/workflow/overload/_best_effort_limit.py
+++ b/citronrail/workflow/overload/_best_effort_limit.py
@@ -1,8 +1,8 @@
 """Which best-effort runs a worker can run beside its serving tasks.
 
-Answers workers full of best-effort tasks that are throttled: of N runs that
-harm a serving task the first ones get its headroom, and the others hold all
-of their memory at a fraction of their pace. Where fewer runs do the same work
+Answers workers full of best-effort tasks that are throttled: N runs that
+harm a serving task share its headroom, so that each runs at a fraction of
+its pace and still holds all of its memory. Where fewer runs do the same work
 in that headroom, the others are stopped one after the other; they resume
 from their checkpoints on another worker, or wait without holding memory.
 """
@@ -104,8 +104,7 @@
 
     :param state: state of the worker after the last decision.
     :param serving: the worker's serving tasks, as last measured.
-    :param runs: its best-effort runs that are not being stopped already, in
-        the order in which they get headroom.
+    :param runs: its best-effort runs that are not being stopped already.
     :param factors: learned interference factors.
     :param now: local time in seconds.
     :param held_at_zero: runs that are held at pace 0 because a latency target
@@ -238,14 +237,22 @@
     pressures: list[_Pressure], numbers: frozenset[int]
 ) -> dict[int, float]:
     """Return the paces, 0.0 to 1.0, at which a set of runs settles."""
-    kept = sorted(numbers)
-    headrooms = []
+    ratios = dict.fromkeys(numbers, 1.0)
     for pressure in pressures:
-        added = tuple(pressure.added[n] for n in kept)
-        if sum(added) > pressure.allowed:
-            headrooms.append(_interference.Headroom(pressure.setpoint, added))
-    ratios = _interference.divide_in_order(headrooms, [1.0] * len(kept))
-    return dict(zip(kept, ratios))
+        added = {n: pressure.added[n] for n in numbers}
+        if sum(added.values()) <= pressure.allowed:
+            continue
+        harmful = [
+            n for n in numbers if added[n] > _interference.HARMLESS_UTILISATION
+        ]
+        if not harmful:
+            continue
+        harmless = sum(added[n] for n in numbers - frozenset(harmful))
+        headroom = max(0.0, pressure.setpoint - harmless)
+        ratio = min(1.0, headroom / sum(added[n] for n in harmful))
+        for number in harmful:
+            ratios[number] = min(ratios[number], ratio)
+    return ratios
 
 
 def _work(runs: tuple[Run, ...], ratios: dict[int, float]) -> float:
