--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -239,8 +239,7 @@
     'queue {queue}: {jobs} unfinished jobs; {waiting} tasks wait ({reasons}), '
     'the longest in step {longest} for {seconds} s ({reason}); {unlisted} '
     'runs are not listed yet; {running} run at {pace}% on average, {held} at '
-    '0; stopped in the last second: '
-    '{stopped}',
+    '0; stopped in the last second: {stopped}',
 )
 BEST_EFFORT_LIMITED = _events.EventKind(
     1790,
