Bound the jobs that entries accept and load by their memory

Now a model gives the memory of a job from its record, with what its steps take once their turn comes (_state_size.py; a test compares it with measured sizes, from below and from above). Entries accept jobs up to 0.35 of `memoryMb`. The leader tells them every 2 s how much its jobs and runs take and what the smallest entry can hold; a job may take an eighth of the room, and what an entry has accepted since counts against its part of it. So large jobs are rejected first, with 429, Retry-After and before anything is stored; a job that may have been stored before is never rejected. Without `memoryMb` there is no bound.

A leader loads jobs up to 0.44 of its memory: those with progress in any case, then the smallest. Others stay in the store, are shown as queued, counted as pending, and are loaded as others end; a cancelled one is loaded at once, so that its end is stored. A listing leaves out records that are known or beyond that bound while its pages are read, and the segments of progress are decoded one at a time: decoded they take ten times as much.

CR1762 names jobs that stay in the store; the metrics state_bytes, state_limit_bytes and jobs_unloaded show the state's size and bound.

The tests of test_state_size.py use what is new.

--- a/citronrail/adapters/_etcd_store.py
+++ b/citronrail/adapters/_etcd_store.py
@@ -69,12 +69,16 @@
             found = protocol.items(answer)
         return found[0] if found else None
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read the keys under a prefix; see the port."""
         answer = await self._read('/v3/kv/range', protocol.key_range(prefix))
         with _convert_parse_errors('store.list'):
+            items = protocol.items(answer)
             return ports.Listing(
-                protocol.items(answer), protocol.revision_of(answer)
+                tuple(filter(keep, items)) if keep else items,
+                protocol.revision_of(answer),
             )
 
     async def txn(
--- a/citronrail/coordination/_budgeted_store.py
+++ b/citronrail/coordination/_budgeted_store.py
@@ -56,10 +56,12 @@
         await self._budget.take(self._use, READ, 'get')
         return await self._store.get(key)
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read the keys that start with a prefix."""
         await self._budget.take(self._use, READ, 'list')
-        return await self._store.list(prefix)
+        return await self._store.list(prefix, keep)
 
     async def txn(
         self,
--- a/citronrail/model/messages/__init__.py
+++ b/citronrail/model/messages/__init__.py
@@ -75,6 +75,8 @@
 from citronrail.model.messages._workflows import RunRow
 from citronrail.model.messages._workflows import ServiceBacklog
 from citronrail.model.messages._workflows import StartOrder
+from citronrail.model.messages._workflows import StateLimit
+from citronrail.model.messages._workflows import StateSize
 from citronrail.model.messages._workflows import StoreStatus
 from citronrail.model.messages._workflows import TaskRun
 from citronrail.model.messages._workflows import WorkerLife
@@ -135,6 +137,8 @@
     'StartOrder',
     'StartReply',
     'StartTask',
+    'StateLimit',
+    'StateSize',
     'StopTask',
     'StoreStatus',
     'TakeoverQuery',
--- a/citronrail/model/messages/_workflows.py
+++ b/citronrail/model/messages/_workflows.py
@@ -261,6 +261,31 @@
     free_memory_mb: int = 0
 
 
+@_registry.message
+class StateSize:
+    """Leader to entries: the memory that its jobs take, every few seconds.
+
+    ``leader`` is the fencing token, ``used`` and ``limit`` are in bytes (a
+    ``limit`` of 0 means none), and ``entries`` is the number of entries that
+    can be reached.
+    """
+
+    leader: bounded.Id
+    used: bounded.Count
+    limit: bounded.Count
+    entries: bounded.Count = 1
+
+
+@_registry.message
+class StateLimit:
+    """Entry to leader: the size of the state that it can hold, in bytes.
+
+    Sent if it is below that of the leader, as the entry may lead next.
+    """
+
+    limit: bounded.Count
+
+
 @_registry.message
 class BacklogSummary:
     """Leader to entries, twice a second while there is a backlog.
--- a/citronrail/model/tests/test_messages.py
+++ b/citronrail/model/tests/test_messages.py
@@ -34,6 +34,8 @@
     'Heartbeat',
     'HeartbeatAck',
     'Hello',
+    'StateLimit',
+    'StateSize',
     'WorkerOrders',
     'WorkerReport',
 }
--- a/citronrail/model/workflows.py
+++ b/citronrail/model/workflows.py
@@ -139,3 +139,4 @@
     harm_s: float = 4.0
     pace_s: float = 0.1
     max_value_bytes: int = MAX_VALUE_BYTES  # of a value in the store
+    memory_bytes: int = 0  # memory limit of this process, 0 for none
--- a/citronrail/observability/catalogue/workflow.py
+++ b/citronrail/observability/catalogue/workflow.py
@@ -259,6 +259,12 @@
     'run {task}#{run} on {worker} is preempted for {waiting}; '
     'its stop loses {loss} s',
 )
+JOB_NOT_LOADED = _events.EventKind(
+    1762,
+    'WARNING',
+    'job {job} stays in the store, one of {jobs}: it takes {size} bytes of '
+    'memory beside {used} in use, of {limit}',
+)
 JOB_DEFERRED = _events.EventKind(
     1760,
     'INFO',
--- a/citronrail/platform/_caller_app.py
+++ b/citronrail/platform/_caller_app.py
@@ -183,6 +183,10 @@
             return _not_run_response(
                 reply.retry_after_s, 429, 'it would end too late to be of use'
             )
+        case workflow.Verdict.NO_MEMORY:
+            return _not_run_response(
+                reply.retry_after_s, 429, 'there is no memory for its tasks'
+            )
         case workflow.Verdict.TOO_LARGE:
             return _http_apps.json_response(
                 413, {'error': 'the job is too large to be stored'}
--- a/citronrail/platform/_roles.py
+++ b/citronrail/platform/_roles.py
@@ -192,7 +192,7 @@
         process.leader,
         load=cfg.load,
         relay=relay,
-        max_value_bytes=cfg.bounds.max_value_bytes,
+        bounds=cfg.bounds,
     )
     callers = process.port(
         _caller_app.caller_app(
--- a/citronrail/platform/_settings.py
+++ b/citronrail/platform/_settings.py
@@ -13,6 +13,7 @@
 from citronrail.model import workflows
 
 PATH_VARIABLE = 'CITRONRAIL_CONFIG'
+BYTES_PER_MB = 1_000_000
 MAX_DEPTH = 50  # of nested collections
 LOAD_SETTINGS_VARIABLE = 'CITRONRAIL_LOAD_SETTINGS'
 
@@ -106,7 +107,9 @@
         advice_address=str(document.get('advice') or ''),
         processor_share=_number(limits.get('cpuShare', 1.0))
         * _number(limits.get('cores', 1)),
-        bounds=_bounds(document.get('bounds') or {}, document['platform']),
+        bounds=_bounds(
+            document.get('bounds') or {}, document['platform'], limits
+        ),
         load=load_settings.load(
             os.environ.get(LOAD_SETTINGS_VARIABLE, '')
         ).for_store(_number(document['platform'].get('writesPerS', 0.0))),
@@ -114,7 +117,9 @@
 
 
 def _bounds(
-    document: dict[str, typing.Any], store: dict[str, typing.Any]
+    document: dict[str, typing.Any],
+    store: dict[str, typing.Any],
+    limits: dict[str, typing.Any],
 ) -> workflows.Bounds:
     defaults = workflows.Bounds()
 
@@ -140,6 +145,7 @@
         max_value_bytes=int(
             _number(store.get('valueBytes') or defaults.max_value_bytes)
         ),
+        memory_bytes=int(BYTES_PER_MB * _number(limits.get('memoryMb') or 0)),
     )
 
 
--- a/citronrail/platform/_store.py
+++ b/citronrail/platform/_store.py
@@ -85,7 +85,9 @@
         _check_status(res, 'get')
         return _key_value(_decode(res, _Item))
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read all keys with a prefix, page by page.
 
         The revision is that of the first page, so that a watch that starts
@@ -102,7 +104,8 @@
             _check_status(res, 'list')
             page = _decode_list(res, _RangeResponse, 'items')
             revision = revision or page.asOf
-            items += [_key_value(item) for item in _decode_items(page.items)]
+            found = map(_key_value, _decode_items(page.items))
+            items += (item for item in found if keep is None or keep(item))
             if not page.hasMore:
                 return ports.Listing(tuple(items), revision)
             after = _next_start(page.items, prefix, after)
--- a/citronrail/platform/tests/test_adapter.py
+++ b/citronrail/platform/tests/test_adapter.py
@@ -86,6 +86,10 @@
         )
     listing = await served.store.list('p/')
     assert len({item.key for item in listing.items}) == 1200
+    listing = await served.store.list('p/', lambda item: item.key > 'p/01100')
+    assert [item.key for item in listing.items] == [
+        f'p/{n:05}' for n in range(1101, 1200)
+    ]
 
 
 async def test_watch_after_a_listing_misses_no_change(served):
--- a/citronrail/platform/tests/test_interfaces.py
+++ b/citronrail/platform/tests/test_interfaces.py
@@ -334,9 +334,13 @@
     assert _caller_app._deadline('nonsense') < now + 3.0
 
 
-async def test_rejection_under_overload_says_when_to_return(client, service):
+@pytest.mark.parametrize(
+    'verdict', [workflow.Verdict.OVERLOADED, workflow.Verdict.NO_MEMORY]
+)
+async def test_rejection_under_overload_says_when_to_return(
+    verdict, client, service
+):
     """Guards against callers that return before there is room."""
-    verdict = workflow.Verdict.OVERLOADED
     service.reply = workflow.Reply(verdict, retry_after_s=17)
     res = await _post(client, f'/q/{JOB}', _body())
     assert res.status_code == 429
--- a/citronrail/platform/tests/test_settings.py
+++ b/citronrail/platform/tests/test_settings.py
@@ -36,6 +36,7 @@
     assert cfg.bounds.grace_s == pytest.approx(6.0)
     assert cfg.bounds.keep_ended_s == pytest.approx(120.0)
     assert cfg.processor_share == pytest.approx(1.0)
+    assert cfg.bounds.memory_bytes == 168_000_000
     assert cfg.callers_address == ''
     assert cfg.worker_address == '10.1.0.14:8165'
 
--- a/citronrail/ports/__init__.py
+++ b/citronrail/ports/__init__.py
@@ -5,6 +5,7 @@
 from citronrail.ports.backend_server import BackendServer
 from citronrail.ports.key_value_store import Compare
 from citronrail.ports.key_value_store import Delete
+from citronrail.ports.key_value_store import ItemFilter
 from citronrail.ports.key_value_store import KeyValue
 from citronrail.ports.key_value_store import KeyValueStore
 from citronrail.ports.key_value_store import Listing
@@ -33,6 +34,7 @@
     'Delete',
     'EndedTask',
     'Handler',
+    'ItemFilter',
     'KeyValue',
     'KeyValueStore',
     'LeaseOrder',
--- a/citronrail/ports/key_value_store.py
+++ b/citronrail/ports/key_value_store.py
@@ -65,6 +65,9 @@
     revision: int
 
 
+ItemFilter = collections.abc.Callable[[KeyValue], bool]
+
+
 class KeyValueStore(typing.Protocol):
     """Compare-and-swap, leases and watches of the platform's store.
 
@@ -78,8 +81,15 @@
         """Read one key; None if it is absent."""
         ...
 
-    async def list(self, prefix: str) -> Listing:
-        """Read all keys that start with ``prefix``."""
+    async def list(
+        self, prefix: str, keep: ItemFilter | None = None
+    ) -> Listing:
+        """Read all keys that start with ``prefix``.
+
+        :param prefix: prefix of the keys.
+        :param keep: called with each item as it is read; those for which it
+            returns False are left out, so that they take no memory.
+        """
         ...
 
     async def txn(
--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import dataclasses
 import itertools
 import time
@@ -23,6 +24,8 @@
 from citronrail.workflow import _relay
 from citronrail.workflow import _request_attempts
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _state_room
+from citronrail.workflow import _state_size
 from citronrail.workflow import _store_requests
 from citronrail.workflow import _term
 from citronrail.workflow import _verdict
@@ -45,6 +48,7 @@
 GIVE_UP_CHECK_S = 0.05
 # Answers are due this long before the caller gives up; less isn't reported.
 LATE_S = 0.1
+NO_BOUNDS = workflows.Bounds()
 Reply = _verdict.Reply
 Verdict = _verdict.Verdict
 OwnCalls = collections.abc.Callable[
@@ -64,7 +68,7 @@
     :param view: the leader as last seen in the store.
     :param load: parts for hard load that are on.
     :param relay: asks peers that reach the store; used if ``load.relay``.
-    :param max_value_bytes: length of the longest value of the store.
+    :param bounds: limits of the deployment.
     """
 
     def __init__(
@@ -76,10 +80,13 @@
         *,
         load: load_settings.LoadSettings = load_settings.OFF,
         relay: _relay.Relay | None = None,
-        max_value_bytes: int = workflows.MAX_VALUE_BYTES,
+        bounds: workflows.Bounds = NO_BOUNDS,
     ) -> None:
         self._load_settings = load
-        self._max_value_bytes = max_value_bytes
+        self._max_value_bytes = bounds.max_value_bytes
+        self._state_room = _state_room.StateRoom(
+            _state_size.limit_bytes(bounds.memory_bytes)
+        )
         self._relay = relay if load.relay else None
         if self._relay is not None:
             self._relay.serve(self._perform)
@@ -99,6 +106,8 @@
         # Local end of the time in which an unanswered store call may still
         # store a job, by job ID.
         self._unsettled: dict[str, float] = {}
+        hub.subscribe(messages.StateSize, self._on_state_size)
+        hub.subscribe(messages.StateLimit, self._on_state_limit)
         if load.admission:
             hub.subscribe(messages.BacklogSummary, self._on_backlog)
         hub.subscribe(messages.JobStateQuery, self._on_query)
@@ -146,6 +155,13 @@
         if retry_after_s:
             _record_request('submit', Verdict.OVERLOADED, began_at)
             return Reply(Verdict.OVERLOADED, retry_after_s=retry_after_s)
+        size = _state_size.job_bytes(spec, len(record))
+        if await self._lacks_memory(job, size, deadline):
+            _record_request('submit', Verdict.NO_MEMORY, began_at)
+            return Reply(
+                Verdict.NO_MEMORY, retry_after_s=_state_room.RETRY_AFTER_S
+            )
+        self._state_room.on_accepted(job_id, size, trio.current_time())
         was_unsettled = job_id in self._unsettled
         self._mark_unsettled(job_id)
         reply = await self._submit(job, record, deadline)
@@ -154,6 +170,8 @@
             and not was_unsettled
         ):
             self._unsettled.pop(job_id, None)
+            if reply.verdict is not Verdict.DONE:
+                self._state_room.on_not_stored(job_id)
         _record_request('submit', reply.verdict, began_at)
         _report_late('submit', job_id, deadline)
         return reply
@@ -255,8 +273,6 @@
 
     def _mark_unsettled(self, job_id: str) -> None:
         """Record that a store call for a job is without a response."""
-        if not self._load_settings.admission:
-            return
         now = trio.current_time()
         # In the order of their ends, so that expired ones are first.
         self._unsettled.pop(job_id, None)
@@ -285,17 +301,12 @@
         if self._backlog.decide(job, now, time.time()) is None:
             self._backlog.on_admitted(job_id)
             return 0
-        if self._is_unsettled(job_id):
-            return 0  # an earlier call may store it yet
-        attempt = _request_attempts.Attempt(bounded=True, alone=True)
-        read_until = min(deadline, now + REJECTION_READ_TIMEOUT_S)
-        found = await self._requests.exists(job_id, read_until, attempt)
-        if found is not Verdict.ABSENT:
-            return 0  # it is accepted, or whether it is isn't known
+        if not await self._is_certainly_new(job_id, deadline):
+            return 0
         # The summary may have aged during the read.
         now = trio.current_time()
         rejection = self._backlog.decide(job, now, time.time())
-        if rejection is None or self._is_unsettled(job_id):
+        if rejection is None:
             return 0
         self._backlog.on_rejected(job_id, rejection, now)
         retry_after_s = load_admission.retry_after_s(rejection.retry_in_s)
@@ -309,6 +320,36 @@
         )
         return retry_after_s
 
+    async def _lacks_memory(
+        self, job: documents.JobRecord, size: int, deadline: float
+    ) -> bool:
+        """Whether the entries have no memory for a job that is new."""
+        term = self._election.term
+        if term is not None and term.state_size is not None:
+            self._state_room.take(term.state_size, trio.current_time())
+        if self._state_room.admits(job.job_id, size):
+            return False
+        if not await self._is_certainly_new(job.job_id, deadline):
+            return False
+        observability.emit(
+            events.JOB_REJECTED,
+            job=job.job_id,
+            queue=job.queue,
+            reason=f'the entries have no memory for {size} bytes more',
+        )
+        return True
+
+    async def _is_certainly_new(self, job_id: str, deadline: float) -> bool:
+        """Whether a job is not accepted, and no earlier call may store it."""
+        if self._is_unsettled(job_id):
+            return False
+        attempt = _request_attempts.Attempt(bounded=True, alone=True)
+        read_until = min(
+            deadline, trio.current_time() + REJECTION_READ_TIMEOUT_S
+        )
+        found = await self._requests.exists(job_id, read_until, attempt)
+        return found is Verdict.ABSENT and not self._is_unsettled(job_id)
+
     def _is_unsettled(self, job_id: str) -> bool:
         return self._unsettled.get(job_id, 0.0) > trio.current_time()
 
@@ -603,6 +644,23 @@
         del peer
         self._backlog.take(summary, trio.current_time())
 
+    async def _on_state_size(
+        self, peer: ports.Peer, size: messages.StateSize, _: bytes
+    ) -> None:
+        self._state_room.take(size, trio.current_time())
+        own_limit = self._state_room.limit
+        if own_limit and not 0 < size.limit <= own_limit:
+            with contextlib.suppress(errors.PeerUnreachable):
+                await self._hub.send(
+                    peer.node_id, messages.StateLimit(own_limit)
+                )
+
+    async def _on_state_limit(
+        self, peer: ports.Peer, message: messages.StateLimit, _: bytes
+    ) -> None:
+        if self._election.term is not None:
+            self._election.term.on_state_limit(peer.node_id, message.limit)
+
     async def _on_accepted(
         self, peer: ports.Peer, message: messages.JobAccepted, _: bytes
     ) -> None:
--- a/citronrail/workflow/_inbox.py
+++ b/citronrail/workflow/_inbox.py
@@ -12,6 +12,7 @@
 from citronrail.observability.catalogue import workflow as events
 from citronrail import ports
 from citronrail.workflow import _documents as documents
+from citronrail.workflow import _job_loader
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _prefix_follower
 from citronrail.workflow import _scheduler_state
@@ -54,20 +55,45 @@
 
     :param listener: receives the jobs and cancellations.
     :param writer: knows the deleted jobs.
-    :param jobs: IDs of the known jobs.
+    :param loader: knows the other jobs.
     """
 
     def __init__(
         self,
         listener: _prefix_follower.PrefixListener,
         writer: _state_writer.StateWriter,
-        jobs: collections.abc.Container[str],
+        loader: _job_loader.JobLoader,
     ) -> None:
         self._listener = listener
         self._writer = writer
-        self._jobs = jobs
+        self._loader = loader
         self._listed = False
 
+    def new_filter(self) -> ports.ItemFilter:
+        """Return the filter of a listing.
+
+        It leaves out jobs that are known, and lets large ones stay in the
+        store beyond what the scheduler's state may take.
+        """
+        kept_bytes = 0
+
+        def keep(item: ports.KeyValue) -> bool:
+            nonlocal kept_bytes
+            job_id = _job_id(item.key)
+            if not item.key.startswith(
+                documents.JOB_PREFIX
+            ) or self._writer.was_deleted(job_id):
+                return True
+            if job_id in self._loader:
+                return False
+            if not self._loader.may_read(kept_bytes + len(item.value)):
+                self._loader.leave_out(job_id, item.value)
+                return False
+            kept_bytes += len(item.value)
+            return True
+
+        return keep
+
     def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
         """Pass on a listing."""
         current = self._current(items)
@@ -92,11 +118,13 @@
         while True:
             await trio.sleep(RECONCILE_S)
             with contextlib.suppress(errors.CitronrailError):
-                listing = await store.list(documents.INBOX_PREFIX)
+                listing = await store.list(
+                    documents.INBOX_PREFIX, self.new_filter()
+                )
                 self.on_listing(listing.items)
 
     def _report_late(self, item: ports.KeyValue) -> None:
-        if _job_id(item.key) in self._jobs:
+        if _job_id(item.key) in self._loader:
             return
         record = _scheduler_state.decode_item(
             item.key, item.value, documents.JobRecord
--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -323,6 +323,7 @@
             task.done = True
             task.last_run = self.job.last_run(self.first_task + index)
             return task
+        self.job.known_task_count += 1
         in_order = not self._tasks or index > next(reversed(self._tasks))
         self._tasks[index] = task
         if not in_order:
@@ -464,6 +465,7 @@
             return
         if self._tasks.pop(task.index, None) is not None:
             self._done_with_runs -= 1
+            self.job.known_task_count -= 1
             self.job.on_task_settled(task)
         if self.done and not self._tasks:
             self.job.on_stage_settled(self)
@@ -492,6 +494,9 @@
         self.record = record
         self.job_id = record.job_id
         self.arrived_at = arrived_at
+        # Memory that it takes without the tasks that are known.
+        self.size_bytes = 0
+        self.known_task_count = 0
         self.layout = _task_layout.TaskLayout(record.spec)
         # Tasks whose progress is stored together, so that neither its longest
         # value nor the cost of a change grows with the job.
@@ -894,6 +899,7 @@
         self.layout = _task_layout.TaskLayout(spec)
         self.changed_segments.clear()
         self._stages.clear()
+        self.known_task_count = 0
         self._done_tasks = _bit_set.BitSet()
         self._done_stages = _bit_set.BitSet()
         self._last_runs.clear()
--- a/citronrail/workflow/_metrics.py
+++ b/citronrail/workflow/_metrics.py
@@ -151,6 +151,18 @@
     'Requests relayed to a peer or performed for one, by side and verdict',
     ['side', 'verdict'],
 )
+STATE_BYTES = prometheus_client.Gauge(
+    'citronrail_workflow_state_bytes',
+    'Memory that the jobs of the scheduling entry take, by its model',
+)
+STATE_LIMIT_BYTES = prometheus_client.Gauge(
+    'citronrail_workflow_state_limit_bytes',
+    'Size of that state up to which entries accept jobs, 0 for any size',
+)
+JOBS_UNLOADED = prometheus_client.Gauge(
+    'citronrail_workflow_jobs_unloaded',
+    'Stored jobs for which the scheduling entry has no memory',
+)
 JOBS_DEFERRED = prometheus_client.Gauge(
     'citronrail_workflow_jobs_deferred',
     'Waiting jobs that are deferred so that others end in time',
--- a/citronrail/workflow/_observed_store.py
+++ b/citronrail/workflow/_observed_store.py
@@ -156,9 +156,11 @@
         """Read one key; see the port."""
         return await self._observe(self._store.get(key))
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read the keys under a prefix; see the port."""
-        return await self._observe(self._store.list(prefix))
+        return await self._observe(self._store.list(prefix, keep))
 
     async def txn(
         self,
--- a/citronrail/workflow/_prefix_follower.py
+++ b/citronrail/workflow/_prefix_follower.py
@@ -37,6 +37,7 @@
     listener: PrefixListener,
     *,
     max_retry_s: float = MAX_RETRY_S,
+    new_filter: collections.abc.Callable[[], ports.ItemFilter] | None = None,
     task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED,
 ) -> None:
     """List, then watch a prefix, and start over after each failure.
@@ -45,6 +46,8 @@
     :param prefix: prefix of the keys.
     :param listener: receives listings and changes.
     :param max_retry_s: longest pause after a failure, in seconds.
+    :param new_filter: returns the filter of the next listing; None if it
+        shows all items.
     :param task_status: started at once, before the first listing.
     """
     task_status.started()
@@ -52,7 +55,8 @@
     lost = False
     while True:
         try:
-            listing = await store.list(prefix)
+            keep = None if new_filter is None else new_filter()
+            listing = await store.list(prefix, keep)
             _deliver_listing(listener, prefix, listing.items)
             if lost:
                 observability.emit(events.WATCH_REGAINED, prefix=prefix)
--- a/citronrail/workflow/_scheduler_state.py
+++ b/citronrail/workflow/_scheduler_state.py
@@ -68,7 +68,7 @@
         self.inherited_end_at = 0.0  # by then these have certainly ended
         self.progress: dict[str, documents.ProgressRecord] = {}
         # By job ID and number.
-        self.segments: dict[str, dict[int, documents.SegmentRecord]] = {}
+        self.segments: dict[str, dict[int, bytes]] = {}
         # Runs that were stopped or discarded since the last summary, by queue
         # and reason.
         self.stopped_runs: collections.Counter[tuple[str, str]] = (
@@ -95,7 +95,11 @@
                 item.key, item.value, documents.SegmentRecord
             )
             if segment is not None:
-                self.segments.setdefault(job_id, {})[number] = segment
+                self.segments.setdefault(job_id, {})[number] = item.value
+
+    def has_stored_progress(self, job_id: str) -> bool:
+        """Whether progress of a job that is not added yet was restored."""
+        return job_id in self.progress or job_id in self.segments
 
     def mark_changed(self, task: _job.Task) -> None:
         """Let the next commit store the progress of a task."""
@@ -110,13 +114,24 @@
             self.newly_begun.add(job)
 
     def add_job(
-        self, record: documents.JobRecord, now: float, unix_now: float
+        self,
+        record: documents.JobRecord,
+        now: float,
+        unix_now: float,
+        size_bytes: int = 0,
     ) -> None:
-        """Add an accepted job, unless it is known already."""
+        """Add an accepted job, unless it is known already.
+
+        :param record: the stored job.
+        :param now: local time in seconds.
+        :param unix_now: Unix time in seconds.
+        :param size_bytes: memory that it takes, see :mod:`_state_size`.
+        """
         if record.job_id in self.jobs:
             return
         age_s = min(600.0, max(0.0, unix_now - record.accepted_at))
         job = _job.Job(record, now - age_s)
+        job.size_bytes = size_bytes
         job.host_losses = self.host_losses
         self.jobs[record.job_id] = job
         progress = self.progress.pop(record.job_id, None)
@@ -125,7 +140,7 @@
             # The first commit of its progress has been stored in part.
             progress = documents.ProgressRecord(documents.JobStatus.QUEUED)
         if progress is not None:
-            job.restore(progress, segments)
+            job.restore(progress, _StoredSegments(segments))
             for attempt in job.attempts():
                 if attempt.lease_left_s:
                     attempt.leases_end_at = now + attempt.lease_left_s
@@ -383,6 +398,30 @@
                     self.discard_run(attempt, 'its lease has expired', now)
 
 
+class _StoredSegments(collections.abc.Mapping[int, documents.SegmentRecord]):
+    """Stored segments of a job that are decoded on access.
+
+    Decoded, they take ten times as much memory.
+
+    :param values: valid encoded segments, by number.
+    """
+
+    def __init__(self, values: dict[int, bytes]) -> None:
+        self._values = values
+
+    def __getitem__(self, number: int) -> documents.SegmentRecord:
+        return documents.decode(self._values[number], documents.SegmentRecord)
+
+    def __iter__(self) -> collections.abc.Iterator[int]:
+        return iter(self._values)
+
+    def __len__(self) -> int:
+        return len(self._values)
+
+    def __contains__(self, number: object) -> bool:
+        return number in self._values
+
+
 def decode_item(
     key: str, data: bytes, kind: type[documents.T]
 ) -> documents.T | None:
--- a/citronrail/workflow/_state_writer.py
+++ b/citronrail/workflow/_state_writer.py
@@ -16,6 +16,7 @@
 from citronrail.workflow import _metrics as metrics
 from citronrail.workflow import _progress_size
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _state_size
 from citronrail.workflow.overload import _run_times
 
 FACTORS_INTERVAL_S = 2.0  # between writes of the learned factors
@@ -42,6 +43,10 @@
 UnixClock = collections.abc.Callable[[], float]
 
 
+def _never(_: str) -> bool:
+    return False
+
+
 class StateWriter:
     """Collects writes of changed jobs, learned factors and worker shapes.
 
@@ -73,6 +78,7 @@
         self._next_factors_at = 0.0
         self._store_begun_at = 0.0
         self._last_commit: collections.abc.Callable[[], int] = int
+        self._is_unloaded: collections.abc.Callable[[str], bool] = _never
         self._without_checkpoints: set[str] = set()  # logged jobs
         self._refused: set[str] = set()  # jobs whose progress is refused
         # Ended jobs whose segments are being deleted.
@@ -89,6 +95,15 @@
         """
         self._last_commit = last_commit
 
+    def keep_cancels_of(
+        self, is_unloaded: collections.abc.Callable[[str], bool]
+    ) -> None:
+        """Set the function that tells of which jobs cancellations are kept.
+
+        :param is_unloaded: returns whether a job is stored and not loaded.
+        """
+        self._is_unloaded = is_unloaded
+
     def was_deleted(self, job_id: str) -> bool:
         """Whether a job was deleted recently and not accepted again.
 
@@ -302,7 +317,9 @@
         """Return the deletions of cancellations whose job never came."""
         pending = self._scheduler_state.pending_cancels
         expired = [
-            job_id for job_id, item in pending.items() if item.ends_at < now
+            job_id
+            for job_id, item in pending.items()
+            if item.ends_at < now and not self._is_unloaded(job_id)
         ][:MAX_CANCELS_DELETED]
         if len(expired) == MAX_CANCELS_DELETED:
             self._next_cleanup_at = now
@@ -349,6 +366,7 @@
                 continue
             self._forget_steps(job)
             job.release()
+            job.size_bytes = _state_size.JOB_BYTES
 
     def _expired_job_deletes(self, now: float) -> list[ports.Delete]:
         """Return the deletions of jobs whose retention time has passed."""
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -1,5 +1,6 @@
 """Work of the scheduling entry during one leadership."""
 
+import collections.abc
 import dataclasses
 import time
 
@@ -19,6 +20,7 @@
 from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _inbox
 from citronrail.workflow import _interference
+from citronrail.workflow import _job_loader
 from citronrail.workflow import _leadership
 from citronrail.workflow import _load_stops
 from citronrail.workflow import _metrics as metrics
@@ -30,6 +32,7 @@
 from citronrail.workflow import _round
 from citronrail.workflow import _run_supervisor
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow import _state_size
 from citronrail.workflow import _state_writer
 from citronrail.workflow import _worker_view
 from citronrail.workflow.overload import _job_order
@@ -44,6 +47,7 @@
 # hosts that lost power together take to return.
 NO_CONTACT_S = 10.0
 LEASES_LEFT_INTERVAL_S = 1.0  # between writes for workers that are silent
+STATE_SIZE_INTERVAL_S = 2.0  # between messages on the size of the state
 BACKLOG_INTERVAL_S = 0.5  # between summaries of the backlog
 MAX_SUMMARY_BYTES = 2048
 
@@ -83,6 +87,14 @@
         self.scheduler_state = _scheduler_state.SchedulerState(
             self._queue_named
         )
+        self._loader = _job_loader.JobLoader(
+            self.scheduler_state,
+            _state_size.loaded_limit_bytes(bounds.memory_bytes),
+            unix_clock,
+        )
+        self.state_size: messages.StateSize | None = None
+        # Of entries that can hold less than this one.
+        self._state_limits: dict[identifiers.NodeId, int] = {}
         self._fast = load.fast_takeover
         self._chain = _commit_chain.CommitChain(
             store,
@@ -143,6 +155,7 @@
             unix_clock,
             self._run_times,
         )
+        self._writer.keep_cancels_of(self._loader.unloaded.__contains__)
         self._sender = _order_sender.OrderSender(
             hub,
             self.scheduler_state,
@@ -168,27 +181,51 @@
 
     def on_listing(self, items: tuple[ports.KeyValue, ...]) -> None:
         """Add all stored jobs and cancellations."""
-        for item in items:
-            self._apply_item(item.key, item.value, item.revision)
+        self._apply_items(
+            [(item.key, item.value, item.revision) for item in items]
+        )
         self._loaded.set()
         self.wake()
 
     def on_events(self, changes: tuple[ports.WatchEvent, ...]) -> None:
         """Add newly stored jobs and cancellations."""
-        for change in changes:
-            if change.value is not None:
-                self._apply_item(change.key, change.value, change.revision)
+        self._apply_items(
+            [
+                (change.key, change.value, change.revision)
+                for change in changes
+                if change.value is not None
+            ]
+        )
         if changes:
             self.wake()
 
-    def _apply_item(self, key: str, value: bytes, revision: int) -> None:
+    def _apply_items(self, items: list[tuple[str, bytes, int]]) -> None:
+        """Add jobs, and then apply cancellations.
+
+        Jobs with progress are first, then those that take least memory.
+        """
         if not self._progress_applied:
-            self._early_items.append((key, value, revision))
-        elif key.startswith(documents.CANCEL_PREFIX):
-            job_id = key.removeprefix(documents.CANCEL_PREFIX)
-            self._cancel_job(job_id, revision)
-        else:
-            self._add_job(key.removeprefix(documents.JOB_PREFIX), value)
+            self._early_items += items
+            return
+        for key, value, revision in sorted(items, key=self._load_order):
+            if key.startswith(documents.CANCEL_PREFIX):
+                job_id = key.removeprefix(documents.CANCEL_PREFIX)
+                self._cancel_job(job_id, revision)
+            else:
+                self._add_job(key.removeprefix(documents.JOB_PREFIX), value)
+
+    def _load_order(
+        self, item: tuple[str, bytes, int]
+    ) -> tuple[bool, bool, int]:
+        key, value, _ = item
+        is_job = key.startswith(documents.JOB_PREFIX)
+        job_id = key.removeprefix(documents.JOB_PREFIX)
+        has_progress = self.scheduler_state.has_stored_progress(job_id)
+        return (not is_job, not has_progress, len(value))
+
+    def on_state_limit(self, node: identifiers.NodeId, limit: int) -> None:
+        """Accept how much another entry can hold, which may lead next."""
+        self._state_limits[node] = limit
 
     def on_job_cancelled(self, job_id: str) -> None:
         """Cancel a job whose cancellation an entry has stored."""
@@ -207,16 +244,9 @@
             self._add_job(job_id, value)
 
     def _add_job(self, job_id: str, value: bytes) -> None:
-        if job_id in self.scheduler_state.jobs:
-            return
         if self._writer.was_deleted(job_id):
             return  # the inbox shows whether it was accepted again
-        key = documents.JOB_PREFIX + job_id
-        record = _scheduler_state.decode_item(key, value, documents.JobRecord)
-        if record is not None:
-            self.scheduler_state.add_job(
-                record, trio.current_time(), self._unix_clock()
-            )
+        if self._loader.add(job_id, value):
             self.wake()
 
     def on_agent_connected(self, peer: ports.Peer) -> None:
@@ -259,8 +289,12 @@
         It isn't known once the lease may have ended, since a successor may
         have committed a later state.
         """
+        if not self.loaded or not self._leadership.valid:
+            return ''
+        if job_id in self._loader.unloaded:
+            return documents.JobStatus.QUEUED.value
         job = self.scheduler_state.jobs.get(job_id)
-        if job is None or not self.loaded or not self._leadership.valid:
+        if job is None:
             return ''
         return job.committed_status.value
 
@@ -273,7 +307,7 @@
         """
         if not self.loaded or not self._leadership.valid:
             return -1
-        return sum(
+        return self._loader.pending_count(queue) + sum(
             1
             for job in self.scheduler_state.jobs.values()
             if job.open and not job.begun and job.record.queue == queue
@@ -301,6 +335,8 @@
             self._next_leases_left_at = (
                 trio.current_time() + LEASES_LEFT_INTERVAL_S
             )
+            nursery.start_soon(self._send_state_size)
+            nursery.start_soon(self._load_more)
             if self._load_settings.admission:
                 nursery.start_soon(self._send_backlog)
             while True:
@@ -351,11 +387,7 @@
                 break
             except errors.StoreError as exc:
                 observability.emit(events.ELECTION_FAILED, reason=exc)
-            if not self._leadership.valid:
-                raise errors.Fenced(
-                    'the lease ended before the jobs were loaded',
-                    step='workflow.load',
-                )
+            self._check_loading()
             await trio.sleep(LOAD_RETRY_S)
         if stored_factors is not None:
             factors = _scheduler_state.decode_item(
@@ -372,6 +404,9 @@
         if not self._fast:
             nursery.start_soon(self._follow_inbox)
         await self._loaded.wait()
+        while not await self._loader.load_begun(self._store):
+            self._check_loading()
+            await trio.sleep(LOAD_RETRY_S)
         self.loaded = True
         self._take_early_reports()
         observability.emit(
@@ -385,6 +420,17 @@
             seconds=round(trio.current_time() - began_at, 3),
         )
 
+    def _check_loading(self) -> None:
+        """End the term if its lease has ended during the loading.
+
+        :raises citronrail.errors.Fenced: if it has.
+        """
+        if not self._leadership.valid:
+            raise errors.Fenced(
+                'the lease ended before the jobs were loaded',
+                step='workflow.load',
+            )
+
     async def _read_stored(
         self,
     ) -> tuple[ports.Listing, ports.KeyValue | None]:
@@ -417,7 +463,7 @@
         return listing, factors[0]
 
     async def _follow_inbox(self) -> None:
-        inbox = _inbox.Inbox(self, self._writer, self.scheduler_state.jobs)
+        inbox = _inbox.Inbox(self, self._writer, self._loader)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(inbox.reconcile, self._store)
             await _prefix_follower.follow(
@@ -429,13 +475,13 @@
                     if self._fast
                     else _prefix_follower.MAX_RETRY_S
                 ),
+                new_filter=inbox.new_filter,
             )
 
     def _apply_early_items(self) -> None:
         self._progress_applied = True
         items, self._early_items = self._early_items, []
-        for item in items:
-            self._apply_item(*item)
+        self._apply_items(items)
 
     def _take_early_reports(self) -> None:
         reports, self._early_reports = self._early_reports, []
@@ -517,6 +563,46 @@
             self._unix_clock(),
         )
 
+    async def _load_more(self) -> None:
+        """Load jobs that were left out once there is memory for them."""
+        while True:
+            await trio.sleep(_job_loader.INTERVAL_S)
+            if not self._loader.unloaded or not self._leadership.valid:
+                continue
+            if await self._loader.load_more(self._store):
+                self.wake()
+
+    async def _send_state_size(self) -> None:
+        """Send the entries the memory that the jobs take, and the limit."""
+        while True:
+            peers = self._hub.peers('entry')
+            self._update_state_size(peers)
+            for peer in peers:
+                try:
+                    await self._hub.send(peer.node_id, self.state_size)
+                except errors.PeerUnreachable:
+                    continue  # it gets the next one
+            await trio.sleep(STATE_SIZE_INTERVAL_S)
+
+    def _update_state_size(
+        self, peers: collections.abc.Collection[ports.Peer]
+    ) -> None:
+        connected = {peer.node_id for peer in peers}
+        limits = [
+            limit
+            for node, limit in self._state_limits.items()
+            if node in connected
+        ]
+        own_limit = _state_size.limit_bytes(self._bounds.memory_bytes)
+        limit = min(filter(None, (own_limit, *limits)), default=0)
+        metrics.STATE_LIMIT_BYTES.set(limit)
+        self.state_size = messages.StateSize(
+            self._leadership.fencing,
+            self._loader.measure(),
+            limit,
+            1 + len(connected),
+        )
+
     async def _send_backlog(self) -> None:
         """Send the backlog to the entries while there is one."""
         while True:
--- a/citronrail/workflow/_verdict.py
+++ b/citronrail/workflow/_verdict.py
@@ -11,6 +11,7 @@
     NOT_RUN = 'not run'  # certainly had no effect and never will
     UNFIT = 'unfit'  # had no effect, since no worker can run the job
     OVERLOADED = 'overloaded'  # had no effect, it would end too late
+    NO_MEMORY = 'no memory'  # had no effect, the scheduler holds too much
     TOO_LARGE = 'too large'  # had no effect, the store takes no such job
     UNKNOWN = 'unknown'  # the caller should repeat it with the same ID
     ABSENT = 'absent'  # no such job
@@ -20,8 +21,8 @@
 class Reply:
     """Reply to a caller.
 
-    ``retry_after_s`` says when to retry after ``NOT_RUN``, ``UNFIT`` or
-    ``OVERLOADED``.
+    ``retry_after_s`` says when to retry after ``NOT_RUN``, ``UNFIT``,
+    ``OVERLOADED`` or ``NO_MEMORY``.
     """
 
     verdict: Verdict
--- a/citronrail/workflow/tests/_cluster.py
+++ b/citronrail/workflow/tests/_cluster.py
@@ -109,7 +109,7 @@
             self.leader,
             load=cluster.load,
             relay=self.relay,
-            max_value_bytes=cluster.bounds.max_value_bytes,
+            bounds=cluster.bounds,
         )
 
     def _make_relay(self, name: str) -> workflow.Relay:
--- a/citronrail/workflow/tests/_flawed_store.py
+++ b/citronrail/workflow/tests/_flawed_store.py
@@ -68,10 +68,12 @@
         with contextlib.suppress(errors.CitronrailError):
             await super().txn(compares, writes)
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read a listing in pages, each as of its own revision."""
         page_items = self.flaws.page_items
-        listing = await super().list(prefix)
+        listing = await super().list(prefix, keep)
         if not page_items:
             return listing
         items: list[ports.KeyValue] = []
@@ -83,7 +85,7 @@
             if len(left) <= page_items:
                 return ports.Listing(tuple(items), listing.revision)
             await trio.sleep(self.flaws.page_s)
-            page = await super().list(prefix)
+            page = await super().list(prefix, keep)
 
     @contextlib.asynccontextmanager
     async def watch(self, prefix, start_revision):
--- a/citronrail/workflow/tests/test_odd_records.py
+++ b/citronrail/workflow/tests/test_odd_records.py
@@ -166,7 +166,7 @@
             for n, key in enumerate(keys)
         )
 
-    async def list(self, prefix):
+    async def list(self, prefix, keep=None):
         return ports.Listing(self._items, 1)
 
     @contextlib.asynccontextmanager
--- a/citronrail/workflow/tests/test_state_memory.py
+++ b/citronrail/workflow/tests/test_state_memory.py
@@ -4,9 +4,6 @@
 every scheduling entry was ended by its memory limit, one after the other.
 """
 
-import gc
-import tracemalloc
-
 import pytest
 
 from citronrail.model import workflows
@@ -15,6 +12,7 @@
 from citronrail.workflow import _job
 from citronrail.workflow import _round
 from citronrail.workflow import _scheduler_state
+from citronrail.workflow.tests import _allocations
 from citronrail.workflow.tests import _cluster
 
 NOW = 1000.0
@@ -52,24 +50,10 @@
     return _round.place(state, policy, NOW, unix_now)
 
 
-class _Allocations:
-    """Measures the bytes that are allocated and not freed."""
-
-    def __enter__(self):
-        gc.collect()
-        tracemalloc.start()
-        return self
-
-    def __exit__(self, *_):
-        gc.collect()
-        self.size, _ = tracemalloc.get_traced_memory()
-        tracemalloc.stop()
-
-
 @pytest.mark.parametrize('spec', [EACH_MINUTE, WIDE], ids=['times', 'wide'])
 def test_jobs_that_wait_fit_many_times_over(spec):
     """Guards against memory for each task that nothing has happened to."""
-    with _Allocations() as allocations:
+    with _allocations.Allocations() as allocations:
         state = _add_jobs(spec)
         _place(state)
     assert allocations.size < ENTRY_BYTES / 100
@@ -77,7 +61,7 @@
 
 def test_occurrences_that_are_all_due_take_little_memory():
     """Guards against a stage in memory for each overdue occurrence."""
-    with _Allocations() as allocations:
+    with _allocations.Allocations() as allocations:
         state = _add_jobs(EACH_MINUTE)
         _place(state, UNIX_NOW + 90_000)
     assert allocations.size < ENTRY_BYTES / 30
@@ -85,7 +69,7 @@
 
 def test_done_tasks_take_little_memory():
     """Guards against memory for each task that has ended."""
-    with _Allocations() as allocations:
+    with _allocations.Allocations() as allocations:
         state = _add_jobs(EACH_MINUTE, 4)
         for job in state.jobs.values():
             for number in range(len(job.stages) - 1):
@@ -103,7 +87,7 @@
         workflows.StepSpec(1, after=(n,)) for n in range(4000)
     )
     spec = workflows.WorkflowSpec('x' * 4000, steps)
-    with _Allocations() as allocations:
+    with _allocations.Allocations() as allocations:
         state = _add_jobs(spec, 4)
         del spec, steps
         for job in state.jobs.values():
--- a/standins/key_value/_memory_store.py
+++ b/standins/key_value/_memory_store.py
@@ -48,11 +48,17 @@
             'get', lambda: self.state.get(key, self.faults.stale_by)
         )
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read the keys under a prefix; see the port."""
-        return await self._read(
+        listing = await self._read(
             'list', lambda: self.state.list(prefix, self.faults.stale_by)
         )
+        return ports.Listing(
+            tuple(filter(keep, listing.items)) if keep else listing.items,
+            listing.revision,
+        )
 
     async def txn(
         self,
--- a/standins/key_value/_store_link.py
+++ b/standins/key_value/_store_link.py
@@ -56,9 +56,11 @@
         """Read one key; see the port."""
         return await self._call('get', lambda: self._store.get(key))
 
-    async def list(self, prefix: str) -> ports.Listing:
+    async def list(
+        self, prefix: str, keep: ports.ItemFilter | None = None
+    ) -> ports.Listing:
         """Read the keys under a prefix; see the port."""
-        return await self._call('list', lambda: self._store.list(prefix))
+        return await self._call('list', lambda: self._store.list(prefix, keep))
 
     async def txn(
         self,
