Look at a step without a run in fewer operations

Since steps keep only known tasks, a round asked for each step twice whether a task waits, with a generator each.

--- a/citronrail/workflow/_job.py
+++ b/citronrail/workflow/_job.py
@@ -392,10 +392,13 @@
 
         :param now: local time in seconds.
         """
-        return self._not_known > 0 or any(
-            task.waiting and task.retry_at <= now
-            for task in self._tasks.values()
-        )
+        if self._not_known > 0:
+            return True
+        # Each round asks this for all steps; a generator takes twice as long.
+        for task in self._tasks.values():
+            if not task.attempts and not task.done and task.retry_at <= now:
+                return True
+        return False
 
     @property
     def _not_known(self) -> int:
@@ -693,6 +696,10 @@
 
         :param unix_now: Unix time in seconds.
         """
+        if not self.record.spec.occurrences:
+            for step in self._unblocked_steps(0):
+                yield self.stage(step)
+            return
         waiting = 0
         for occurrence in range(self._first_open, self._due_count(unix_now)):
             if occurrence in self._done_occurrences:
@@ -708,10 +715,8 @@
                 return
 
     def _due_count(self, unix_now: float) -> int:
-        """Return how many occurrences are due."""
+        """Return how many occurrences of a recurring job are due."""
         spec = self.record.spec
-        if not spec.occurrences:
-            return self.layout.occurrences
         late_s = unix_now - spec.first_due_at
         if late_s < 0.0:
             return 0
