Forget accepted jobs at an entry that hears no size of the state

Found by reading: an entry counts the jobs that it has accepted until the leader sends the size of the state. A leader of an earlier version sends none, so that during an upgrade each entry would reject all jobs after some 12,000 small ones, although they had ended long ago.

Now a job counts for 60 s at most; a leader loads no more than it can hold in any case. The test failed before: the eighth of eight jobs still counted.

--- a/citronrail/workflow/_state_room.py
+++ b/citronrail/workflow/_state_room.py
@@ -15,6 +15,9 @@
 # this long after the job was stored.
 UNKNOWN_TO_LEADER_S = 2.0
 RETRY_AFTER_S = 10  # for a job that is rejected
+# After this time a job counts no more although no size has arrived: the leader
+# may be of a version that sends none, and loads no more than it can hold.
+FORGET_S = 60.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +80,10 @@
         :param size: memory that it takes, in bytes.
         :param now: local time in seconds.
         """
+        for known_id, item in tuple(self._accepted.items()):
+            if item.at >= now - FORGET_S:
+                break  # the others are later
+            del self._accepted[known_id]
         self._accepted.setdefault(job_id, _Accepted(now, size))
 
     def on_not_stored(self, job_id: str) -> None:
--- a/citronrail/workflow/tests/test_state_size.py
+++ b/citronrail/workflow/tests/test_state_size.py
@@ -139,6 +139,17 @@
     assert not room.admits('j5', 600_000)  # of an earlier leader
 
 
+def test_jobs_count_for_a_while_without_a_leader_that_sends_sizes():
+    """Guards against entries that reject all jobs during an upgrade."""
+    room = _state_room.StateRoom(8_000_000)
+    for number in range(8):
+        room.on_accepted(f'j{number}', 1_000_000, 10.0 + number)
+    assert not room.admits('j8', 1_000_000)
+    for at in (14.0, 200.0, 300.0):  # submitted again, long after
+        room.on_accepted('j9', 1000, at + _state_room.FORGET_S)
+    assert room.admits('j8', 1_000_000)
+
+
 async def _submit(cluster, number, spec):
     entry = cluster.rng.choice(list(cluster.entries.values()))
     return await entry.service.submit(
