Forget the memory limit of an entry that has restarted

Found by reading: a leader kept the smallest limit that an entry had named as long as any process of that node was connected, so that an entry which was restarted with more memory still bounded what all entries accept, until the leadership passed on. The limit belongs to the boot ID now.

--- a/citronrail/workflow/_caller_service.py
+++ b/citronrail/workflow/_caller_service.py
@@ -659,7 +659,7 @@
         self, peer: ports.Peer, message: messages.StateLimit, _: bytes
     ) -> None:
         if self._election.term is not None:
-            self._election.term.on_state_limit(peer.node_id, message.limit)
+            self._election.term.on_state_limit(peer, message.limit)
 
     async def _on_accepted(
         self, peer: ports.Peer, message: messages.JobAccepted, _: bytes
--- a/citronrail/workflow/_term.py
+++ b/citronrail/workflow/_term.py
@@ -93,8 +93,8 @@
             unix_clock,
         )
         self.state_size: messages.StateSize | None = None
-        # Of entries that can hold less than this one.
-        self._state_limits: dict[identifiers.NodeId, int] = {}
+        # Of processes that can hold less than this one, by boot ID.
+        self._state_limits: dict[identifiers.BootId, int] = {}
         self._fast = load.fast_takeover
         self._chain = _commit_chain.CommitChain(
             store,
@@ -223,9 +223,9 @@
         has_progress = self.scheduler_state.has_stored_progress(job_id)
         return (not is_job, not has_progress, len(value))
 
-    def on_state_limit(self, node: identifiers.NodeId, limit: int) -> None:
+    def on_state_limit(self, peer: ports.Peer, limit: int) -> None:
         """Accept how much another entry can hold, which may lead next."""
-        self._state_limits[node] = limit
+        self._state_limits[peer.boot_id] = limit
 
     def on_job_cancelled(self, job_id: str) -> None:
         """Cancel a job whose cancellation an entry has stored."""
@@ -587,11 +587,11 @@
     def _update_state_size(
         self, peers: collections.abc.Collection[ports.Peer]
     ) -> None:
-        connected = {peer.node_id for peer in peers}
+        connected = {peer.boot_id for peer in peers}
         limits = [
             limit
-            for node, limit in self._state_limits.items()
-            if node in connected
+            for boot_id, limit in self._state_limits.items()
+            if boot_id in connected
         ]
         own_limit = _state_size.limit_bytes(self._bounds.memory_bytes)
         limit = min(filter(None, (own_limit, *limits)), default=0)
