Accept any job while the scheduler is empty

Found by reading: a job could take an eighth of the room, 13.1 MB of an empty scheduler of 300 MB, and the largest jobs that are well-formed count 13.2 MB: 3,900 steps, five times. They would be rejected for ever. Now it is a quarter. test_largest_jobs_are_accepted_by_an_empty_scheduler failed before. test_jobs_that_the_leader_does_not_know_count asks with a job as far beyond the quarter as the earlier one was beyond the eighth.

--- a/citronrail/workflow/_state_room.py
+++ b/citronrail/workflow/_state_room.py
@@ -9,8 +9,9 @@
 
 from citronrail.model import messages
 
-# Part of the room that a single job may take.
-MAX_JOB_SHARE = 0.125
+# Part of the room that a single job may take. With it, an empty scheduler of
+# 300 MB accepts any job.
+MAX_JOB_SHARE = 0.25
 # A job counts as not known to the leader until its size arrives that was made
 # this long after the job was stored.
 UNKNOWN_TO_LEADER_S = 2.0
