--- a/citronrail/workflow/_crashes.py
+++ b/citronrail/workflow/_crashes.py
@@ -14,8 +14,6 @@
 * A task is given up after five crashes, and not before: the users allow it two
   starts after three crashes, and fewer may be a coincidence even if each of
   them points to the task.
-* A task that lasts is never given up: it has no limit of starts, and only its
-  owner ends it. It is started at longer intervals instead.
 * A task crashes its worker, not the agent beside it. Where each loss but one
   took the agent along, hosts fail for other reasons.
 """
@@ -282,7 +280,7 @@
         crash = documents.CrashRecord(
             worker_id, born_ms, attempt.node, sole, with_agent
         )
-        task.crashes = (*others, crash)[-MAX_LOSSES:]
+        task.crashes = (*others, crash)
         self._scheduler_state.mark_changed(task)
         observability.emit(
             events.TASK_SUSPECTED,
@@ -297,8 +295,6 @@
         job = task.stage.job
         if not (job.open and is_proved(task.crashes)):
             return
-        if task.stage.spec.long_running:
-            return
         metrics.TASKS_GIVEN_UP.inc()
         observability.emit(
             events.TASK_GIVEN_UP,
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -6,7 +6,6 @@
 
 from citronrail.model import workflows
 from citronrail.workflow import _assignment
-from citronrail.workflow import _crashes
 from citronrail.workflow import _health
 from citronrail.workflow import _idle_jobs
 from citronrail.workflow import _interference
@@ -26,9 +25,6 @@
 # Of a step. A round that started thousands of tasks took so long that the
 # leadership ended.
 MAX_STARTS_PER_STAGE = 240
-# Before another start of a task that lasts, after as many crashes as others
-# are given up for. Such a task has to run within 9 s of its last run.
-LASTING_SUSPECT_DELAY_S = 4.0
 
 Policy = _policy.Policy
 
@@ -284,20 +280,10 @@
                 and task.waiting
                 and task.retry_at <= now
                 and _probation.must_start_alone(task, now)
-                and not _is_held_back(task, now)
             ):
                 yield task
 
 
-def _is_held_back(task: _job.Task, now: float) -> bool:
-    """Whether a task that lasts has to wait as it may crash its worker."""
-    return (
-        task.stage.spec.long_running
-        and _crashes.is_proved(task.crashes)
-        and now - task.retry_at < LASTING_SUSPECT_DELAY_S
-    )
-
-
 def _ready_stages(
     scheduler_state: _scheduler_state.SchedulerState,
     now: float,
