--- a/citronrail/workflow/_bit_set.py
+++ b/citronrail/workflow/_bit_set.py
@@ -27,12 +27,3 @@
         if position >= len(self._bits):
             self._bits.extend(bytes(position + 1 - len(self._bits)))
         self._bits[position] |= 1 << (number & 7)
-
-    def add_range(self, first: int, end: int) -> None:
-        """Add consecutive numbers.
-
-        :param first: the first one.
-        :param end: the one after the last.
-        """
-        for number in range(first, end):
-            self.add(number)
