Name the tasks that may start beside other runs in one place

A round and the preemption filtered the startable tasks of a step by the same rule, each with a generator of its own; both call _probation.startable_tasks now. An unused constant of the model of memory goes.

--- a/citronrail/workflow/_load_stops.py
+++ b/citronrail/workflow/_load_stops.py
@@ -1,7 +1,6 @@
 """Stops runs on shrunk workers, and runs that urgent tasks preempt."""
 
 import collections
-import collections.abc
 import itertools
 
 from citronrail.model import load_settings
@@ -176,7 +175,7 @@
                 for stage in stages
                 if not stage.spec.gang
                 for task in itertools.islice(
-                    _startable(stage, now), MAX_WAITING
+                    _probation.startable_tasks(stage, now), MAX_WAITING
                 )
             ]
             del tasks[MAX_WAITING:]
@@ -275,16 +274,6 @@
     )
 
 
-def _startable(
-    stage: _job.Stage, now: float
-) -> collections.abc.Iterator[_job.Task]:
-    return (
-        task
-        for task in stage.startable_tasks(now)
-        if not _probation.must_start_alone(task, now)
-    )
-
-
 def _left_s(attempt: _job.Attempt) -> float:
     """Return in how many seconds a run is expected to end."""
     spec = attempt.task.stage.spec
--- a/citronrail/workflow/_probation.py
+++ b/citronrail/workflow/_probation.py
@@ -62,6 +62,21 @@
     return bool(task.crashes)
 
 
+def startable_tasks(
+    stage: _job.Stage, now: float
+) -> collections.abc.Iterator[_job.Task]:
+    """Iterate over tasks that may start now, beside other new runs.
+
+    :param stage: their stage.
+    :param now: local time in seconds.
+    """
+    return (
+        task
+        for task in stage.startable_tasks(now)
+        if not must_start_alone(task, now)
+    )
+
+
 def is_reserved(view: _worker_view.WorkerView, now: float) -> bool:
     """Whether only a suspected task may start on a worker.
 
--- a/citronrail/workflow/_round.py
+++ b/citronrail/workflow/_round.py
@@ -343,11 +343,6 @@
         fleet.service, spec, wait_for_low_impact
     ):
         return []
-    waiting = (
-        task
-        for task in stage.startable_tasks(now)
-        if not _probation.must_start_alone(task, now)
-    )
     ranking = _step_ranking.StepRanking(
         spec,
         stage.name,
@@ -356,6 +351,7 @@
         wait_for_low_impact=wait_for_low_impact,
     )
     placed = []
+    waiting = _probation.startable_tasks(stage, now)
     for task in itertools.islice(waiting, MAX_STARTS_PER_STAGE):
         choice = ranking.take(task.failed_on)
         if choice is None:
--- a/citronrail/workflow/_state_size.py
+++ b/citronrail/workflow/_state_size.py
@@ -10,7 +10,6 @@
 from citronrail.model import workflows
 from citronrail.workflow import _job
 
-MIB = 2**20
 # Part of the memory limit of a process for its jobs. The rest is for the
 # program, the connections, the workers and requests in progress.
 STATE_SHARE = 0.35
